--- /dev/null
+++ b/flinthatch/__init__.py
@@ -0,0 +1,29 @@
+"""Decisions of an HTTP load balancer; see README.md for the interface."""
+
+from flinthatch.balancer import (
+    Actions,
+    Balancer,
+    Effect,
+    Listing,
+    Outcome,
+    RequestClass,
+    Scope,
+    Settings,
+    State,
+    Tenant,
+    Update,
+)
+
+__all__ = [
+    "Actions",
+    "Balancer",
+    "Effect",
+    "Listing",
+    "Outcome",
+    "RequestClass",
+    "Scope",
+    "Settings",
+    "State",
+    "Tenant",
+    "Update",
+]
--- /dev/null
+++ b/flinthatch/balancer.py
@@ -0,0 +1,1153 @@
+"""The decisions of one flinthatch node.
+
+The ordinary path is the gateway of Pacifici et al., "Performance Management
+for Cluster-Based Web Services": per-class FIFO queues, in-flight caps per
+backend and in total, a weighted round robin over integer class shares, and a
+periodic solve of those shares from an M/M/1 prediction and utility curves.
+A Balancer does no I/O, reads no clock and keeps no state outside itself: it
+is told what happened and when (integer nanoseconds) and calls its Actions.
+docs/design.md says what was kept, what was changed, and when exceptions act.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import IntEnum
+from heapq import heappop, heappush
+from random import Random
+from typing import NamedTuple, Protocol
+
+MS = 1_000_000
+SECOND = 1_000_000_000
+
+# Caps. LEVEL is how many requests all nodes together keep at one backend. It
+# starts at START_LEVEL and follows the worst class's crowding: the part of the
+# room between its uncrowded latency and its aim that attempts use up. Under
+# LOW_CROWDING with requests waiting it grows, over HIGH_CROWDING it is cut.
+# One is enough where work is long against the network gap, as in a slowdown.
+START_LEVEL = 4.0
+MIN_LEVEL = 1.0
+MAX_LEVEL = 64.0
+LOW_CROWDING = 0.17
+HIGH_CROWDING = 0.32
+BASE_RISE = 1.005  # a cycle, so that an uncrowded latency once seen is not held for ever
+GROW = 1.15
+CUT = 0.9
+JUDGED = 10  # answers that judge a class's crowding; fewer are carried to the next cycle
+TAKEN_MOST = 1.2  # most aims one attempt may count as
+FULL_SHARE = 0.05  # refusals by backends above this share of outcomes cut the level
+LOST_SHARE = 0.04  # the same of time-outs by backends that answer otherwise
+SPILL = 0.34  # part of the level that is dealt to nodes of other zones
+ROUND_STEP = 0.618034  # golden section: any run of ranks rounds up in proportion
+MIN_SLOTS = 3  # a node holds at least this many slots, however thin its deal
+SLOW_FACTOR = 1.5  # latency against the fleet's at which a backend's own cap shrinks
+# Ties: candidates looked at among the backends holding equally few.
+CANDIDATES = 3
+FRESH = 2 * SECOND  # what a backend's last answer said is believed this long
+# Waiting: a queued request is refused once this part of its slack is gone, so
+# that what is served is served well inside its aim, and that a client who comes
+# again at once can still be: with half the slack a fifth of answers were late.
+WAIT_PART = 0.25
+LEFTS = 64  # steps in which the time a client has left is told apart
+USUAL_PART = 0.25  # of requests, for a time left to be taken for that of first tries
+AIM_MARGIN = 0.03  # an attempt is ended this part of the aim early
+PATIENCE = 5.0  # a repeatable attempt is given this many mean latencies ...
+PATIENCE_PART = 1.0  # ... and at least this part of its aim
+RETRY_PART = 0.1  # retries after time-outs allowed per first attempt
+RETRY_BURST = 10.0
+# Health.
+FULL_REST_MAX = 2 * SECOND  # longest rest of a backend that turned an attempt away
+STALL = 6.0  # silence, in mean latencies, after which a backend in use is passed over
+STRIKES = 3  # time-outs in a row, no answer between, that make a backend silent
+BACKOFF = SECOND
+BACKOFF_MAX = 8 * SECOND
+# Solver.
+CYCLE = SECOND // 2
+DECAY = 0.85  # of last cycles' sums, so that thin traffic is averaged over seconds
+ALPHA = 1.0
+BETA = 1.0
+WORST = 10.0  # predicted times are bounded at this many aims
+REFUSED_AS = 10.0  # a refusal enters the mean response time as this many aims
+LEAST_SERVED = 0.02  # of a class's requests, for the share that serving all would take
+# Slow start: part of the stated budget that is used, the rest is for views
+# that differ and for requests heavier than the mean.
+COLD_SAFETY = 0.5
+COLD_LEVEL = 2
+
+INFINITE = float("inf")
+
+TIMER_WAKE = 1
+TIMER_CYCLE = 2
+TIMER_LIST = 3
+
+
+class State(IntEnum):
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+class Update(IntEnum):
+    DELTA = 0
+    FULL = 1
+    CACHED = 2
+    FAILED = 3
+
+
+class Effect(IntEnum):
+    PURE = 0
+    TOKEN = 1
+    SIDE_EFFECT = 2
+
+
+class Scope(IntEnum):
+    ALL = 0
+    ZONE = 1
+    CELL = 2
+
+
+class Outcome(IntEnum):
+    OK = 1
+    ERROR = 2
+    FULL = 3
+    TIMEOUT = 4
+    CONNECT_FAILED = 5
+    RESET = 6
+    CANCELLED = 7
+    MOOT = 8
+
+
+NEVER_RAN = (3, 5, 8)
+OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET = 1, 2, 3, 4, 5, 6
+
+
+class Listing(NamedTuple):
+    """One line of the backend list."""
+
+    backend: int
+    state: State
+    zone: int = 0
+    cell: int = 0
+    kind: int = 0
+    boot: int = 0
+    rating: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    name: str
+    aim: int
+    deadline: int
+    effect: Effect = Effect.PURE
+    scope: Scope = Scope.ALL
+    window: int = 0
+    worth: float = 1.0
+    late_worth: float = 0.0
+    stream: bool = False
+    aim_stretch: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    name: str
+    portion: float = 1.0
+    quota_per_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What a node is told at its start; times in nanoseconds."""
+
+    classes: tuple[RequestClass, ...]
+    tenants: tuple[Tenant, ...] = ()
+    node: int = 0
+    balancers: int = 1
+    zone: int = 0
+    zones: int = 1
+    load_columns: tuple[str, ...] = ()
+    ask: bool = False
+    ask_within: int = 10 * SECOND
+    drain_grace: int = SECOND
+    cold_from: float = 0.1
+    cold: int = 10 * SECOND
+    fall_multiple: float = 3.0
+    fall: int = 2 * SECOND
+    answer_slack: int = 0
+    max_attempts: int = 1
+    second_copies: bool = False
+    can_cancel: bool = False
+    can_probe: bool = False
+    max_retry_after: int = 0
+    marks_retry: bool = False
+    connect_timeout: int = 250 * MS
+    tick: int = MS
+    worst_class: float = 0.0
+    cross_zone_price: float = 0.0
+    rated: bool = False
+
+    def __post_init__(self) -> None:
+        if not self.classes:
+            raise ValueError("settings need at least one request class")
+        if self.balancers < 1:
+            raise ValueError("balancers must be at least 1")
+        for c in self.classes:
+            if c.aim <= 0 or c.deadline <= 0:
+                raise ValueError(f"class {c.name!r} needs an aim and a deadline above 0")
+
+
+class Actions(Protocol):
+    """What a Balancer asks its host to do; all take effect at once."""
+
+    def send(self, request: int, backend: int, timeout: int) -> None: ...
+    def refuse(self, request: int, retry_after: int) -> None: ...
+    def fail(self, request: int) -> None: ...
+    def cancel(self, request: int, attempt: int) -> None: ...
+    def set_timer(self, token: int, due: int) -> None: ...
+    def probe(self, backend: int) -> None: ...
+    def watch(self) -> None: ...
+    def fetch(self) -> None: ...
+    def log(self, text: str) -> None: ...
+
+
+class Backend:
+    __slots__ = (
+        "backoff", "boot", "bucket", "cap", "cell", "cold_until", "cost", "deal", "fulls", "held",
+        "id", "index", "kind", "lat", "local", "offset", "rating", "rest_until", "seen", "since",
+        "state", "stalled", "takers", "trial", "zone", "down_until", "strikes",
+    )  # fmt: skip
+
+    def __init__(self, row: Listing, local: bool) -> None:
+        self.id = row.backend
+        self.zone = row.zone
+        self.cell = row.cell
+        self.kind = row.kind
+        self.boot = row.boot
+        self.rating = row.rating if row.rating > 0 else 1.0
+        self.state = row.state
+        self.local = local
+        self.held = 0
+        self.cap = 0
+        self.deal = 0  # this node's place in the deal of this backend's slots
+        self.offset = 0.0  # where this backend's level rounds up
+        self.bucket: list[Backend] | None = None
+        self.index = 0
+        self.lat = 1.0  # latency against the fleet's, slowly averaged
+        self.cost = 1.0  # the last answer's word on how busy it is
+        self.seen = 0
+        self.since = 0  # last answer, or first send after being idle
+        self.stalled = False
+        self.trial = False
+        self.down_until = 0
+        self.backoff = BACKOFF
+        self.strikes = 0
+        self.fulls = 0  # turned away in a row
+        self.cold_until = 0
+        self.takers = 1  # nodes that share its cold budget
+        self.rest_until = 0
+
+
+class Attempt:
+    __slots__ = ("backend", "open", "sent")
+
+    def __init__(self, backend: Backend, sent: int) -> None:
+        self.backend = backend
+        self.sent = sent
+        self.open = True
+
+
+class Request:
+    __slots__ = (
+        "aim_at", "arrived", "attempts", "cls", "ended", "give_up", "hint", "id", "live",
+        "over", "queued", "ran", "streaming", "tenant", "wait_by",
+    )  # fmt: skip
+
+    def __init__(self, rid: int, cls: ClassState, now: int, left: int, tenant: int) -> None:
+        self.id = rid
+        self.cls = cls
+        self.tenant = tenant
+        self.arrived = now
+        self.give_up = now + left
+        self.aim_at = now + cls.aim
+        self.wait_by = 0
+        self.attempts: list[Attempt] = []
+        self.live = 0  # attempts still out
+        self.ran: Attempt | None = None  # the first attempt that may have run
+        self.queued = False
+        self.over = False
+        self.ended = False
+        self.streaming = False
+        self.hint = 0
+
+
+class ClassState:
+    """One class's queues, counts and what the solver knows of it."""
+
+    __slots__ = (
+        "aim", "arrivals", "asked", "base", "clock", "counts", "cycles", "effect", "lat", "lat_n",
+        "lefts", "lines", "number", "over", "passes", "refused", "responses", "running", "share",
+        "share_sum", "spec", "total", "usual", "waiting", "waiting_over",
+    )  # fmt: skip
+
+    def __init__(self, number: int, spec: RequestClass, tenants: int) -> None:
+        self.number = number
+        self.spec = spec
+        self.aim = spec.aim
+        self.effect = spec.effect
+        # Lines may hold requests that have ended; `counts` tells who still waits.
+        self.lines: list[deque[Request]] = [deque() for _ in range(max(1, tenants))]
+        self.counts = [0] * max(1, tenants)
+        self.passes = [0.0] * max(1, tenants)
+        self.over: deque[Request] = deque()
+        self.waiting = 0  # within quota
+        self.waiting_over = 0
+        self.lefts = [0] * (LEFTS + 1)  # requests by the time their client had left
+        self.usual = 0  # the step most came with
+        self.asked = 0
+        self.running = 0
+        self.share = 1
+        self.clock = 0.0  # the turn that was served last
+        self.lat = spec.aim / 4.0
+        self.lat_n = 0.0
+        self.base = 0.0  # mean attempt latency when uncrowded
+        self.arrivals = 0.0
+        self.responses = 0.0
+        self.refused = 0.0
+        self.total = 0.0
+        self.share_sum = 0.0
+        self.cycles = 0.0
+
+    def elapsed(self, left: int) -> int:
+        """How long ago a try's client began, 0 where the time left does not tell.
+
+        Clients give up a try after one usual time; a later try has less where
+        the deadline is near, and the last one all that is left. The longest time
+        seen is thus not a first try's: taken for it, all first tries looked late.
+        """
+        deadline = self.spec.deadline
+        step = max(0, min(LEFTS * left // deadline, LEFTS))
+        self.asked += 1
+        self.lefts[step] += 1
+        if self.lefts[step] > self.lefts[self.usual]:
+            self.usual = step
+        if abs(step - self.usual) <= 1 or self.lefts[self.usual] < USUAL_PART * self.asked:
+            return 0
+        return max(deadline - left, 0)
+
+
+def predicted(rate: float, mean: float, old: float, new: float) -> float:
+    """Mean response time at share `new` (eqs. 8 and 9); inf where saturated."""
+    denominator = 1.0 / mean + rate * (1.0 / old - 1.0 / new)
+    return 1.0 / denominator if denominator > 0 else INFINITE
+
+
+def utility(aim: float, time: float, worth: float) -> float:
+    """The paper's curve over times in aims; worth scales only the side of missing."""
+    miss = min(time / aim, WORST) - 1.0
+    return float((-miss) ** ALPHA if miss <= 0 else -worth * miss**BETA)
+
+
+def solve(total: int, flows: Sequence[tuple[float, float, float, float, float]]) -> list[int]:
+    """Max-min integer shares, each at least 1, for (rate, mean, share, aim, worth).
+
+    Handing the slots one by one to the class that stands lowest gives the
+    max-min optimum because no utility falls as a share grows. A class with no
+    traffic (rate or mean 0) keeps its one slot until all others are content.
+    """
+    shares = [1] * len(flows)
+
+    def stand(i: int) -> float:
+        rate, mean, old, aim, worth = flows[i]
+        if rate <= 0 or mean <= 0:
+            return 1.0
+        t = predicted(rate, mean, max(old, 1.0), shares[i])
+        if t == INFINITE:
+            # Among saturated classes more slots still mean less overload.
+            return float(-worth * (WORST - 1.0) ** BETA - worth * rate * aim / shares[i])
+        return utility(aim, t, worth)
+
+    stands = [stand(i) for i in range(len(flows))]
+    for _ in range(total - len(flows)):
+        low = min(range(len(flows)), key=stands.__getitem__)
+        shares[low] += 1
+        stands[low] = stand(low)
+    return shares
+
+
+class Balancer:
+    """Decides for one node; see the module's docstring."""
+
+    def __init__(self, settings: Settings, seed: int, actions: Actions) -> None:
+        self.settings = settings
+        self.actions = actions
+        self.random = Random(seed)
+        self.now = 0
+        tenants = len(settings.tenants)
+        self.classes = [ClassState(i, c, tenants) for i, c in enumerate(settings.classes)]
+        self.backends: dict[int, Backend] = {}
+        self.requests: dict[int, Request] = {}
+        # Buckets of free backends by requests held: own zone, then the others.
+        self.local: list[list[Backend]] = [[]]
+        self.remote: list[list[Backend]] = [[]]
+        self.total = 0  # N_g
+        self.running = 0
+        self.waiting = 0  # queued within quota
+        self.waiting_over = 0
+        self.level = START_LEVEL
+        self.pointer = 0
+        self.left_in_turn = 0
+        self.heap: list[tuple[int, int, Request | Backend]] = []
+        self.reminders = 0
+        self.wake_at = 0
+        # Quotas: this node's part of each tenant's rate, as a bucket of one second.
+        self.quota = [t.quota_per_s / settings.balancers / SECOND for t in settings.tenants]
+        self.stride = [1.0 / max(t.portion, 1e-6) for t in settings.tenants]
+        self.credit = [max(q * SECOND, 1.0) for q in self.quota]
+        self.credit_at = [0] * tenants
+        self.retry_credit = RETRY_BURST
+        # Since the last cycle.
+        self.outcomes = 0
+        self.fulls = 0
+        self.lost = 0
+        self.ratio_sum = [0.0] * len(self.classes)
+        self.ratio_n = [0.0] * len(self.classes)
+        self.pressed = False
+        self.sends = 0
+        self.send_rate = 0.0  # a second, smoothed
+        self.down = 0
+        self.ready = 0
+        self.list_tries = 0
+        self.asking = False
+        self.quiet_until = 0
+        columns = settings.load_columns
+        self.queue_column = columns.index("q") if "q" in columns else -1
+        own = settings.node % settings.zones == settings.zone % settings.zones
+        same = range(settings.zone, settings.balancers, settings.zones) if own else ()
+        self.peers = max(1, len(same) or -(-settings.balancers // settings.zones))
+        self.place_among = settings.node // settings.zones
+
+    # ---- start, list --------------------------------------------------
+
+    def start(self, now: int) -> None:
+        self.now = now
+        self.credit_at = [now] * len(self.quota)
+        self.actions.set_timer(TIMER_CYCLE, now + self.random.randrange(CYCLE // 2, CYCLE))
+        if self.settings.ask:
+            # Starts come together; the list service answers a fixed number of lines.
+            spread = min(self.settings.ask_within // 4, self.settings.balancers * 100 * MS)
+            self.actions.set_timer(TIMER_LIST, now + self.random.randrange(1, spread + 2))
+
+    def on_members(self, now: int, update: Update, rows: Sequence[Listing] = ()) -> None:
+        self.now = now
+        if update == Update.FAILED:
+            self.asking = False
+            self.list_tries += 1
+            self.say(now, "list call failed")
+            wait = min(SECOND << min(self.list_tries, 3), self.settings.ask_within // 2)
+            if self.settings.ask:
+                due = now + wait // 2 + self.random.randrange(wait)
+                self.actions.set_timer(TIMER_LIST, due)
+            return
+        if update != Update.CACHED:
+            self.asking = False
+            self.list_tries = 0
+        if update != Update.DELTA:
+            named = {row.backend for row in rows}
+            for backend in self.backends.values():
+                if backend.id not in named:
+                    backend.state = State.GONE
+                    self.settle(backend)
+        for row in rows:
+            self.member(now, row, update)
+        self.redeal()
+        self.dispatch(now)
+
+    def member(self, now: int, row: Listing, update: Update) -> None:
+        backend = self.backends.get(row.backend)
+        if backend is None:
+            if row.state == State.GONE:
+                return
+            backend = Backend(row, row.zone == self.settings.zone)
+            self.backends[row.backend] = backend
+            if row.boot and now - row.boot < self.settings.cold:
+                backend.cold_until = row.boot + self.settings.cold
+        else:
+            if row.state != State.GONE and row.boot and row.boot != backend.boot:
+                backend.boot = row.boot
+                backend.cold_until = max(backend.cold_until, row.boot + self.settings.cold)
+                if backend.down_until:
+                    self.revive(backend)
+            backend.state = row.state
+            if row.state != State.GONE:
+                backend.rating = row.rating if row.rating > 0 else 1.0
+        self.settle(backend)
+
+    def redeal(self) -> None:
+        """Deal every backend's slots to the nodes in turn (the paper's eqs. 5 and 6).
+
+        The paper splits N_s among gateways in proportion to w_g. With more
+        gateways than slots the integer nearest most parts is 0, so each node
+        takes the backends whose turn falls on it. Ranks in the sorted list are
+        the same at every node that holds the same list, so no word is needed.
+        """
+        settings = self.settings
+        zones: dict[int, list[Backend]] = {}
+        for backend in self.backends.values():
+            if backend.state == State.READY:
+                zones.setdefault(backend.zone, []).append(backend)
+        self.ready = 0
+        others = max(1, settings.balancers - self.peers)
+        for zone in sorted(zones):
+            rows = sorted(zones[zone], key=lambda b: b.id)
+            self.ready += len(rows)
+            for rank, backend in enumerate(rows):
+                # Rounded up everywhere, a level just over 2 would deal three slots.
+                backend.offset = rank * ROUND_STEP % 1.0
+                if backend.local:
+                    backend.deal = (self.place_among - rank) % self.peers
+                else:
+                    backend.deal = (settings.node - rank) % others
+        self.recap()
+
+    def recap(self) -> None:
+        settings = self.settings
+        local = sum(1 for b in self.backends.values() if b.local and b.state == State.READY)
+        level = self.level
+        if local:
+            level = max(level, MIN_SLOTS * self.peers / local)
+        spill = level * SPILL
+        others = max(1, settings.balancers - self.peers)
+        total = 0
+        for backend in self.backends.values():
+            if backend.state != State.READY:
+                continue
+            depth = level if backend.local else spill
+            if backend.lat > SLOW_FACTOR:
+                depth = min(depth, max(1.0, depth / backend.lat))
+            if backend.cold_until > self.now:
+                # At two slots for the whole slow start a rolling release left a
+                # zone of half-warm backends idle and its nodes short of slots.
+                depth = min(depth, max(COLD_LEVEL, depth * self.warmth(backend)))
+            nodes = self.peers if backend.local else others
+            backend.takers = max(1, min(int(depth + 1.0), nodes))
+            depth = int(depth + backend.offset)
+            cap = -(-(depth - backend.deal) // nodes) if depth > backend.deal else 0
+            backend.cap = cap
+            total += cap
+            self.settle(backend)
+        self.total = max(total, 1)
+
+    def settle(self, b: Backend) -> None:
+        """Put a backend into the bucket of what it holds, or in none if not free."""
+        free = (
+            b.state == State.READY
+            and b.held < (min(b.cap, 1) if b.trial else b.cap)
+            and not b.stalled
+            and not b.down_until
+            and b.rest_until <= self.now
+        )
+        bucket = None
+        if free:
+            pool = self.local if b.local else self.remote
+            while len(pool) <= b.held:
+                pool.append([])
+            bucket = pool[b.held]
+        old = b.bucket
+        if old is bucket:
+            return
+        if old is not None:
+            last = old.pop()
+            if last is not b:
+                old[b.index] = last
+                last.index = b.index
+        if bucket is not None:
+            b.index = len(bucket)
+            bucket.append(b)
+        b.bucket = bucket
+
+    # ---- requests -----------------------------------------------------
+
+    def on_request(
+        self,
+        now: int,
+        request: int,
+        cls: int,
+        left: int,
+        tenant: int = 0,
+        key: int = 0,
+        hint: int = 0,
+        client_retry: bool = False,
+    ) -> None:
+        self.now = now
+        if not 0 <= cls < len(self.classes):
+            raise ValueError(f"unknown request class {cls}")
+        if request in self.requests:
+            return  # told twice: one answer is owed, not two
+        c = self.classes[cls]
+        r = Request(request, c, now, left, tenant)
+        if c.spec.aim_stretch and hint:
+            r.aim_at = now + min(c.aim + int(c.spec.aim_stretch * hint), c.spec.deadline)
+        r.hint = hint
+        self.requests[request] = r
+        c.arrivals += 1
+        elapsed = c.elapsed(left)
+        if elapsed:
+            r.aim_at -= elapsed
+            if elapsed + c.lat >= c.aim:
+                # Late by its first try whatever is done: clients that keep coming
+                # must not hold the slots that those in time need.
+                r.aim_at = now + c.aim
+                r.over = True
+        slack = min(r.aim_at, r.give_up) - now - int(c.lat)
+        r.wait_by = now + max(int(slack * WAIT_PART), 0)
+        if self.quota:
+            r.over = self.beyond_quota(now, tenant) or r.over
+        if client_retry and c.spec.late_worth <= 0 and self.settings.max_retry_after > c.aim:
+            # Told to stay away for longer than its aim, a client that comes again
+            # is late by its first try: its answer is worth least.
+            r.over = True
+        self.enqueue(r, False)
+        self.dispatch(now)
+        if r.queued:
+            self.pressed = True
+            self.remind(r.wait_by, r)
+
+    def beyond_quota(self, now: int, tenant: int) -> bool:
+        """Whether a tenant's request exceeds this node's part of its quota."""
+        if not 0 <= tenant < len(self.quota):
+            raise ValueError(f"unknown tenant {tenant}")
+        rate = self.quota[tenant]
+        burst = max(rate * SECOND, 1.0)
+        credit = min(burst, self.credit[tenant] + rate * (now - self.credit_at[tenant]))
+        self.credit_at[tenant] = now
+        over = credit < 1.0
+        self.credit[tenant] = credit if over else credit - 1.0
+        return over and rate > 0
+
+    def enqueue(self, r: Request, front: bool) -> None:
+        c = r.cls
+        r.queued = True
+        if r.over:
+            self.waiting_over += 1
+            c.waiting_over += 1
+            line = c.over
+        else:
+            self.waiting += 1
+            c.waiting += 1
+            t = r.tenant if self.quota else 0
+            line = c.lines[t]
+            if self.quota and not c.counts[t]:
+                # A tenant that comes back does not bring old turns with it.
+                c.passes[t] = max(c.passes[t], c.clock)
+            c.counts[t] += 1
+        if front:
+            line.appendleft(r)
+        else:
+            line.append(r)
+
+    def unqueue(self, r: Request) -> None:
+        """Count a request out of its line; its place there is dropped when met."""
+        c = r.cls
+        r.queued = False
+        if r.over:
+            self.waiting_over -= 1
+            c.waiting_over -= 1
+        else:
+            self.waiting -= 1
+            c.waiting -= 1
+            c.counts[r.tenant if self.quota else 0] -= 1
+
+    def take(self, c: ClassState, over: bool) -> Request:
+        """Next request of a class: tenants in turn by portion, beyond quota behind."""
+        line = c.over
+        if not over:
+            t = 0
+            if self.quota:
+                best = INFINITE
+                for i, n in enumerate(c.counts):
+                    if n and c.passes[i] < best:
+                        best, t = c.passes[i], i
+                c.clock = best
+                c.passes[t] += self.stride[t]
+            line = c.lines[t]
+        while True:
+            r = line.popleft()
+            if r.queued:
+                self.unqueue(r)
+                return r
+
+    def next_class(self, over: bool) -> ClassState:
+        """Weighted round robin; a class under its share goes before one above it."""
+        classes = self.classes
+        n = len(classes)
+        start = self.pointer if self.left_in_turn > 0 else (self.pointer + 1) % n
+        spare = None
+        for step in range(n):
+            i = (start + step) % n
+            c = classes[i]
+            if c.waiting_over if over else c.waiting:
+                if c.running < c.share:
+                    return self.turn_to(i)
+                if spare is None:
+                    spare = i
+        assert spare is not None
+        return self.turn_to(spare)
+
+    def turn_to(self, i: int) -> ClassState:
+        c = self.classes[i]
+        if i != self.pointer or self.left_in_turn <= 0:
+            self.pointer = i
+            self.left_in_turn = c.share
+        self.left_in_turn -= 1
+        return c
+
+    def dispatch(self, now: int) -> None:
+        while self.running < self.total:
+            over = False
+            if not self.waiting:
+                if not self.waiting_over:
+                    return
+                over = True
+            backend = self.pick(now)
+            if backend is None:
+                return
+            r = self.take(self.next_class(over), over)
+            # A repeat's window may close while it waits for a slot.
+            if now > r.wait_by or (r.attempts and not self.may_resend(now, r)):
+                self.finish(r)
+                continue
+            target = self.best_for(now, r, backend)
+            if target is None:
+                self.finish(r)
+            else:
+                self.send(now, r, target)
+
+    def pick(self, now: int) -> Backend | None:
+        """Fewest in flight among free backends, own zone first; ties by last answers."""
+        for pool in (self.local, self.remote):
+            for bucket in pool:
+                while bucket:
+                    n = len(bucket)
+                    best = bucket[int(self.random.random() * n)]
+                    if n > 1:
+                        cost = best.cost if now - best.seen < FRESH else 1.0
+                        for _ in range(CANDIDATES - 1):
+                            other = bucket[int(self.random.random() * n)]
+                            c = other.cost if now - other.seen < FRESH else 1.0
+                            if c < cost:
+                                best, cost = other, c
+                    if best.held and now - best.since > self.stall_after():
+                        # A hung backend with room left must not collect more.
+                        best.stalled = True
+                        self.settle(best)
+                        continue
+                    return best
+        return None
+
+    def stall_after(self) -> float:
+        return STALL * max(c.lat for c in self.classes)
+
+    def best_for(self, now: int, r: Request, backend: Backend) -> Backend | None:
+        """A further attempt goes elsewhere than the last where it can."""
+        if not r.attempts:
+            return backend
+        if r.ran is not None and r.cls.effect == Effect.TOKEN and r.cls.spec.scope != Scope.ALL:
+            return self.in_group(r)
+        for _ in range(CANDIDATES):
+            if all(a.backend is not backend for a in r.attempts):
+                break
+            other = self.pick(now)
+            if other is not None:
+                backend = other
+        return backend
+
+    def in_group(self, r: Request) -> Backend | None:
+        """The repeat of a keyed request must reach those that know its key.
+
+        None where no ready backend of the group is left: the first one may be
+        draining by now and must not get the repeat either.
+        """
+        assert r.ran is not None
+        first = r.ran.backend
+        zone = r.cls.spec.scope == Scope.ZONE
+        free = [
+            b
+            for b in self.backends.values()
+            if b.state == State.READY
+            and not b.down_until
+            and (b.zone == first.zone if zone else b.cell == first.cell)
+        ]
+        return min(free, key=lambda b: (b is first, b.held, b.id)) if free else None
+
+    def send(self, now: int, r: Request, b: Backend) -> None:
+        c = r.cls
+        end = r.give_up
+        if c.spec.late_worth <= 0:
+            end = min(end, r.aim_at - int(c.aim * AIM_MARGIN))
+        limit = max(end - now, MS)
+        if not r.attempts:
+            self.retry_credit = min(self.retry_credit + RETRY_PART, RETRY_BURST)
+        if c.effect == Effect.PURE and len(r.attempts) + 1 < self.settings.max_attempts:
+            patience = int(max(PATIENCE * c.lat, PATIENCE_PART * c.aim))
+            if self.retry_credit >= 1.0:
+                limit = min(limit, patience)
+        r.attempts.append(Attempt(b, now))
+        r.live += 1
+        c.running += 1
+        self.running += 1
+        self.sends += 1
+        if not b.held:
+            b.since = now
+        b.held += 1
+        if b.cold_until > now:
+            self.rest(now, b)
+        self.settle(b)
+        self.actions.send(r.id, b.id, limit)
+
+    def rest(self, now: int, b: Backend) -> None:
+        """Space out what a cold backend gets, to this node's part of its budget."""
+        s = self.settings
+        usual = self.send_rate * s.balancers / max(self.ready, 1)
+        rate = COLD_SAFETY * s.fall_multiple * self.warmth(b) * usual
+        gap = s.fall if rate <= 0 else min(int(SECOND * b.takers / rate), s.fall)
+        b.rest_until = now + gap
+        self.remind(b.rest_until, b)
+
+    def warmth(self, b: Backend) -> float:
+        """The part of its capacity a cold backend is guessed to have by now."""
+        s = self.settings
+        warm = 1.0 - (b.cold_until - self.now) / max(s.cold, 1)
+        return s.cold_from + (1.0 - s.cold_from) * max(0.0, min(1.0, warm))
+
+    def remind(self, due: int, item: Request | Backend) -> None:
+        """Look at a queued request or a resting backend again at `due`."""
+        self.reminders += 1
+        heappush(self.heap, (due, self.reminders, item))
+        if not self.wake_at or due < self.wake_at:
+            self.wake_at = due
+            self.actions.set_timer(TIMER_WAKE, due)
+
+    def finish(self, r: Request) -> None:
+        """The final answer without service: refused where harmless, else failed."""
+        if r.ended:
+            return
+        r.ended = True
+        if not r.over:
+            r.cls.refused += 1
+        if not r.live:
+            self.requests.pop(r.id, None)
+        if self.may_refuse(r):
+            self.actions.refuse(r.id, self.stay_away(r))
+        else:
+            self.actions.fail(r.id)
+
+    def stay_away(self, r: Request) -> int:
+        """How long a refused client should wait.
+
+        Told to wait past its aim, a client comes back with a try that is late
+        whatever is done. Where such tries carry no mark they take slots from
+        those in time and keep a jam going; then no wait is asked, and what
+        comes back at once can still be answered in time.
+        """
+        s = self.settings
+        late = r.cls.spec.late_worth <= 0 and s.max_retry_after > r.cls.aim
+        return 0 if late and not s.marks_retry else s.max_retry_after
+
+    def may_refuse(self, r: Request) -> bool:
+        if r.cls.effect == Effect.PURE:
+            return True
+        if r.live:
+            return False
+        if r.ran is None:
+            return True
+        return r.cls.effect == Effect.TOKEN and r.cls.spec.scope == Scope.ALL
+
+    def may_resend(self, now: int, r: Request) -> bool:
+        """Whether another attempt is allowed; in_group says where for keyed ones."""
+        if r.live or len(r.attempts) >= self.settings.max_attempts:
+            return False
+        if r.ran is None or r.cls.effect == Effect.PURE:
+            return True
+        if r.cls.effect == Effect.SIDE_EFFECT:
+            return False
+        return now < r.ran.sent + r.cls.spec.window
+
+    # ---- outcomes -----------------------------------------------------
+
+    def on_outcome(
+        self,
+        now: int,
+        request: int,
+        attempt: int,
+        outcome: int,
+        taken: int,
+        done: bool,
+        load: Sequence[float] = (),
+    ) -> None:
+        self.now = now
+        r = self.requests.get(request)
+        if r is None or attempt >= len(r.attempts) or not r.attempts[attempt].open:
+            return
+        a = r.attempts[attempt]
+        a.open = False
+        b = a.backend
+        c = r.cls
+        r.live -= 1
+        c.running -= 1
+        self.running -= 1
+        b.held -= 1
+        self.outcomes += 1
+        if outcome == OK:
+            self.answered(now, c, b, taken, load)
+            if not r.ended:
+                c.responses += now - r.arrived
+                c.total += 1
+        else:
+            self.failed(now, c, b, outcome, taken)
+        self.settle(b)
+        if outcome not in NEVER_RAN and r.ran is None:
+            r.ran = a
+        if done or outcome == OK:
+            r.ended = True
+        if r.ended:
+            if not r.live:
+                self.requests.pop(request, None)
+        elif not r.live:
+            self.again(now, r, min(taken / c.lat, 1.0) if outcome == ERROR else 1.0)
+        self.dispatch(now)
+
+    def again(self, now: int, r: Request, price: float) -> None:
+        """Queue a further attempt ahead of the others, or answer for good.
+
+        The budget bounds work done twice: an error that came at once cost none.
+        Charged in full, two failing backends of eleven used it up and a fifth of
+        the requests was refused with most of the fleet idle.
+        """
+        c = r.cls
+        r.wait_by = min(r.aim_at, r.give_up) - int(c.lat)
+        fits = now < r.wait_by and self.may_resend(now, r)
+        if fits and r.ran is not None:
+            fits = self.retry_credit >= price
+            if fits:
+                self.retry_credit -= price
+        if not fits:
+            self.finish(r)
+            return
+        self.enqueue(r, True)
+        self.remind(r.wait_by, r)
+
+    def answered(
+        self, now: int, c: ClassState, b: Backend, taken: int, load: Sequence[float]
+    ) -> None:
+        ratio = self.timed(c, b, taken)
+        cost = 0.5 * b.lat + 0.5 * ratio
+        if 0 <= self.queue_column < len(load):
+            cost = b.lat * (1.0 + max(load[self.queue_column], 0.0))
+        b.cost = cost
+        b.seen = now
+        b.since = now
+        b.stalled = False
+        b.fulls = 0
+        b.strikes = 0
+        b.trial = False
+        b.backoff = BACKOFF
+
+    def timed(self, c: ClassState, b: Backend, taken: int) -> float:
+        """Learn from how long an attempt was out; returns it against the class's mean."""
+        # A hung backend's time-outs last many aims; taken whole, a handful would
+        # look like a jam of the fleet and cut every backend's slots.
+        taken = min(taken, int(TAKEN_MOST * c.aim))
+        gain = 0.05 if c.lat_n > 20 else 0.2
+        c.lat_n += 1
+        c.lat += gain * (taken - c.lat)
+        self.ratio_sum[c.number] += taken / c.aim
+        self.ratio_n[c.number] += 1
+        ratio = min(taken / c.lat, 10.0)
+        b.lat += 0.2 * (ratio - b.lat)
+        return ratio
+
+    def failed(self, now: int, c: ClassState, b: Backend, outcome: int, taken: int) -> None:
+        if outcome == FULL:
+            self.fulls += 1
+            b.cost = 4.0
+            b.seen = now
+            b.since = now
+            # A full backend answers at once and so would always hold fewest:
+            # without a rest it draws the whole stream.
+            b.fulls += 1
+            rest = int(c.lat * (0.5 + self.random.random())) << min(b.fulls - 1, 6)
+            b.rest_until = max(b.rest_until, now + min(rest, FULL_REST_MAX))
+            self.remind(b.rest_until, b)
+        elif outcome in (TIMEOUT, CONNECT_FAILED, RESET):
+            b.cost = 6.0
+            b.seen = now
+            if outcome == TIMEOUT:
+                # Answers alone would make a jam look like light load: the level
+                # would stay up while most work is given up on.
+                self.timed(c, b, max(taken, c.aim))
+                # Learnt in a jam, the uncrowded latency is the jam's own, and only
+                # time-outs tell. A hung backend answers nothing and counts once.
+                self.lost += not b.strikes
+            b.strikes += 1
+            lost = outcome in (CONNECT_FAILED, RESET)
+            # One time-out may be load: with one slot it always looks like silence.
+            if lost or (b.strikes >= STRIKES and now - b.since >= taken):
+                self.suspend(now, b, lost)
+
+    def suspend(self, now: int, b: Backend, restarted: bool) -> None:
+        """Leave a silent or unreachable backend alone; never more than half of all."""
+        if b.down_until or (self.down + 1) * 2 > self.ready:
+            return
+        b.down_until = now + b.backoff
+        b.backoff = min(b.backoff * 2, BACKOFF_MAX)
+        if restarted:
+            # Its process may be replaced before the list says so.
+            b.cold_until = b.down_until + self.settings.cold
+        why = "connection failed or reset" if restarted else "no answer since the send"
+        self.say(now, f"backend {b.id} out: {why}")
+        self.down += 1
+        self.remind(b.down_until, b)
+        self.settle(b)
+
+    def say(self, now: int, text: str) -> None:
+        """Log a rare change of state, one line a second at most."""
+        if now >= self.quiet_until:
+            self.quiet_until = now + SECOND
+            self.actions.log(text)
+
+    def revive(self, b: Backend) -> None:
+        b.down_until = 0
+        b.stalled = False
+        b.trial = True
+        self.down -= 1
+        self.settle(b)
+
+    def on_started(self, now: int, request: int, attempt: int, taken: int) -> None:
+        self.now = now
+        r = self.requests.get(request)
+        if r is not None:
+            r.streaming = True
+
+    def on_gone(self, now: int, request: int) -> None:
+        self.now = now
+        r = self.requests.get(request)
+        if r is None or r.ended:
+            return
+        r.ended = True
+        if r.queued:
+            self.unqueue(r)
+        if not r.live:
+            self.requests.pop(request, None)
+
+    def on_probe(
+        self, now: int, backend: int, outcome: int, taken: int, load: Sequence[float] = ()
+    ) -> None:
+        self.now = now
+
+    # ---- time ---------------------------------------------------------
+
+    def on_timer(self, now: int, token: int) -> None:
+        self.now = now
+        if token == TIMER_WAKE:
+            self.wake(now)
+        elif token == TIMER_CYCLE:
+            self.cycle(now)
+            self.actions.set_timer(TIMER_CYCLE, now + CYCLE)
+        elif token == TIMER_LIST and not self.asking:
+            self.asking = True
+            self.actions.watch()
+
+    def wake(self, now: int) -> None:
+        """Refuse what has waited out its time; let rested backends back in.
+
+        A heap and not the lines' heads: tries of one class come with different
+        times left, and a further attempt waits ahead of older ones, so a head
+        that may wait longer would let those behind it run out unanswered.
+        """
+        heap = self.heap
+        while heap and heap[0][0] <= now:
+            item = heappop(heap)[2]
+            if isinstance(item, Backend):
+                if item.down_until and item.down_until <= now:
+                    self.revive(item)
+                else:
+                    self.settle(item)
+            elif item.queued and item.wait_by <= now:
+                self.unqueue(item)
+                self.finish(item)
+        self.wake_at = 0
+        if heap:
+            self.wake_at = heap[0][0]
+            self.actions.set_timer(TIMER_WAKE, self.wake_at)
+        self.dispatch(now)
+
+    def cycle(self, now: int) -> None:
+        """Twice a second: caps from what was seen, then shares from the model."""
+        self.send_rate += 0.3 * (self.sends * SECOND / CYCLE - self.send_rate)
+        self.sends = 0
+        worst = 0.0
+        judged = False
+        cut = False
+        for i, n in enumerate(self.ratio_n):
+            judged = judged or n >= 3
+            c = self.classes[i]
+            if c.lat_n > 20:
+                c.base = min(c.base * BASE_RISE, c.lat) if c.base else c.lat
+            # Without a base yet, half an aim on idle backends would pass for a jam;
+            # with many nodes a thin class stays so for most of a minute.
+            if n >= 3 and c.base:
+                # Against the aim alone, a class that takes half its aim on an
+                # idle backend would keep every cap at its least.
+                base = min(c.base / c.aim, 0.9)
+                worst = max(worst, (self.ratio_sum[i] / n - base) / (1.0 - base))
+        if self.outcomes:
+            n = self.outcomes
+            if (
+                worst > HIGH_CROWDING
+                or self.fulls > FULL_SHARE * n
+                or self.lost > max(LOST_SHARE * n, 1)
+            ):
+                cut = True
+                deep = worst > 2.0 * HIGH_CROWDING
+                self.level = max(MIN_LEVEL, self.level * (CUT * CUT * CUT if deep else CUT))
+                if deep:
+                    self.say(now, f"level down to {self.level:.1f}")
+            elif self.pressed and judged and worst < LOW_CROWDING:
+                self.level = min(MAX_LEVEL, self.level * GROW)
+        self.outcomes = self.fulls = self.lost = 0
+        self.pressed = False
+        for i, seen in enumerate(self.ratio_n):
+            # Of many nodes each sees an answer or two a cycle: the worst class's
+            # mean over so few is mostly chance, and the level would sink on it.
+            # Never past a cut: the same few answers of one jam, judged cycle after
+            # cycle, took the level from 9 to 1 at nodes of three slots.
+            carry = DECAY if seen < JUDGED and not cut else 0.0
+            self.ratio_sum[i] *= carry
+            self.ratio_n[i] *= carry
+        self.recap()
+        self.solve_shares()
+        self.dispatch(now)
+
+    def solve_shares(self) -> None:
+        flows = []
+        for c in self.classes:
+            c.cycles = c.cycles * DECAY + 1
+            c.share_sum = c.share_sum * DECAY + c.share
+            seen = c.total + c.refused
+            lost = c.refused * REFUSED_AS * c.aim
+            mean = (c.responses + lost) / seen if seen else 0.0
+            # Eq. 8 takes all arrivals as served at the share seen. A class that
+            # turned most away would look as if one slot more cured it: its share
+            # is read as serving its served part only.
+            old = c.share_sum / c.cycles
+            if seen:
+                old /= max(c.total / seen, LEAST_SERVED)
+            rate = c.arrivals / (c.cycles * CYCLE / SECOND)
+            flows.append((rate, mean / SECOND, old, c.aim / SECOND, c.spec.worth))
+            c.arrivals *= DECAY
+            c.refused *= DECAY
+            c.responses *= DECAY
+            c.total *= DECAY
+        for c, share in zip(self.classes, solve(self.total, flows), strict=True):
+            c.share = share
--- /dev/null
+++ b/tests/harness.py
@@ -0,0 +1,246 @@
+"""A real node as a process of its own, and hand-driven peers on loopback sockets.
+
+Nothing here waits for a length of time: every wait is for bytes, a connection or
+an end, with a limit that only a hang reaches.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+LIMIT = 20.0  # seconds; a hang, not a measure
+
+SETTINGS: dict[str, Any] = {
+    "areas": ["east", "west"],
+    "balancers": 1,
+    "me": 0,
+    "my_zone": 0,
+    "skus": ["m2"],
+    "registry_mode": "ask",
+    "tick": 5_000_000,
+    "classes": [
+        {
+            "name": "balance",
+            "target": 1_800_000_000,
+            "deadline": 2_000_000_000,
+            "effect": "pure",
+            "credit": 1.0,
+        },
+        {
+            "name": "credit",
+            "target": 1_800_000_000,
+            "deadline": 3_000_000_000,
+            "effect": "side_effect",
+            "credit": 5.0,
+        },
+    ],
+    "limits": {
+        "max_attempts": 4,
+        "dial_timeout": 250_000_000,
+        "idle_close": 60_000_000_000,
+        "max_retry_after": 2_000_000_000,
+        "retry_after": True,
+        "probes": True,
+        "cancelling": True,
+    },
+    "load_info": {"how": "off", "columns": []},
+    "rules": {
+        "ask_within": 10_000_000_000,
+        "drain_grace": 2_000_000_000,
+        "cold": 8_000_000_000,
+        "cold_from": 0.3,
+        "fall": 1_500_000_000,
+        "fall_multiple": 3.0,
+        "grace_to_answer": 20_000_000,
+    },
+}
+
+
+def listen() -> socket.socket:
+    sock = socket.create_server(("127.0.0.1", 0))
+    sock.settimeout(LIMIT)
+    return sock
+
+
+def target(uid: str, port: int, state: str = "active", boot_ms: int = 0) -> dict[str, object]:
+    return {
+        "uid": uid,
+        "endpoint": f"127.0.0.1:{port}",
+        "az": "east",
+        "model": "m2",
+        "pod_group": 1,
+        "state": state,
+        "capacity_hint": 1.0,
+        "boot_ms": boot_ms,
+    }
+
+
+def roster(*targets: dict[str, object], rev: int = 1, whole: bool = True) -> dict[str, object]:
+    return {"rev": rev, "all": whole, "targets": list(targets)}
+
+
+class Peer:
+    """One connection, driven by hand."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        sock.settimeout(LIMIT)
+        self.buffer = b""
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    def more(self) -> bool:
+        try:
+            data = self.sock.recv(65536)
+        except ConnectionError:
+            data = b""
+        self.buffer += data
+        return bool(data)
+
+    def message(self) -> tuple[str, dict[str, str], bytes]:
+        """One whole message with Content-Length: first line, headers, body."""
+        while b"\r\n\r\n" not in self.buffer:
+            if not self.more():
+                raise EOFError(f"ended after {self.buffer!r}")
+        head, _, self.buffer = self.buffer.partition(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        headers = {k.lower(): v for k, v in (line.split(": ", 1) for line in lines[1:])}
+        size = int(headers.get("content-length", "0"))
+        while len(self.buffer) < size:
+            if not self.more():
+                raise EOFError("ended within a body")
+        body, self.buffer = self.buffer[:size], self.buffer[size:]
+        return lines[0], headers, body
+
+    def ends(self) -> bytes:
+        """Everything up to the end of the connection."""
+        while self.more():
+            pass
+        return self.buffer
+
+    def reset(self) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        self.sock.close()
+
+    def close(self) -> None:
+        self.sock.close()
+
+
+class Running:
+    """A node's process."""
+
+    def __init__(self, process: subprocess.Popen[str], port: int) -> None:
+        self.process = process
+        self.port = port
+
+    def connect(self) -> Peer:
+        return Peer(socket.create_connection(("127.0.0.1", self.port), LIMIT))
+
+    def stop(self) -> int:
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(LIMIT)
+
+    def descriptors(self) -> int:
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
+    def resident_mb(self) -> float:
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(re.findall(r"VmRSS:\s+(\d+)", status)[0]) / 1024
+
+
+def config(tmp_path: Path, known: dict[str, object], discovery: int, **over: Any) -> dict[str, str]:
+    """Write a configuration; returns the environment that names it."""
+    raw = {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": f"127.0.0.1:{discovery}",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256} | over.pop("limits", {}),
+        "known": known,
+        "settings": SETTINGS | over.pop("settings", {}),
+    } | over
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(raw))
+    return {"PROXY_CONFIG": str(path), "PROXY_LISTEN": "127.0.0.1:0", "PROXY_NAME": "n0"}
+
+
+def launch(environ: dict[str, str]) -> subprocess.Popen[str]:
+    return subprocess.Popen(
+        [sys.executable, "-B", "-m", "windrelay"],
+        cwd=ROOT,
+        env=os.environ | environ,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+@contextlib.contextmanager
+def node(
+    tmp_path: Path, known: dict[str, object], discovery: int = 1, **over: Any
+) -> Iterator[Running]:
+    """A node that listens. Port 1 as discovery refuses every call."""
+    process = launch(config(tmp_path, known, discovery, **over))
+    try:
+        assert process.stderr is not None
+        line = process.stderr.readline()
+        assert "listening on" in line, line + process.stderr.read()
+        running = Running(process, int(line.rsplit(":", 1)[1]))
+        yield running
+        assert process.poll() is None or process.returncode == 0
+    finally:
+        process.kill()
+        process.wait(LIMIT)
+        if process.stderr is not None:
+            process.stderr.close()
+
+
+def request(
+    path: str = "/balance/7f3a",
+    body: bytes | None = None,
+    timeout: int = 1500,
+    rid: str = "9b1f03aa5c7e2d41",
+    **headers: str,
+) -> bytes:
+    """A request's bytes; a header named x_y is sent as X-Y, an empty one left out."""
+    lines = {
+        "Host": "app.svc",
+        "X-Request-ID": rid,
+        "X-Priority-Class": path.split("/")[1],
+        "X-Tenant-Id": "acme",
+        "X-Timeout-Ms": str(timeout),
+    } | {name.replace("_", "-"): value for name, value in headers.items()}
+    if body is not None and "Content-Length" not in lines:
+        lines["Content-Length"] = str(len(body))
+    head = "".join(f"{name}: {value}\r\n" for name, value in lines.items() if value)
+    method = "GET" if body is None else "POST"
+    return f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + (body or b"")
+
+
+def answer(body: bytes = b"", status: str = "200 OK", *headers: str) -> bytes:
+    lines = "".join(f"{line}\r\n" for line in headers)
+    return f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n{lines}\r\n".encode() + body
+
+
+def accept(server: socket.socket) -> Peer:
+    return Peer(server.accept()[0])
+
+
+def until(condition: Any) -> None:
+    """Wait for something that only the process itself can bring about."""
+    end = time.monotonic() + LIMIT
+    while not condition():
+        assert time.monotonic() < end, "never came about"
+        time.sleep(0.01)
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,86 @@
+"""The ordinary path of the real node, on loopback sockets."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+from pathlib import Path
+
+import pytest
+
+from .harness import accept, answer, config, launch, listen, node, request, roster, target
+
+
+def test_a_request_passes_through_unchanged_and_connections_are_kept(tmp_path: Path) -> None:
+    with listen() as backend, node(tmp_path, roster(target("s-1", backend.getsockname()[1]))) as n:
+        client = n.connect()
+        client.send(request("/credit/7f3a?x=%20y", b"body", Idempotency_Key="k1", X_Cost="12"))
+        peer = accept(backend)
+        first, headers, body = peer.message()
+        assert first == "POST /credit/7f3a?x=%20y HTTP/1.1"
+        assert headers["x-request-id"] == "9b1f03aa5c7e2d41"
+        assert headers["idempotency-key"] == "k1"
+        assert 0 < int(headers["x-timeout-ms"]) <= 1500
+        assert body == b"body"
+        peer.send(answer(b"served", "200 OK", "Content-Type: text/x"))
+        line, headers, body = client.message()
+        assert (line, body) == ("HTTP/1.1 200 OK", b"served")
+        assert headers["content-type"] == "text/x"
+        client.send(request())
+        assert peer.message()[0] == "GET /balance/7f3a HTTP/1.1"
+        peer.send(answer(b"again"))
+        assert client.message()[2] == b"again"
+
+
+def test_ready_and_a_stop_with_status_0(tmp_path: Path) -> None:
+    with node(tmp_path, roster()) as n:
+        client = n.connect()
+        client.send(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert client.message()[0] == "HTTP/1.1 200 OK"
+        assert n.stop() == 0
+
+
+def test_a_stop_finishes_what_is_held(tmp_path: Path) -> None:
+    with listen() as backend, node(tmp_path, roster(target("s-1", backend.getsockname()[1]))) as n:
+        client = n.connect()
+        client.send(request())
+        peer = accept(backend)
+        peer.message()
+        n.process.send_signal(signal.SIGTERM)
+        late = n.connect()  # the kernel goes on taking connections
+        late.send(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        line, headers, _ = late.message()
+        assert (line, headers["connection"]) == ("HTTP/1.1 503 Service Unavailable", "close")
+        n.process.send_signal(signal.SIGTERM)
+        peer.send(answer(b"served"))
+        line, headers, body = client.message()
+        assert (line, body, headers["connection"]) == ("HTTP/1.1 200 OK", b"served", "close")
+        assert n.process.wait(20) == 0
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        (None, "can't read"),
+        ("{", "not JSON"),
+        ("[]", "not a JSON object"),
+        ('{"discovery":"127.0.0.1:1"}', "lacks 'settings'"),
+        ('{"discovery":"127.0.0.1:1","settings":{}}', "settings lack 'rules'"),
+    ],
+)
+def test_a_bad_configuration_is_one_line_and_status_2(
+    tmp_path: Path, text: str | None, says: str
+) -> None:
+    environ = config(tmp_path, roster(), 1)
+    if text is None:
+        environ["PROXY_CONFIG"] += ".missing"
+    else:
+        Path(environ["PROXY_CONFIG"]).write_text(text)
+    process = launch(environ)
+    try:
+        _, err = process.communicate(timeout=20)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        raise
+    assert process.returncode == 2
+    assert says in err and len(err.splitlines()) == 1
--- /dev/null
+++ b/windrelay/__init__.py
@@ -0,0 +1,1 @@
+"""The real node round the decisions of flinthatch; see docs/design.md."""
--- /dev/null
+++ b/windrelay/__main__.py
@@ -0,0 +1,121 @@
+"""Start-up, signals and exit codes of one real node."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from types import FrameType
+
+_stopped_early = False
+
+
+def _early(_signal: int, _frame: FrameType | None) -> None:
+    global _stopped_early
+    _stopped_early = True
+
+
+# Before the heavier imports: a SIGTERM during start-up is a stop like any other.
+signal.signal(signal.SIGTERM, _early)
+signal.signal(signal.SIGINT, _early)
+
+import asyncio  # noqa: E402
+import gc  # noqa: E402
+import os  # noqa: E402
+
+import uvloop  # noqa: E402
+
+from windrelay.config import Config, ConfigError, load  # noqa: E402
+from windrelay.discovery import ListError  # noqa: E402
+from windrelay.node import Node  # noqa: E402
+from windrelay.server import SWEEP_S, Server  # noqa: E402
+
+# A stop. Connections go on coming for 0.4 s; the longest deadline and 0.7 s
+# after SIGTERM the node may be killed.
+ACCEPT_S = 0.5
+KILL_S = 0.7
+LAST_CALL_S = 0.12  # before that, for the last answers to be written and the exit
+POLL_S = 0.01
+
+
+class Run:
+    """One node from its start to its end."""
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        self.config = config
+        self.loop = loop
+        self.node = Node(config, loop)
+        self.server = Server(self.node)
+        self.ended = loop.create_future()
+        self.give_up_at = 0.0
+
+    async def run(self) -> None:
+        self.node.start()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.stop)
+        port = self.server.listen(self.config.listen)
+        self.node.log(f"listening on {self.config.listen.host}:{port}")
+        # What stands now stands for good: later collections need not look at it.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(20_000, 20, 50)
+        self.loop.call_later(SWEEP_S, self.sweep)
+        if _stopped_early:
+            self.stop()
+        await self.ended
+
+    def sweep(self) -> None:
+        self.server.sweep()
+        self.node.sweep()
+        self.loop.call_later(SWEEP_S, self.sweep)
+
+    def stop(self) -> None:
+        if self.server.stopping:
+            return  # a second signal changes nothing
+        self.server.stopping = True
+        self.node.log("stopping")
+        longest = max(c.deadline for c in self.config.settings.classes) / 1e9
+        self.give_up_at = self.loop.time() + longest + KILL_S - LAST_CALL_S
+        self.loop.call_later(ACCEPT_S, self.close)
+
+    def close(self) -> None:
+        self.server.stop_accepting()
+        self.wait()
+
+    def wait(self) -> None:
+        late = self.loop.time() >= self.give_up_at
+        if late:
+            self.node.fail_all()
+        if late or self.server.finished():
+            self.node.discovery.close()
+            # One more turn, so that the last answers leave.
+            self.loop.call_later(POLL_S, self.end)
+        else:
+            self.loop.call_later(POLL_S, self.wait)
+
+    def end(self) -> None:
+        if not self.ended.done():
+            self.ended.set_result(None)
+
+
+def main() -> int:
+    try:
+        config = load(os.environ)
+    except ConfigError as err:
+        print(f"windrelay: {err}", file=sys.stderr)
+        return 2
+    loop = uvloop.new_event_loop()
+    asyncio.set_event_loop(loop)
+    try:
+        run = Run(config, loop)
+        loop.run_until_complete(run.run())
+    except (ListError, OSError) as err:
+        print(f"windrelay: {err}", file=sys.stderr)
+        return 2
+    # Not through the interpreter's own end: it would take the loop and each
+    # connection apart one by one, in time that the exit does not have.
+    sys.stderr.flush()
+    os._exit(0)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/windrelay/config.py
@@ -0,0 +1,109 @@
+"""What a node is told at its start, checked once and frozen."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+from flinthatch import Settings
+from flinthatch.drill import WireError, settings_from_json
+
+DEFAULT_MEMORY_MB = 128
+DEFAULT_SOCKETS = 1024
+MIN_SOCKETS = 64
+
+
+class ConfigError(Exception):
+    """The environment or the configuration can't be used; the text says why."""
+
+
+class Address(NamedTuple):
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """Times in nanoseconds, as everywhere in the node."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    memory_mb: int
+    sockets: int
+    known: dict[str, Any]
+    settings: Settings
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    idle_close: int
+    max_open: int
+    reports: bool
+
+
+def parse_address(text: object) -> Address:
+    """Split "host:port"; ValueError on anything else. Port 0 lets the kernel choose."""
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"{text!r} is no host:port")
+    return Address(host, int(port))
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Read the file named by PROXY_CONFIG; the other variables go before what it says."""
+    path = environ.get("PROXY_CONFIG")
+    if not path:
+        raise ConfigError("PROXY_CONFIG is not set")
+    try:
+        with open(path, "rb") as file:
+            raw = json.load(file)
+    except OSError as err:
+        raise ConfigError(f"can't read {path}: {err.strerror}") from None
+    except ValueError as err:
+        raise ConfigError(f"{path} is not JSON: {err}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError(f"{path} is not a JSON object")
+    for key in ("name", "listen", "discovery"):
+        raw[key] = environ.get(f"PROXY_{key.upper()}") or raw.get(key)
+    try:
+        return _config(raw)
+    except KeyError as err:
+        raise ConfigError(f"the configuration lacks {err.args[0]!r}") from None
+    except WireError as err:
+        raise ConfigError(str(err)) from None
+    except (TypeError, ValueError, AttributeError) as err:
+        raise ConfigError(f"the configuration holds an unusable value: {err}") from None
+
+
+def _config(raw: dict[str, Any]) -> Config:
+    for key in ("name", "listen", "discovery"):
+        if not raw[key]:
+            raise KeyError(key)
+    limits = raw.get("limits", {})
+    settings = raw["settings"]
+    known = raw.get("known") or {"rev": 0, "all": True, "targets": []}
+    if not isinstance(known, dict):
+        raise ValueError("known is no list of backends")
+    sockets = int(limits.get("sockets", DEFAULT_SOCKETS))
+    if sockets < MIN_SOCKETS:
+        raise ValueError(f"sockets must be at least {MIN_SOCKETS}")
+    return Config(
+        name=str(raw["name"]),
+        listen=parse_address(raw["listen"]),
+        discovery=parse_address(raw["discovery"]),
+        seed=int(str(raw.get("seed", "0")), 16),
+        memory_mb=int(limits.get("memory_mb", DEFAULT_MEMORY_MB)),
+        sockets=sockets,
+        known=known,
+        settings=settings_from_json(json.dumps(settings).encode()),
+        zones=tuple(str(z) for z in settings.get("areas", ())),
+        kinds=tuple(str(k) for k in settings.get("skus", ())),
+        idle_close=int(settings.get("limits", {}).get("idle_close", 15_000_000_000)),
+        max_open=int(settings.get("limits", {}).get("open_cap", 20_000)),
+        reports=settings.get("load_info", {}).get("how", "off") != "off",
+    )
--- /dev/null
+++ b/windrelay/discovery.py
@@ -0,0 +1,265 @@
+"""Discovery: the list of backends, fetched whole or watched for changes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Callable
+from hashlib import blake2b
+from typing import Any, cast
+
+import httptools
+
+from flinthatch import Listing, State, Update
+from windrelay.config import Address, Config, parse_address
+
+HOLD_MS = 20_000  # how long a watch may wait for news
+CALL_S = 4.0  # for a call's answer, beyond the time it may wait
+MAX_ANSWER = 16 << 20
+OLD_TRIES = 3  # answers older than ours in a row before they are taken for the truth
+STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
+
+
+class ListError(ValueError):
+    """A list that can't be used."""
+
+
+def backend_id(uid: str) -> int:
+    """A number for a uid, the same at every node: the deal of slots sorts by it."""
+    return int.from_bytes(blake2b(uid.encode(), digest_size=8).digest(), "big")
+
+
+class Roster:
+    """The list in hand: its version, the endpoints, and what tells a restart."""
+
+    __slots__ = ("_boots", "_kinds", "_zones", "endpoints", "rev")
+
+    def __init__(self, config: Config) -> None:
+        self._zones = {name: i for i, name in enumerate(config.zones)}
+        self._kinds = {name: i for i, name in enumerate(config.kinds)}
+        # boot_ms is wall clock: each value is converted once. Converted again with
+        # every list it would differ by some nanoseconds and look like a restart.
+        self._boots: dict[int, tuple[int, int]] = {}
+        self.endpoints: dict[int, Address] = {}
+        self.rev = 0
+
+    def read(self, raw: Any) -> tuple[Update, list[Listing], dict[int, Address]]:
+        """Check an answer and convert it; nothing in hand changes yet."""
+        try:
+            rev, whole, targets = raw["rev"], raw["all"], raw["targets"]
+            if not isinstance(rev, int) or not isinstance(whole, bool):
+                raise ListError("rev or all is of the wrong type")
+            rows: list[Listing] = []
+            endpoints: dict[int, Address] = {}
+            for target in targets:
+                backend = backend_id(str(target["uid"]))
+                state = STATES[target["state"]]
+                if state != State.GONE:
+                    endpoints[backend] = parse_address(target["endpoint"])
+                rows.append(
+                    Listing(
+                        backend,
+                        state,
+                        self._zones.get(target.get("az"), 0),
+                        int(target.get("pod_group") or 0),
+                        self._kinds.get(target.get("model"), 0),
+                        self._boot(backend, int(target.get("boot_ms") or 0)),
+                        float(target.get("capacity_hint") or 1.0),
+                    )
+                )
+        except (KeyError, TypeError, ValueError, OverflowError) as err:
+            raise ListError(f"{type(err).__name__}: {err}") from None
+        return Update.FULL if whole else Update.DELTA, rows, endpoints
+
+    def _boot(self, backend: int, boot_ms: int) -> int:
+        if boot_ms <= 0:
+            return 0
+        known = self._boots.get(backend)
+        if known is not None and known[0] == boot_ms:
+            return known[1]
+        age = max(time.time_ns() - boot_ms * 1_000_000, 0)
+        boot = (time.monotonic_ns() - age) or 1
+        self._boots[backend] = (boot_ms, boot)
+        return boot
+
+    def apply(
+        self, rev: int, update: Update, rows: list[Listing], endpoints: dict[int, Address]
+    ) -> list[int]:
+        """Take a list over; returns the backends whose connections are of no more use."""
+        stale = []
+        for row in rows:
+            old = self.endpoints.get(row.backend)
+            new = endpoints.get(row.backend)
+            if old is not None and (old != new or row.state != State.READY):
+                stale.append(row.backend)
+            if new is None:
+                self.endpoints.pop(row.backend, None)
+                self._boots.pop(row.backend, None)
+            else:
+                self.endpoints[row.backend] = new
+        if update == Update.FULL:
+            for backend in [b for b in self.endpoints if b not in endpoints]:
+                stale.append(backend)
+                del self.endpoints[backend]
+                self._boots.pop(backend, None)
+        self.rev = rev
+        return stale
+
+
+class Call(asyncio.Protocol):
+    """One GET on a connection of its own; `done` gets the body, or None, once."""
+
+    __slots__ = ("_body", "_done", "_handle", "_head", "_parser", "_size", "_task", "_transport")
+
+    def __init__(self, address: Address, target: str, wait: float, done: Callable[..., None]):
+        loop = asyncio.get_running_loop()
+        self._done: Callable[..., None] | None = done
+        self._head = f"GET {target} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n"
+        self._body: list[bytes] = []
+        self._size = 0
+        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._handle = loop.call_later(wait, self.end, None)
+        self._task = loop.create_task(self._connect(address))
+
+    async def _connect(self, address: Address) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.create_connection(lambda: self, address.host, address.port)
+        except OSError:
+            self.end(None)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        if self._done is None:
+            self._transport.abort()
+        else:
+            self._transport.write(self._head.encode())
+
+    def data_received(self, data: bytes) -> None:
+        if self._parser is None:
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.end(None)
+
+    def on_body(self, body: bytes) -> None:
+        self._body.append(body)
+        self._size += len(body)
+        if self._size > MAX_ANSWER:
+            self.end(None)
+
+    def on_message_complete(self) -> None:
+        parser = self._parser
+        if parser is not None:
+            self.end(b"".join(self._body) if parser.get_status_code() == 200 else None)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.end(None)
+
+    def end(self, body: bytes | None) -> None:
+        """Hand over what came, once, and let go of the connection."""
+        done, self._done = self._done, None
+        if done is None:
+            return
+        self._parser = None
+        self._handle.cancel()
+        if self._transport is not None:
+            self._transport.abort()
+        else:
+            self._task.cancel()
+        done(body)
+
+
+class Discovery:
+    """Carries out watch and fetch; `told` gets each update and what it made stale."""
+
+    __slots__ = ("_address", "_calls", "_old", "_told", "_watching", "log", "roster")
+
+    def __init__(
+        self,
+        config: Config,
+        told: Callable[[Update, list[Listing], list[int]], None],
+        log: Callable[[str], None],
+    ) -> None:
+        self._address = config.discovery
+        self._told = told
+        self._old = 0
+        self._watching = False
+        self._calls: set[Call] = set()
+        self.log = log
+        self.roster = Roster(config)
+
+    def known(self, raw: Any) -> list[Listing]:
+        """The list from the configuration."""
+        update, rows, endpoints = self.roster.read(raw)
+        self.roster.apply(raw["rev"], update, rows, endpoints)
+        return rows
+
+    def watch(self) -> None:
+        """Ask for changes from the version in hand on; goes on until a call fails."""
+        if self._watching:
+            return
+        self._watching = True
+        self._next_watch()
+
+    def fetch(self) -> None:
+        self._call("/registry/instances", CALL_S, self._fetched)
+
+    def close(self) -> None:
+        self._watching = False
+        self._told = lambda *_: None
+        for call in list(self._calls):
+            call.end(None)
+
+    def _call(self, target: str, wait: float, done: Callable[[bytes | None], None]) -> None:
+        def ended(body: bytes | None) -> None:
+            self._calls.discard(call)
+            done(body)
+
+        call = Call(self._address, target, wait, ended)
+        self._calls.add(call)
+
+    def _next_watch(self) -> None:
+        target = f"/registry/instances?from={self.roster.rev}&hold_ms={HOLD_MS}"
+        self._call(target, HOLD_MS / 1000 + CALL_S, self._watched)
+
+    def _watched(self, body: bytes | None) -> None:
+        if not self._watching:
+            return
+        if self._take(body):
+            # At once: after 200 ms discovery would count it as a new watch, and
+            # what changed in between as told late.
+            self._next_watch()
+        else:
+            self._watching = False
+
+    def _fetched(self, body: bytes | None) -> None:
+        self._take(body)
+
+    def _take(self, body: bytes | None) -> bool:
+        """Pass on an answer; False where it failed and the list in hand stays."""
+        roster = self.roster
+        try:
+            raw = None if body is None else json.loads(body)
+            if raw is None:
+                raise ListError("the call failed")
+            update, rows, endpoints = roster.read(raw)
+            rev = raw["rev"]
+            if rev < roster.rev:
+                # A replica that lags must not bring back what has left. One that
+                # says the same again and again has lost its count: then it is right.
+                self._old += 1
+                if self._old < OLD_TRIES or update != Update.FULL:
+                    raise ListError(f"version {rev} is older than {roster.rev}")
+        except (ListError, ValueError, RecursionError) as err:
+            if body is not None:
+                self.log(f"discovery answer not used: {err}")
+            self._told(Update.FAILED, [], [])
+            return False
+        self._old = 0
+        stale = roster.apply(rev, update, rows, endpoints)
+        self._told(update, rows, stale)
+        return True
--- /dev/null
+++ b/windrelay/node.py
@@ -0,0 +1,424 @@
+"""The host of one Balancer: its requests, attempts, timers and clock.
+
+Every event reaches the Balancer from here, and every action starts here. An
+action never calls back: outcomes it causes are queued and told once the
+Balancer has returned. Nothing is decided here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+import traceback
+from collections import deque
+from collections.abc import Callable, Sequence
+from heapq import heappop, heappush
+from typing import TYPE_CHECKING
+
+from flinthatch import Balancer, Listing, Outcome, Update
+from windrelay.config import Config
+from windrelay.discovery import Discovery
+from windrelay.upstream import Upstream
+
+if TYPE_CHECKING:
+    from windrelay.server import ClientConnection, Incoming
+    from windrelay.upstream import BackendConnection
+
+MS = 1_000_000
+SECOND = 1_000_000_000
+
+BACKSTOP = 10 * MS  # past its deadline a request the module forgot is failed
+REARM = 100 * MS  # a timer whose event raised comes again after this long
+NO_TIMER = 1 << 63
+LOG_LINES = 20  # a second
+RESERVED = 24  # descriptors for the listener, the loop, discovery and the log
+OVERLAP = 8  # of them, for connections that replace one just given up
+UPSTREAM_PART = 4  # one in so many descriptors is kept for backends
+BASE_MB = 44  # what the program itself takes
+LARGEST_BODY = 32 << 20
+
+
+class Budget:
+    """Bytes of bodies and answers held, over all connections.
+
+    Above `soft` reading is paused, but for the oldest unfinished body: it may
+    always grow, by LARGEST_BODY at most, so bodies never wait for one another.
+    """
+
+    __slots__ = ("held", "paused", "soft", "unfinished")
+
+    def __init__(self, memory_mb: int) -> None:
+        room = (memory_mb - BASE_MB << 20) - LARGEST_BODY
+        self.soft = max(room * 3 // 4, 4 << 20)
+        self.held = 0
+        self.paused: dict[ClientConnection, None] = {}
+        self.unfinished: dict[ClientConnection, None] = {}  # larger bodies, oldest first
+
+    def must_pause(self, conn: ClientConnection) -> bool:
+        """Whether a body is to wait; if so resume_body tells when there is room."""
+        if self.held <= self.soft or conn not in self.unfinished:
+            return False
+        if conn is next(iter(self.unfinished)):
+            return False
+        self.paused[conn] = None
+        return True
+
+    def finished(self, conn: ClientConnection) -> None:
+        """A body is whole or given up: the next oldest may always grow."""
+        self.paused.pop(conn, None)
+        if self.unfinished.pop(conn, self) is None:
+            oldest = next(iter(self.unfinished), None)
+            if oldest is not None and oldest in self.paused:
+                del self.paused[oldest]
+                oldest.resume_body()
+
+    def take(self, size: int) -> None:
+        self.held += size
+
+    def give(self, size: int) -> None:
+        self.held -= size
+        if self.paused and self.held <= self.soft:
+            waiting, self.paused = self.paused, {}
+            for conn in waiting:
+                conn.resume_body()
+
+
+class Request:
+    __slots__ = (
+        "arrived", "attempts", "body", "client", "deadline", "ended", "head", "id", "live", "size",
+    )  # fmt: skip
+
+    def __init__(
+        self, rid: int, client: ClientConnection, incoming: Incoming, now: int, left: int
+    ) -> None:
+        self.id = rid
+        self.client: ClientConnection | None = client
+        self.head = incoming.head
+        self.body = incoming.body
+        self.size = incoming.size
+        self.arrived = now
+        self.deadline = now + left
+        self.attempts: list[Attempt] = []
+        self.live = 0
+        self.ended = False
+
+
+class Attempt:
+    """One send, or a probe where `request` is None. It has exactly one outcome."""
+
+    __slots__ = ("backend", "closed", "connection", "limit", "number", "request", "sent")
+
+    def __init__(self, request: Request | None, number: int, backend: int, sent: int) -> None:
+        self.request = request
+        self.number = number
+        self.backend = backend
+        self.sent = sent
+        self.limit = 0
+        self.closed = False
+        self.connection: BackendConnection | None = None
+
+
+class Node:
+    """Implements flinthatch.Actions over real sockets."""
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        self.config = config
+        self.loop = loop
+        self.now = time.monotonic_ns()
+        self.budget = Budget(config.memory_mb)
+        self.clients = 0
+        self.freed: Callable[[], None] = lambda: None  # the server's, once it listens
+        self.sockets = config.sockets - RESERVED
+        self.upstream = Upstream(self)
+        self.discovery = Discovery(config, self.members_told, self.log)
+        self.requests: dict[int, Request] = {}
+        self.open = 0
+        self.last_id = 0
+        self.inside = False
+        self.outcomes: deque[tuple[Attempt, Outcome, int, Sequence[float]]] = deque()
+        self.timers: list[tuple[int, int, int | Attempt | Request]] = []
+        self.timer_count = 0
+        self.timer: asyncio.TimerHandle | None = None
+        self.armed = NO_TIMER
+        self.log_second = 0
+        self.log_lines = 0
+        self.balancer = Balancer(config.settings, config.seed, self)
+
+    def start(self) -> None:
+        """Begin from the list in the configuration; ListError if it is malformed."""
+        rows = self.discovery.known(self.config.known)
+        self.enter()
+        self.balancer.start(self.now)
+        self.balancer.on_members(self.now, Update.CACHED, rows)
+        self.leave()
+
+    # ---- events: each enters, tells the Balancer, and leaves -----------
+
+    def enter(self) -> int:
+        self.inside = True
+        self.now = now = time.monotonic_ns()
+        return now
+
+    def leave(self) -> None:
+        """Tell the outcomes that came up meanwhile, then set the timer anew."""
+        outcomes = self.outcomes
+        while outcomes:
+            self.tell(*outcomes.popleft())
+        self.inside = False
+        timers = self.timers
+        if timers and timers[0][0] < self.armed:
+            self.arm(timers[0][0])
+
+    def request(self, client: ClientConnection, incoming: Incoming, waited: int) -> Request | None:
+        """Take a client's request; None where as many are open as the settings allow."""
+        if self.open >= self.config.max_open:
+            return None
+        now = self.enter()
+        self.last_id += 1
+        rid = self.last_id
+        left = incoming.timeout - waited
+        r = Request(rid, client, incoming, now, left)
+        self.requests[rid] = r
+        self.open += 1
+        self.later(r.deadline + BACKSTOP, r)
+        try:
+            self.balancer.on_request(
+                now,
+                rid,
+                incoming.cls,
+                left,
+                incoming.tenant,
+                incoming.key,
+                incoming.hint,
+                incoming.retried,
+            )
+        except Exception:
+            self.broken()
+            if not r.live:
+                self.finish(r, 502)
+        self.leave()
+        return r
+
+    def client_gone(self, r: Request) -> None:
+        """The client left: nothing more is owed, attempts go on to their outcomes."""
+        if r.ended:
+            return
+        now = self.enter()
+        self.end(r)
+        try:
+            self.balancer.on_gone(now, r.id)
+        except Exception:
+            self.broken()
+        self.leave()
+
+    def members_told(self, update: Update, rows: list[Listing], stale: list[int]) -> None:
+        for backend in stale:
+            self.upstream.drop_idle(backend)
+        now = self.enter()
+        try:
+            self.balancer.on_members(now, update, rows)
+        except Exception:
+            self.broken()
+        self.leave()
+
+    def conclude(self, a: Attempt, outcome: Outcome, load: Sequence[float] = ()) -> None:
+        """Settle an attempt's one outcome; the Balancer is told after the current event."""
+        if a.closed:
+            return
+        a.closed = True
+        a.connection = None
+        inside = self.inside
+        now = self.now if inside else self.enter()
+        r = a.request
+        if r is not None and outcome == Outcome.OK and not r.ended:
+            self.end(r)
+        self.outcomes.append((a, outcome, now - a.sent, load))
+        if not inside:
+            self.leave()
+
+    def tell(self, a: Attempt, outcome: Outcome, taken: int, load: Sequence[float]) -> None:
+        r = a.request
+        try:
+            if r is None:
+                self.balancer.on_probe(self.now, a.backend, outcome, taken, load)
+                return
+            r.live -= 1
+            self.balancer.on_outcome(self.now, r.id, a.number, outcome, taken, r.ended, load)
+        except Exception:
+            self.broken()
+            if r is not None and not r.live and not r.ended:
+                self.finish(r, 502)
+        if r is not None:
+            self.forget(r)
+
+    # ---- requests -----------------------------------------------------
+
+    def end(self, r: Request) -> None:
+        r.ended = True
+        r.client = None
+        self.open -= 1
+        self.forget(r)
+
+    def forget(self, r: Request) -> None:
+        """Drop a request that has ended and has nothing out any more."""
+        if r.ended and not r.live and self.requests.pop(r.id, None) is not None:
+            r.body = []
+            self.budget.give(r.size)
+
+    def finish(self, r: Request, status: int, retry_after: int = 0) -> None:
+        """Give a request its final answer without service."""
+        if r.ended:
+            return
+        client = r.client
+        self.end(r)
+        if client is not None:
+            client.answer_empty(status, retry_after)
+
+    def fail_all(self) -> None:
+        """At the very end of a stop: whatever is still held gets its answer."""
+        for r in list(self.requests.values()):
+            self.finish(r, 502)
+
+    # ---- actions ------------------------------------------------------
+
+    def send(self, request: int, backend: int, timeout: int) -> None:
+        r = self.requests.get(request)
+        if r is None:
+            self.log(f"send for request {request}, which is not open")
+            return
+        now = self.now
+        a = Attempt(r, len(r.attempts), backend, now)
+        r.attempts.append(a)
+        r.live += 1
+        left = r.deadline - now
+        limit = min(timeout, left) if timeout else left
+        if r.ended or left <= 0 or len(r.attempts) > self.config.settings.max_attempts:
+            self.conclude(a, Outcome.MOOT)
+        elif limit <= 0:
+            self.conclude(a, Outcome.TIMEOUT)
+        else:
+            a.limit = limit
+            self.later(now + limit, a)
+            self.upstream.send(a)
+
+    def refuse(self, request: int, retry_after: int) -> None:
+        r = self.requests.get(request)
+        if r is not None:
+            self.finish(r, 503, retry_after)
+
+    def fail(self, request: int) -> None:
+        r = self.requests.get(request)
+        if r is not None:
+            self.finish(r, 502)
+
+    def cancel(self, request: int, attempt: int) -> None:
+        r = self.requests.get(request)
+        if r is not None and 0 <= attempt < len(r.attempts):
+            self.give_up(r.attempts[attempt], Outcome.CANCELLED)
+
+    def probe(self, backend: int) -> None:
+        now = self.now
+        a = Attempt(None, 0, backend, now)
+        a.limit = 2 * self.config.settings.connect_timeout
+        self.later(now + a.limit, a)
+        self.upstream.send(a)
+
+    def watch(self) -> None:
+        self.discovery.watch()
+
+    def fetch(self) -> None:
+        self.discovery.fetch()
+
+    def set_timer(self, token: int, due: int) -> None:
+        self.later(due, token)
+
+    def log(self, text: str) -> None:
+        """A line on standard error; past LOG_LINES a second lines are dropped."""
+        second = time.monotonic_ns() // SECOND
+        if second != self.log_second:
+            self.log_second = second
+            self.log_lines = 0
+        self.log_lines += 1
+        if self.log_lines <= LOG_LINES:
+            print(f"{self.config.name}: {text}", file=sys.stderr, flush=True)
+
+    # ---- time ---------------------------------------------------------
+
+    def later(self, due: int, item: int | Attempt | Request) -> None:
+        """One heap for all timers, and one timer of the loop: most are never due."""
+        self.timer_count += 1
+        heappush(self.timers, (due, self.timer_count, item))
+        if not self.inside and due < self.armed:
+            self.arm(due)
+
+    def arm(self, due: int) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.armed = due
+        # The loop rounds to whole milliseconds; an early call would only come again.
+        delay = max(due - time.monotonic_ns(), 0) / SECOND + 0.0005
+        self.timer = self.loop.call_later(delay, self.tick)
+
+    def tick(self) -> None:
+        self.timer = None
+        self.armed = NO_TIMER
+        now = self.enter()
+        timers = self.timers
+        while timers and timers[0][0] <= now:
+            item = heappop(timers)[2]
+            if isinstance(item, int):
+                try:
+                    self.balancer.on_timer(now, item)
+                except Exception:
+                    # The module sets its next timer in this event: without one
+                    # from here it would never be called again.
+                    self.broken()
+                    self.later(now + REARM, item)
+            elif isinstance(item, Attempt):
+                if not item.closed:
+                    self.give_up(item, Outcome.TIMEOUT)
+            elif not item.ended:
+                self.overdue(item)
+        self.leave()
+
+    def give_up(self, a: Attempt, outcome: Outcome) -> None:
+        """Stop waiting. Where not all of the request was written it never ran."""
+        if a.closed:
+            return
+        connection = a.connection
+        if connection is not None and not connection.abandon():
+            outcome = Outcome.MOOT
+        self.conclude(a, outcome)
+
+    def overdue(self, r: Request) -> None:
+        """The module owed an answer and gave none; the client must not be left waiting."""
+        self.log(f"request {r.id} was overdue")
+        self.finish(r, 504)
+        try:
+            self.balancer.on_gone(self.now, r.id)
+        except Exception:
+            self.broken()
+
+    def broken(self) -> None:
+        self.log("the decision module raised: " + traceback.format_exc(limit=-4))
+
+    def sweep(self) -> None:
+        self.upstream.sweep(time.monotonic_ns())
+
+    # ---- descriptors --------------------------------------------------
+
+    def room_for_client(self) -> bool:
+        """Whether one more client fits, leaving backends their part."""
+        used = self.clients + self.upstream.count
+        most = self.sockets - max(self.sockets // UPSTREAM_PART - self.upstream.count, 0)
+        return used < self.sockets and self.clients < most
+
+    def room_for_upstream(self) -> bool:
+        """Whether one more connection to a backend fits, giving up an idle one for it."""
+        used = self.clients + self.upstream.count
+        if used < self.sockets:
+            return True
+        # What is given up is closed with the next turn of the loop: until then
+        # both stand, within what RESERVED leaves.
+        return used < self.sockets + OVERLAP and self.upstream.drop_oldest()
--- /dev/null
+++ b/windrelay/server.py
@@ -0,0 +1,683 @@
+"""Connections from clients: accepting, reading requests, writing answers."""
+
+from __future__ import annotations
+
+import asyncio
+import fcntl
+import socket
+import struct
+import termios
+import time
+from collections import deque
+from typing import TYPE_CHECKING, cast
+from zlib import crc32
+
+import httptools
+
+if TYPE_CHECKING:
+    from windrelay.config import Address
+    from windrelay.node import Node, Request
+    from windrelay.upstream import BackendConnection
+
+MS = 1_000_000
+MAX_HEAD = 32 << 10
+MAX_BODY = 32 << 20
+SMALL_BODY = 16 << 10  # never made to wait for room
+MAX_EARLY = 16  # requests a client may have sent ahead
+BACKLOG = 1024
+ACCEPTS = 64  # in one turn of the loop
+# Patience with slow clients, in sweeps: a node that was stopped for a while must
+# not take its own absence for the clients'.
+SWEEP_S = 0.5
+HEAD_SWEEPS = 10
+BODY_SWEEPS = 20  # without a byte
+BODY_GRACE_SWEEPS = 20  # and on average at least ...
+BODY_BYTES_A_SWEEP = 16 << 10  # ... half of what PROTOCOL lets a slow client take
+WRITE_SWEEPS = 30  # without a byte taken
+LINGER_SWEEPS = 3
+
+TCP_INFO_SIZE = 56
+LAST_DATA_RECEIVED = struct.Struct("=52xI")
+QUEUED = struct.Struct("i")
+
+REASONS = {
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+EMPTY = {
+    status: b"HTTP/1.1 %d %s\r\nContent-Length: 0\r\n" % (status, reason)
+    for status, reason in REASONS.items()
+}
+READY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+
+# Of one hop only, or written anew for each attempt.
+NOT_PASSED_ON = frozenset(
+    (
+        b"connection", b"content-length", b"expect", b"keep-alive", b"proxy-connection",
+        b"te", b"trailer", b"transfer-encoding", b"upgrade", b"x-timeout-ms",
+    )
+)  # fmt: skip
+READ = frozenset(
+    (
+        b"connection", b"content-length", b"expect", b"host", b"transfer-encoding", b"x-cost",
+        b"x-priority-class", b"x-request-id", b"x-retried", b"x-tenant-id", b"x-timeout-ms",
+    )
+)  # fmt: skip
+
+
+class BadRequest(Exception):
+    """The request gets this status and its connection is closed."""
+
+    def __init__(self, status: int) -> None:
+        self.status = status
+
+
+class Incoming:
+    """A request as it is read; `head` is what each attempt starts with."""
+
+    __slots__ = (
+        "body", "chunked", "cls", "fields", "head", "hint", "keep_alive", "key", "length",
+        "lines", "method", "probe", "received", "retried", "size", "tenant", "timeout", "url",
+    )  # fmt: skip
+
+    def __init__(self) -> None:
+        self.url = b""
+        self.method = b""
+        self.lines: list[bytes] = []
+        self.fields: dict[bytes, bytes] = {}
+        self.body: list[bytes] = []
+        self.size = 0
+        self.length = 0
+        self.chunked = False
+        self.head = b""
+        self.keep_alive = True
+        self.probe = False
+        self.cls = 0
+        self.tenant = 0
+        self.key = 0
+        self.hint = 0
+        self.retried = False
+        self.timeout = 0
+        self.received = 0
+
+
+class ClientConnection(asyncio.Protocol):
+    """One client's connection; requests on it are answered one after another."""
+
+    __slots__ = (
+        "_body_sweep", "_early", "_eof", "_error", "_head_size", "_headers_done", "_incoming",
+        "_keep_alive", "_lingering", "_old_http", "_parser", "_progress", "_reading_paused",
+        "_request", "_server", "_since", "_sock", "_source", "_stream_chunked", "_transport",
+        "_write_paused", "_write_since",
+    )  # fmt: skip
+
+    def __init__(self, server: Server, sock: socket.socket) -> None:
+        self._server = server
+        self._sock = sock
+        self._transport: asyncio.Transport | None = None
+        self._parser: httptools.HttpRequestParser | None = None
+        self._incoming: Incoming | None = None
+        self._early: deque[Incoming] = deque()
+        self._request: Request | None = None
+        self._source: BackendConnection | None = None
+        self._stream_chunked = False
+        self._headers_done = False
+        self._head_size = 0
+        self._keep_alive = True
+        self._old_http = False
+        self._eof = False
+        self._error = 0
+        self._lingering = False
+        self._reading_paused = False
+        self._write_paused = False
+        self._since = 0  # sweep at which the head began, or lingering
+        self._body_sweep = 0  # sweep at which the body last grew
+        self._write_since = 0
+        self._progress = (0, 0)
+
+    # ---- reading ------------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        self._parser = httptools.HttpRequestParser(self)
+        self._server.connections.add(self)
+        self._server.idle[self] = None
+
+    def data_received(self, data: bytes) -> None:
+        parser = self._parser
+        if parser is None:
+            return  # lingering: what still comes is dropped
+        if not self._headers_done:
+            self._head_size += len(data)
+        try:
+            parser.feed_data(data)
+        except httptools.HttpParserCallbackError as err:
+            cause = err.__context__
+            if not isinstance(cause, BadRequest):
+                self._server.node.log(f"reading a request: {cause!r}")
+            self._reject(cause.status if isinstance(cause, BadRequest) else 400)
+            return
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._reject(400)
+            return
+        incoming = self._incoming
+        if incoming is None:
+            return
+        if not self._headers_done:
+            if self._head_size > MAX_HEAD:
+                self._reject(431)
+        elif incoming.size:
+            self._body_sweep = self._server.sweeps
+            budget = self._server.node.budget
+            if budget.must_pause(self):
+                self._reading_paused = True
+                self._pause_reading()
+
+    def on_message_begin(self) -> None:
+        if len(self._early) >= MAX_EARLY:
+            raise BadRequest(400)
+        self._incoming = Incoming()
+        self._headers_done = False
+        self._since = self._server.sweeps
+        self._server.idle.pop(self, None)
+
+    def on_url(self, url: bytes) -> None:
+        assert self._incoming is not None
+        self._incoming.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        incoming = self._incoming
+        if incoming is None or self._headers_done:
+            return  # a trailer
+        lower = name.lower()
+        if lower in READ:
+            if lower in incoming.fields:
+                raise BadRequest(400)  # which of the two would be meant?
+            incoming.fields[lower] = value
+        if lower not in NOT_PASSED_ON:
+            incoming.lines.append(b"%s: %s\r\n" % (name, value))
+
+    def on_headers_complete(self) -> None:
+        incoming, parser = self._incoming, self._parser
+        assert incoming is not None and parser is not None
+        self._headers_done = True
+        self._head_size = 0
+        incoming.method = parser.get_method()
+        incoming.keep_alive = parser.should_keep_alive()
+        size = len(incoming.url) + sum(map(len, incoming.lines))
+        if size > MAX_HEAD:
+            raise BadRequest(431)
+        self._server.read_head(incoming)
+        self._old_http = parser.get_http_version() == "1.0"
+        if incoming.length > MAX_BODY:
+            raise BadRequest(413)
+        if incoming.length or incoming.chunked:
+            self._body_sweep = self._since = self._server.sweeps
+            if incoming.length > SMALL_BODY or incoming.chunked:
+                self._server.node.budget.unfinished[self] = None
+            if incoming.fields.get(b"expect", b"").lower() == b"100-continue":
+                assert self._transport is not None
+                if self._request is None:
+                    self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        incoming = self._incoming
+        assert incoming is not None
+        incoming.body.append(body)
+        incoming.size += len(body)
+        self._server.node.budget.take(len(body))
+        if incoming.size > MAX_BODY:
+            raise BadRequest(413)
+
+    def on_message_complete(self) -> None:
+        incoming = self._incoming
+        assert incoming is not None
+        self._incoming = None
+        self._headers_done = False
+        node = self._server.node
+        node.budget.finished(self)
+        # What waited in the kernel while the loop was busy is the client's time.
+        info = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
+        (unread_ms,) = LAST_DATA_RECEIVED.unpack(info)
+        incoming.received = time.monotonic_ns() - unread_ms * MS
+        if not incoming.probe:
+            if incoming.method == b"POST" or incoming.size:
+                incoming.lines.append(b"Content-Length: %d\r\n" % incoming.size)
+            lines = b"".join(incoming.lines)
+            incoming.head = b"%s %s HTTP/1.1\r\n%sX-Timeout-Ms: " % (
+                incoming.method,
+                incoming.url,
+                lines,
+            )
+        incoming.lines = []
+        if self._request is not None or self._source is not None or self._early:
+            self._early.append(incoming)
+            # The next request is here before this one's answer: enough read.
+            self._pause_reading()
+        else:
+            self._begin(incoming)
+
+    def _begin(self, incoming: Incoming) -> None:
+        self._server.idle.pop(self, None)
+        self._keep_alive = incoming.keep_alive
+        node = self._server.node
+        if incoming.probe:
+            ready = not self._server.stopping
+            self._write_head(READY if ready else EMPTY[503])
+            return
+        waited = time.monotonic_ns() - incoming.received
+        # Set first: the answer may come before the call returns.
+        request = node.request(self, incoming, waited)
+        if request is None:
+            node.budget.give(incoming.size)
+            self.answer_empty(503, 0)
+        elif not request.ended:
+            self._request = request
+
+    def _next(self) -> None:
+        """Begin what the client sent early; on a turn of its own, so that calls do not nest."""
+        if self._request is None and self._source is None and self._early:
+            self._begin(self._early.popleft())
+
+    def _pause_reading(self) -> None:
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def resume_body(self) -> None:
+        """There is room for more of the body."""
+        self._reading_paused = False
+        self._body_sweep = self._server.sweeps
+        if self._transport is not None and not self._early:
+            self._transport.resume_reading()
+
+    # ---- answering ----------------------------------------------------
+
+    def answer(self, content_type: bytes, chunks: list[bytes], size: int) -> None:
+        """The whole answer of a backend."""
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % size
+        if content_type:
+            head += b"Content-Type: %s\r\n" % content_type
+        self._write_head(head, chunks)
+
+    def answer_empty(self, status: int, retry_after: int) -> None:
+        head = EMPTY[status]
+        if retry_after:
+            head += b"Retry-After: %.3f\r\n" % (retry_after / 1e9)
+        self._write_head(head)
+
+    def _closes(self) -> bool:
+        return self._server.stopping or self._eof or not self._keep_alive
+
+    def _write_head(self, head: bytes, chunks: list[bytes] | None = None) -> None:
+        """Write an answer that is whole, and go on to what follows it."""
+        self._request = None
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        end = b"Connection: close\r\n\r\n" if self._closes() else b"\r\n"
+        transport.write(b"".join((head, end, *chunks)) if chunks else head + end)
+        self._after_answer()
+
+    def stream_begin(self, source: BackendConnection, content_type: bytes, length: int) -> None:
+        """The first bytes of a large answer; the rest follows as the client reads."""
+        self._request = None
+        self._source = source
+        head = b"HTTP/1.1 200 OK\r\n"
+        self._stream_chunked = length < 0 and not self._old_http
+        if length >= 0:
+            head += b"Content-Length: %d\r\n" % length
+        elif self._stream_chunked:
+            head += b"Transfer-Encoding: chunked\r\n"
+        else:
+            self._keep_alive = False
+        if content_type:
+            head += b"Content-Type: %s\r\n" % content_type
+        assert self._transport is not None
+        self._transport.write(head + (b"Connection: close\r\n\r\n" if self._closes() else b"\r\n"))
+
+    def stream_data(self, data: bytes) -> None:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        transport.write(b"%x\r\n%s\r\n" % (len(data), data) if self._stream_chunked else data)
+
+    def stream_end(self) -> None:
+        self._source = None
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if self._stream_chunked:
+            transport.write(b"0\r\n\r\n")
+        self._after_answer()
+
+    def stream_break(self) -> None:
+        """The backend broke off: a reset, or too few bytes, tells the client."""
+        self._source = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _after_answer(self) -> None:
+        if self._closes():
+            self._end()
+        elif self._early:
+            self._server.node.loop.call_soon(self._next)
+        elif self._error:
+            self._reject(self._error)
+        else:
+            if self._incoming is None:
+                self._server.idle[self] = None
+            assert self._transport is not None
+            if not self._reading_paused:
+                self._transport.resume_reading()
+
+    def _reject(self, status: int) -> None:
+        """Answer what can't be read as a request, once the one before it is answered."""
+        self._drop_incoming()
+        self._parser = None
+        self._error = status
+        self._keep_alive = self._keep_alive and bool(self._request or self._source)
+        if self._request is not None or self._source is not None or self._early:
+            return
+        self._error = 0
+        transport = self._transport
+        if transport is not None and not transport.is_closing():
+            transport.write(EMPTY[status] + b"Connection: close\r\n\r\n")
+            self._end()
+
+    def _end(self) -> None:
+        """Close once the client has: closing on unread bytes would reset the connection,
+        and the reset could reach the client before the answer does."""
+        transport = self._transport
+        assert transport is not None
+        self._server.idle.pop(self, None)
+        self._drop_incoming()
+        self._drop_early()
+        self._parser = None
+        if self._eof:
+            transport.close()
+            return
+        self._lingering = True
+        self._since = self._server.sweeps
+        transport.write_eof()
+        transport.resume_reading()
+
+    def _drop_incoming(self) -> None:
+        incoming, self._incoming = self._incoming, None
+        budget = self._server.node.budget
+        budget.finished(self)
+        if incoming is not None:
+            budget.give(incoming.size)
+
+    def _drop_early(self) -> None:
+        while self._early:
+            self._server.node.budget.give(self._early.popleft().size)
+
+    def pause_writing(self) -> None:
+        self._write_paused = True
+        if self._source is not None:
+            self._source.hold()
+
+    def resume_writing(self) -> None:
+        self._write_paused = False
+        if self._source is not None:
+            self._source.go_on()
+
+    # ---- ends ---------------------------------------------------------
+
+    def eof_received(self) -> bool:
+        # A client that has ended its sending may still wait for its answer; one
+        # that has closed costs an answer that nobody reads. Taking the first for
+        # the second would lose a request.
+        self._eof = True
+        return self._request is not None or self._source is not None or bool(self._early)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        server = self._server
+        self._transport = None
+        self._parser = None
+        server.connections.discard(self)
+        server.idle.pop(self, None)
+        self._drop_incoming()
+        self._drop_early()
+        request, self._request = self._request, None
+        source, self._source = self._source, None
+        if source is not None:
+            source.abandon()
+        if request is not None:
+            server.node.client_gone(request)
+        server.node.clients -= 1
+        server.node.freed()
+
+    def resting(self) -> bool:
+        """Whether it can be closed without harm: nothing under way either way."""
+        transport = self._transport
+        if (
+            transport is None
+            or self._request is not None
+            or self._source is not None
+            or self._incoming is not None
+            or self._early
+            or transport.get_write_buffer_size()
+        ):
+            return False
+        try:
+            self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return True
+        return False  # a request lies unread
+
+    def finished(self) -> bool:
+        """Whether a stop need not wait for it."""
+        transport = self._transport
+        return transport is None or (
+            self._request is None
+            and self._source is None
+            and self._incoming is None
+            and not self._early
+            and not transport.get_write_buffer_size()
+        )
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._server.idle.pop(self, None)
+            self._transport.close()
+
+    def sweep(self, sweep: int) -> None:
+        """Give up a client that has stopped sending or taking bytes."""
+        transport = self._transport
+        if transport is None:
+            return
+        waiting = transport.get_write_buffer_size()
+        if self._lingering and not waiting and sweep - self._since > LINGER_SWEEPS:
+            transport.abort()
+            return
+        incoming = self._incoming
+        if incoming is not None and not self._reading_paused and self._parser is not None:
+            if not self._headers_done:
+                if sweep - self._since > HEAD_SWEEPS:
+                    self._reject(408)
+                    return
+            else:
+                earned = BODY_GRACE_SWEEPS + incoming.size // BODY_BYTES_A_SWEEP
+                if sweep - self._body_sweep > BODY_SWEEPS or sweep - self._since > earned:
+                    self._reject(408)
+                    return
+        if not waiting:
+            self._write_since = sweep
+            return
+        queued = QUEUED.unpack(fcntl.ioctl(self._sock, termios.TIOCOUTQ, bytes(4)))[0]
+        if (waiting, queued) != self._progress:
+            self._progress = (waiting, queued)
+            self._write_since = sweep
+        elif sweep - self._write_since > WRITE_SWEEPS:
+            # A reader that takes nothing holds a descriptor and a buffer for good.
+            transport.abort()
+
+
+class Server:
+    """The listening socket and all client connections."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.connections: set[ClientConnection] = set()
+        self.idle: dict[ClientConnection, None] = {}  # longest idle first
+        self.sweeps = 0
+        self.stopping = False
+        self._paused = False
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._sock: socket.socket | None = None
+        settings = node.config.settings
+        self._classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
+        self._tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
+        self._deadlines = [c.deadline for c in settings.classes]
+        node.freed = self.freed
+
+    def listen(self, address: Address) -> int:
+        """Take connections at this address; returns the port."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(address)
+            sock.listen(BACKLOG)
+        except OSError:
+            sock.close()
+            raise
+        self._sock = sock
+        self.node.loop.add_reader(sock, self._accept)
+        return int(sock.getsockname()[1])
+
+    def _accept(self) -> None:
+        for _ in range(ACCEPTS):
+            if self._sock is None or not self._room():
+                return
+            try:
+                sock, _address = self._sock.accept()
+            except BlockingIOError:
+                return
+            except ConnectionError:
+                continue
+            except OSError as err:
+                # Descriptors are budgeted, but the system may be short of other
+                # things: the accept loop must outlive that.
+                self.node.log(f"accept: {err}")
+                self._pause()
+                return
+            sock.setblocking(False)
+            self.node.clients += 1
+            task = self.node.loop.create_task(self._welcome(sock))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _welcome(self, sock: socket.socket) -> None:
+        conn = ClientConnection(self, sock)
+        try:
+            await self.node.loop.connect_accepted_socket(lambda: conn, sock)
+        except OSError:
+            sock.detach()
+            if conn not in self.connections:
+                self.node.clients -= 1
+                self.freed()
+
+    def _room(self) -> bool:
+        """Room for one more; else an idle connection goes, and the next waits its turn."""
+        if self.node.room_for_client():
+            return True
+        self._pause()
+        if not self.drop_oldest():
+            self.node.upstream.drop_oldest()
+        return False
+
+    def _pause(self) -> None:
+        if self._sock is not None and not self._paused:
+            self._paused = True
+            self.node.loop.remove_reader(self._sock)
+
+    def freed(self) -> None:
+        """A descriptor has come free: accept again."""
+        if self._paused and self._sock is not None and self.node.room_for_client():
+            self._paused = False
+            self.node.loop.add_reader(self._sock, self._accept)
+
+    def drop_oldest(self) -> bool:
+        """Close the client connection that has rested longest; False where none rests."""
+        for conn in self.idle:
+            if conn.resting():
+                conn.close()
+                return True
+        return False
+
+    def sweep(self) -> None:
+        self.sweeps += 1
+        for conn in list(self.connections):
+            conn.sweep(self.sweeps)
+        self.freed()
+        if self._paused and not self.drop_oldest():
+            self.node.upstream.drop_oldest()
+
+    # ---- stopping -----------------------------------------------------
+
+    def stop_accepting(self) -> None:
+        """Take in what the kernel has accepted for us, then listen no more."""
+        sock = self._sock
+        if sock is None:
+            return
+        for conn in list(self.idle):
+            if conn.resting():
+                conn.close()
+        for _ in range(BACKLOG // ACCEPTS):
+            self._accept()
+        self._pause()
+        self._sock = None
+        sock.close()
+
+    def finished(self) -> bool:
+        return not self._tasks and all(conn.finished() for conn in self.connections)
+
+    # ---- heads --------------------------------------------------------
+
+    def read_head(self, incoming: Incoming) -> None:
+        """Check a head and fill in what the module wants to know; BadRequest if it is unfit."""
+        fields = incoming.fields
+        path = incoming.url.partition(b"?")[0]
+        incoming.chunked = b"transfer-encoding" in fields
+        incoming.length = int(fields.get(b"content-length", b"0"))
+        parts = path.split(b"/")
+        if path == b"/health/ready":
+            incoming.probe = True
+            if incoming.method != b"GET" or incoming.length or incoming.chunked:
+                raise BadRequest(400)
+            return
+        cls = self._classes.get(parts[1]) if len(parts) > 1 and not parts[0] else None
+        if cls is None:
+            raise BadRequest(404)
+        if incoming.method not in (b"GET", b"POST"):
+            raise BadRequest(405)
+        if fields.get(b"x-priority-class", parts[1]) != parts[1]:
+            raise BadRequest(400)
+        if not fields.get(b"x-request-id") or b"host" not in fields:
+            raise BadRequest(400)
+        if self._tenants:
+            tenant = self._tenants.get(fields.get(b"x-tenant-id", b""))
+            if tenant is None:
+                raise BadRequest(400)
+            incoming.tenant = tenant
+        timeout = fields.get(b"x-timeout-ms", b"")
+        if not timeout.isdigit() or len(timeout) > 12 or not int(timeout):
+            raise BadRequest(400)
+        incoming.cls = cls
+        incoming.timeout = min(int(timeout) * MS, self._deadlines[cls])
+        if len(parts) > 2 and parts[-1]:
+            incoming.key = crc32(parts[-1]) or 1
+        cost = fields.get(b"x-cost", b"")
+        if cost.isdigit() and len(cost) <= 12:
+            incoming.hint = int(cost) * 1000
+        incoming.retried = fields.get(b"x-retried") == b"1"
--- /dev/null
+++ b/windrelay/upstream.py
@@ -0,0 +1,527 @@
+"""Connections to backends, and the pool of idle ones."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Sequence
+from typing import TYPE_CHECKING, cast
+
+import httptools
+
+from flinthatch import Outcome
+from windrelay.config import Address
+
+if TYPE_CHECKING:
+    from windrelay.node import Attempt, Node
+    from windrelay.server import ClientConnection
+
+HOLD = 64 << 10  # answers up to this size are held until they are whole
+PIECE = 64 << 10  # largest write of a request's body
+MAX_HEAD = 64 << 10  # of an answer, without its body
+MAX_INTERIM = 8  # 1xx answers before the real one
+IDLE_MARGIN_NS = 2_000_000_000  # closed so long before the backend would
+MS = 1_000_000
+
+# The site's words for load, beside those that settings may use for the same.
+LOAD_WORDS = {
+    b"inflight": "rif",
+    b"queue": "q",
+    b"util": "busy",
+    b"latency_ms": "lat_ms",
+    b"qps": "rate",
+    b"eps": "fail_rate",
+}
+
+
+class BackendConnection(asyncio.Protocol):
+    """One connection to one backend; it carries one attempt at a time.
+
+    `written` is the line that the rules hang on: false for as long as a part of
+    the request, its last byte included, has certainly not left the process.
+    """
+
+    __slots__ = (
+        "_chunked", "_chunks", "_closed", "_complete", "_connected", "_dial_timer", "_dirty",
+        "_head_size", "_headers_done", "_held", "_interim", "_keep_alive", "_length", "_let",
+        "_not_run", "_paused", "_piece", "_pieces", "_report", "_size", "_sock", "_status", "_task",
+        "_type", "address", "attempt", "backend", "idle_since", "parser", "reader", "transport",
+        "upstream", "written",
+    )  # fmt: skip
+
+    def __init__(self, upstream: Upstream, backend: int, address: Address) -> None:
+        self.upstream = upstream
+        self.backend = backend
+        self.address = address
+        self.attempt: Attempt | None = None
+        self.reader: ClientConnection | None = None  # who a large answer streams to
+        self.transport: asyncio.Transport | None = None
+        self.parser: httptools.HttpResponseParser | None = None
+        self.idle_since = 0
+        self._connected = False
+        self._closed = False
+        self._let = False
+        self._held = False
+        self._sock: socket.socket | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._dial_timer: asyncio.TimerHandle | None = None
+        self._reset()
+
+    def _reset(self) -> None:
+        self.written = False
+        self._pieces: Sequence[bytes] = ()
+        self._piece = 0
+        self._paused = False
+        self._interim = 0
+        self._begin_answer()
+
+    def _begin_answer(self) -> None:
+        self._status = 0
+        self._head_size = 0
+        self._headers_done = False
+        self._length = -1
+        self._chunked = False
+        self._not_run = False
+        self._report = b""
+        self._type = b""
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._complete = False
+        self._keep_alive = False
+        self._dirty = False
+
+    # ---- dialling -----------------------------------------------------
+
+    def dial(self, attempt: Attempt) -> None:
+        node = self.upstream.node
+        self.attempt = attempt
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self._sock = sock
+        self.upstream.count += 1
+        timeout = node.config.settings.connect_timeout / 1e9
+        self._dial_timer = node.loop.call_later(timeout, self._dial_expired)
+        self._task = node.loop.create_task(self._connect(sock))
+        self._task.add_done_callback(self._dialled)
+
+    async def _connect(self, sock: socket.socket) -> None:
+        loop = self.upstream.node.loop
+        await loop.sock_connect(sock, self.address)
+        self._connected = True
+        await loop.create_connection(lambda: self, sock=sock)
+
+    def _dialled(self, task: asyncio.Task[None]) -> None:
+        """However dialling ended: where no transport owns the socket it goes here."""
+        failed = task.cancelled() or task.exception() is not None
+        self._task = None
+        if not failed or self.transport is not None:
+            return
+        assert self._sock is not None
+        if self._connected:
+            self._sock.detach()  # the loop has closed it, and the number may be in use again
+        else:
+            self._sock.close()
+        self._let_go()
+        self._broken()
+
+    def _dial_expired(self) -> None:
+        # Between the connection's coming up and being told of it there is a turn
+        # of the loop: a dial that made it is no failure.
+        if not self._connected:
+            self._broken()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        if self._dial_timer is not None:
+            self._dial_timer.cancel()
+            self._dial_timer = None
+        if self._closed:
+            self.transport.abort()
+            return
+        # With no room above the kernel's, a write that leaves anything behind
+        # pauses us at once: not paused means that every byte has left.
+        self.transport.set_write_buffer_limits(high=0)
+        self.parser = httptools.HttpResponseParser(self)
+        if self.attempt is not None:
+            self._write_request()
+
+    # ---- the request --------------------------------------------------
+
+    def begin(self, attempt: Attempt) -> None:
+        """Carry an attempt on a connection that was idle."""
+        self._reset()
+        self.attempt = attempt
+        self._write_request()
+
+    def _write_request(self) -> None:
+        attempt = self.attempt
+        assert attempt is not None
+        attempt.connection = self
+        r = attempt.request
+        if r is None:
+            head = b"GET /health/live HTTP/1.1\r\nHost: %s\r\n\r\n" % str(self.address).encode()
+            self._pieces = (head,)
+        else:
+            left = attempt.sent + attempt.limit - time.monotonic_ns()
+            head = b"%s%d\r\n\r\n" % (r.head, max(left // MS, 1))
+            if not r.size:
+                self._pieces = (head,)
+            elif r.size <= PIECE:
+                self._pieces = (b"".join((head, *r.body)),)
+            else:
+                self._pieces = (head, *r.body)
+        self._write_on()
+
+    def _write_on(self) -> None:
+        """Write piece by piece, never more than the kernel takes and one piece over."""
+        transport = self.transport
+        assert transport is not None
+        pieces = self._pieces
+        last = len(pieces) - 1
+        while self._piece <= last and not self._paused:
+            transport.write(pieces[self._piece])
+            if transport.is_closing():
+                # The write itself failed: the kernel took nothing of this piece,
+                # so the last byte never left. connection_lost tells the outcome.
+                return
+            self._piece += 1
+        if self._piece > last:
+            # A rest of the last piece may still wait above the kernel, but how
+            # much of it is on its way is in doubt from here on.
+            self.written = True
+            self._pieces = ()
+
+    def pause_writing(self) -> None:
+        self._paused = True
+
+    def resume_writing(self) -> None:
+        self._paused = False
+        if self.attempt is not None and not self.written and not self._complete:
+            self._write_on()
+
+    # ---- the answer ---------------------------------------------------
+
+    def data_received(self, data: bytes) -> None:
+        parser = self.parser
+        if parser is None:
+            return
+        if self.attempt is None and self.reader is None:
+            # Unasked-for bytes on an idle connection: they answer nobody.
+            self._close()
+            return
+        if not self._headers_done:
+            self._head_size += len(data)
+        try:
+            parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._dirty = True
+            if not self._complete:
+                self._broken()
+                return
+        if self._complete:
+            self._answered()
+        elif not self._headers_done and self._head_size > MAX_HEAD:
+            self._broken()
+
+    def on_message_begin(self) -> None:
+        if self._complete:
+            self._dirty = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self._headers_done:
+            return  # a trailer
+        name = name.lower()
+        if name == b"content-length":
+            self._length = int(value) if value.isdigit() else -1
+        elif name == b"content-type":
+            self._type = value
+        elif name == b"transfer-encoding":
+            self._chunked = True
+        elif name == b"x-not-processed":
+            self._not_run = value.strip() == b"1"
+        elif name == b"x-server-load":
+            self._report = value
+
+    def on_headers_complete(self) -> None:
+        if self._complete or self.parser is None:
+            return
+        self._status = self.parser.get_status_code()
+        self._headers_done = True
+
+    def on_body(self, body: bytes) -> None:
+        if self.parser is None:
+            return
+        if self._complete:
+            self._dirty = True
+            return
+        self._size += len(body)
+        if self.reader is not None:
+            self.reader.stream_data(body)
+        elif self._status == 200:
+            self._chunks.append(body)
+            if (self._size > HOLD or self._length > HOLD) and self.attempt is not None:
+                self._stream()
+        # The text of an error is of no use to anybody: it is not kept.
+
+    def on_message_complete(self) -> None:
+        if self._complete or self.parser is None:
+            return
+        if 100 <= self._status < 200 and self._status != 101 and self._interim < MAX_INTERIM:
+            self._interim += 1
+            self._begin_answer()
+            return
+        self._keep_alive = self.parser.should_keep_alive()
+        self._complete = True
+
+    def eof_received(self) -> bool:
+        # An answer without length or chunks ends with its connection.
+        if (
+            self._headers_done
+            and not self._complete
+            and self._length < 0
+            and not self._chunked
+            and (self.attempt is not None or self.reader is not None)
+        ):
+            self._complete = True
+            self._dirty = True
+            self._answered()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._broken()
+        self._let_go()
+
+    def _outcome(self) -> Outcome:
+        status = self._status
+        if status == 200:
+            # Before the request's last byte is written no backend has begun it:
+            # such an answer is not one to this request.
+            return Outcome.OK if self.written else Outcome.ERROR
+        if status in (503, 504) and self._not_run:
+            return Outcome.FULL
+        return Outcome.ERROR
+
+    def _answered(self) -> None:
+        attempt, self.attempt = self.attempt, None
+        reader, self.reader = self.reader, None
+        transport = self.transport
+        chunks, self._chunks = self._chunks, []
+        node = self.upstream.node
+        reusable = (
+            not self._dirty
+            and self.written
+            and not self._paused
+            and self._keep_alive
+            and transport is not None
+            and not transport.is_closing()
+        )
+        if reader is not None:
+            reader.stream_end()
+            self.go_on()
+        outcome = self._outcome()
+        if attempt is not None:
+            r = attempt.request
+            if r is not None and outcome == Outcome.OK and not r.ended and r.client is not None:
+                r.client.answer(self._type, chunks, self._size)
+            elif r is None and outcome == Outcome.ERROR and self._status == 503:
+                outcome = Outcome.FULL
+        if reusable:
+            self.upstream.put(self)
+        else:
+            self._close()
+        if attempt is not None:
+            node.conclude(attempt, outcome, self._load())
+
+    def _load(self) -> Sequence[float]:
+        """The load report in the settings' order of columns, or nothing."""
+        config = self.upstream.node.config
+        if not self._report or not config.reports:
+            return ()
+        values: dict[str, float] = {}
+        try:
+            for part in self._report.split(b","):
+                word, _, value = part.strip().partition(b"=")
+                values[word.decode()] = values[LOAD_WORDS.get(word, word.decode())] = float(value)
+            return tuple(values[column] for column in config.settings.load_columns)
+        except (ValueError, KeyError):
+            return ()
+
+    # ---- large answers ------------------------------------------------
+
+    def _stream(self) -> None:
+        """Pass on a large answer from its first bytes; from here it is the client's."""
+        attempt = self.attempt
+        assert attempt is not None
+        r = attempt.request
+        self.attempt = None
+        if not self.written or r is None or r.client is None:
+            # Too early to be true, or nobody waits for the rest any more.
+            self._close()
+            self.upstream.node.conclude(attempt, self._outcome(), self._load())
+            return
+        client = self.reader = r.client
+        chunks, self._chunks = self._chunks, []
+        client.stream_begin(self, self._type, self._length if not self._chunked else -1)
+        for chunk in chunks:
+            client.stream_data(chunk)
+        self.upstream.node.conclude(attempt, Outcome.OK, self._load())
+
+    def hold(self) -> None:
+        """The client reads slowly: leave the rest with the backend."""
+        if self.transport is not None and not self._closed and not self._held:
+            self._held = True
+            self.transport.pause_reading()
+
+    def go_on(self) -> None:
+        if self.transport is not None and not self._closed and self._held:
+            self._held = False
+            self.transport.resume_reading()
+
+    # ---- ends ---------------------------------------------------------
+
+    def abandon(self) -> bool:
+        """Stop waiting and close: whatever comes late must reach nobody.
+
+        False where the request's last byte was certainly never written.
+        """
+        sent = self.written
+        self.attempt = None
+        self.reader = None
+        self._close()
+        return sent
+
+    def _broken(self) -> None:
+        """The connection is of no more use; whoever waits on it learns so."""
+        attempt, self.attempt = self.attempt, None
+        reader, self.reader = self.reader, None
+        self._close()
+        if reader is not None:
+            reader.stream_break()
+        if attempt is not None:
+            outcome = Outcome.RESET if self.written else Outcome.CONNECT_FAILED
+            self.upstream.node.conclude(attempt, outcome)
+
+    def _close(self) -> None:
+        if self._closed:
+            return
+        self._closed = True
+        self.upstream.take_out(self)
+        self.parser = None
+        self._chunks = []
+        self._pieces = ()
+        if self._dial_timer is not None:
+            self._dial_timer.cancel()
+            self._dial_timer = None
+        if self.transport is not None:
+            self.transport.abort()
+        elif self._task is not None and not self._connected:
+            # Past this point the loop owns the socket, and cancelling would close
+            # it behind our back: then connection_made aborts it.
+            self._task.cancel()
+
+    def _let_go(self) -> None:
+        if not self._let:
+            self._let = True
+            self.upstream.count -= 1
+            self.upstream.node.freed()
+
+    def usable(self) -> bool:
+        """Whether an idle connection still stands, as far as the kernel knows.
+
+        The loop may not have come to its end yet: a request written into it
+        would count as may-have-run.
+        """
+        transport = self.transport
+        if transport is None or transport.is_closing() or self._sock is None:
+            return False
+        try:
+            self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False  # an end, or bytes that nobody asked for
+
+
+class Upstream:
+    """Idle connections by backend, newest first, and by age for giving up."""
+
+    __slots__ = ("by_age", "count", "idle", "node")
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.count = 0  # descriptors, dials included
+        self.idle: dict[int, list[BackendConnection]] = {}
+        self.by_age: dict[BackendConnection, None] = {}
+
+    def send(self, attempt: Attempt) -> None:
+        backend = attempt.backend
+        address = self.node.discovery.roster.endpoints.get(backend)
+        if address is None:
+            self.node.conclude(attempt, Outcome.CONNECT_FAILED)
+            return
+        while (conn := self.pop(backend)) is not None:
+            if conn.usable():
+                conn.begin(attempt)
+                return
+            conn.abandon()
+        if not self.node.room_for_upstream():
+            self.node.conclude(attempt, Outcome.CONNECT_FAILED)
+            return
+        conn = BackendConnection(self, backend, address)
+        attempt.connection = conn
+        try:
+            conn.dial(attempt)
+        except OSError:
+            attempt.connection = None
+            self.node.conclude(attempt, Outcome.CONNECT_FAILED)
+
+    def pop(self, backend: int) -> BackendConnection | None:
+        conns = self.idle.get(backend)
+        if not conns:
+            return None
+        conn = conns.pop()
+        if not conns:
+            del self.idle[backend]
+        del self.by_age[conn]
+        return conn
+
+    def put(self, conn: BackendConnection) -> None:
+        """Keep a connection for the next attempt, unless its backend has moved or left."""
+        if self.node.discovery.roster.endpoints.get(conn.backend) != conn.address:
+            conn.abandon()
+            return
+        conn.idle_since = time.monotonic_ns()
+        self.idle.setdefault(conn.backend, []).append(conn)
+        self.by_age[conn] = None
+
+    def take_out(self, conn: BackendConnection) -> None:
+        if conn in self.by_age:
+            del self.by_age[conn]
+            conns = self.idle[conn.backend]
+            conns.remove(conn)
+            if not conns:
+                del self.idle[conn.backend]
+
+    def drop_idle(self, backend: int) -> None:
+        for conn in list(self.idle.get(backend, ())):
+            conn.abandon()
+
+    def drop_oldest(self) -> bool:
+        """Give up the connection that has been idle longest; False where none is."""
+        conn = next(iter(self.by_age), None)
+        if conn is None:
+            return False
+        conn.abandon()
+        return True
+
+    def sweep(self, now: int) -> None:
+        """Close what has been idle nearly as long as backends allow.
+
+        At the limit itself a request would cross the backend's close and count
+        as a reset: may have run.
+        """
+        limit = self.node.config.idle_close
+        oldest = now - max(limit - IDLE_MARGIN_NS, limit // 2)
+        while (conn := next(iter(self.by_age), None)) is not None and conn.idle_since < oldest:
+            conn.abandon()
