Take over a replaced configuration on SIGHUP

Cause: windrelay/__main__.py installed handlers for SIGTERM and SIGINT only, so SIGHUP's default ended the process. Behind it, config.load() puts the variable PROXY_DISCOVERY, fixed at the start, before what the replaced file says, and Discovery had no way to leave its address: a watch would have gone on there. Ruled out: the file itself (it is whole and valid JSON when the signal comes). Change: SIGHUP reads the file again, the file's discovery goes before the variable, calls under way are dropped, and the new address is asked for the whole list at once, then watched. An unusable file is one line in the log. Tests: tests/test_reload.py; all five fail without the change.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -192,7 +192,10 @@
     tmp_path: Path, known: dict[str, object], discovery: int = 1, **over: Any
 ) -> Iterator[Running]:
     """A node that listens. Port 1 as discovery refuses every call."""
-    process = launch(config(tmp_path, known, discovery, **over))
+    environ = config(tmp_path, known, discovery, **over)
+    # As in service, where the variable goes on naming the one of the start.
+    environ["PROXY_DISCOVERY"] = f"127.0.0.1:{discovery}"
+    process = launch(environ)
     try:
         assert process.stderr is not None
         line = process.stderr.readline()
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,72 @@
+"""SIGHUP takes over a replaced configuration, and nothing else changes."""
+
+from __future__ import annotations
+
+import json
+import signal
+from pathlib import Path
+
+import pytest
+
+from .harness import Running, accept, answer, listen, node, request, roster, target
+
+
+def replace_config(tmp_path: Path, text: str) -> None:
+    new = tmp_path / "new.json"
+    new.write_text(text)
+    new.rename(tmp_path / "config.json")
+
+
+def says(n: Running, words: str) -> None:
+    """Read the log up to a line with these words."""
+    assert n.process.stderr is not None
+    for line in n.process.stderr:
+        if words in line:
+            return
+    raise AssertionError(f"the log ended without {words!r}")
+
+
+def test_a_reload_moves_to_the_discovery_that_the_file_names(tmp_path: Path) -> None:
+    """PROXY_DISCOVERY still names the old one; the list of the new one counts at once."""
+    with listen() as first, listen() as second, listen() as backend:
+        old, new, serves = (s.getsockname()[1] for s in (first, second, backend))
+        gone = target("s-1", 1)
+        with node(tmp_path, roster(gone, rev=41), old) as n:
+            watch = accept(first)
+            assert "from=41" in watch.message()[0]
+            text = json.loads((tmp_path / "config.json").read_text())
+            text["discovery"] = f"127.0.0.1:{new}"
+            replace_config(tmp_path, json.dumps(text))
+            n.process.send_signal(signal.SIGHUP)
+            asked = accept(second)
+            assert asked.message()[0] == "GET /registry/instances HTTP/1.1"
+            assert watch.ends() == b""  # nothing is asked of the old one any more
+            body = json.dumps(roster(target("s-2", serves), rev=3)).encode()
+            asked.send(answer(body))
+            assert "from=3" in accept(second).message()[0]
+            client = n.connect()
+            client.send(request())
+            peer = accept(backend)
+            peer.message()
+            peer.send(answer(b"served"))
+            assert client.message()[2] == b"served"
+            assert n.stop() == 0
+
+
+@pytest.mark.parametrize("text", ["{", "[]", '{"discovery": "nowhere"}', '{"settings": {}}'])
+def test_a_reload_of_an_unusable_file_changes_nothing(tmp_path: Path, text: str) -> None:
+    with listen() as backend, node(tmp_path, roster(target("s-1", backend.getsockname()[1]))) as n:
+        client = n.connect()
+        client.send(request())
+        peer = accept(backend)
+        peer.message()
+        replace_config(tmp_path, text)
+        n.process.send_signal(signal.SIGHUP)
+        says(n, "going on as before")
+        peer.send(answer(b"served"))
+        assert client.message()[2] == b"served"
+        client.send(request())
+        peer.message()
+        peer.send(answer(b"again"))
+        assert client.message()[2] == b"again"
+        assert n.stop() == 0
--- a/windrelay/__main__.py
+++ b/windrelay/__main__.py
@@ -6,17 +6,18 @@
 import sys
 from types import FrameType
 
-_stopped_early = False
+STOPS = (signal.SIGTERM, signal.SIGINT)
+_early_signals: set[int] = set()
 
 
-def _early(_signal: int, _frame: FrameType | None) -> None:
-    global _stopped_early
-    _stopped_early = True
+def _early(number: int, _frame: FrameType | None) -> None:
+    _early_signals.add(number)
 
 
-# Before the heavier imports: a SIGTERM during start-up is a stop like any other.
-signal.signal(signal.SIGTERM, _early)
-signal.signal(signal.SIGINT, _early)
+# Before the heavier imports: a SIGTERM during start-up is a stop like any other,
+# and a SIGHUP, which by default would end the node, a reload.
+for _number in (*STOPS, signal.SIGHUP):
+    signal.signal(_number, _early)
 
 import asyncio  # noqa: E402
 import gc  # noqa: E402
@@ -24,7 +25,7 @@
 
 import uvloop  # noqa: E402
 
-from windrelay.config import Config, ConfigError, load  # noqa: E402
+from windrelay.config import Config, ConfigError, load, reload  # noqa: E402
 from windrelay.discovery import ListError  # noqa: E402
 from windrelay.node import Node  # noqa: E402
 from windrelay.server import SWEEP_S, Server  # noqa: E402
@@ -50,8 +51,9 @@
 
     async def run(self) -> None:
         self.node.start()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOPS:
             self.loop.add_signal_handler(number, self.stop)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         port = self.server.listen(self.config.listen)
         self.node.log(f"listening on {self.config.listen.host}:{port}")
         # What stands now stands for good: later collections need not look at it.
@@ -59,10 +61,22 @@
         gc.freeze()
         gc.set_threshold(20_000, 20, 50)
         self.loop.call_later(SWEEP_S, self.sweep)
-        if _stopped_early:
+        if signal.SIGHUP in _early_signals:
+            self.reload()
+        if not _early_signals.isdisjoint(STOPS):
             self.stop()
         await self.ended
 
+    def reload(self) -> None:
+        """Take over a replaced configuration; one that can't be used changes nothing."""
+        try:
+            self.config = reload(os.environ, self.config)
+        except ConfigError as err:
+            self.node.log(f"reload: {err}; going on as before")
+            return
+        self.node.log("reloaded the configuration")
+        self.node.discovery.move(self.config.discovery)
+
     def sweep(self) -> None:
         self.server.sweep()
         self.node.sweep()
--- a/windrelay/config.py
+++ b/windrelay/config.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, NamedTuple
 
 from flinthatch import Settings
@@ -80,6 +80,16 @@
         raise ConfigError(f"the configuration holds an unusable value: {err}") from None
 
 
+def reload(environ: Mapping[str, str], old: Config) -> Config:
+    """Read a replaced file: the old configuration with what may change in flight.
+
+    That is where discovery is, and here the file goes before the variable, which
+    still says what held at the start. ConfigError where the file can't be used.
+    """
+    at_start = {name: value for name, value in environ.items() if name != "PROXY_DISCOVERY"}
+    return replace(old, discovery=load(at_start).discovery)
+
+
 def _config(raw: dict[str, Any]) -> Config:
     for key in ("name", "listen", "discovery"):
         if not raw[key]:
--- a/windrelay/discovery.py
+++ b/windrelay/discovery.py
@@ -14,6 +14,7 @@
 from flinthatch import Listing, State, Update
 from windrelay.config import Address, Config, parse_address
 
+LIST = "/registry/instances"
 HOLD_MS = 20_000  # how long a watch may wait for news
 CALL_S = 4.0  # for a call's answer, beyond the time it may wait
 MAX_ANSWER = 16 << 20
@@ -161,16 +162,20 @@
 
     def end(self, body: bytes | None) -> None:
         """Hand over what came, once, and let go of the connection."""
-        done, self._done = self._done, None
-        if done is None:
-            return
+        done = self._done
+        if done is not None:
+            self.drop()
+            done(body)
+
+    def drop(self) -> None:
+        """Let go of the connection and tell nobody."""
+        self._done = None
         self._parser = None
         self._handle.cancel()
         if self._transport is not None:
             self._transport.abort()
         else:
             self._task.cancel()
-        done(body)
 
 
 class Discovery:
@@ -206,13 +211,33 @@
         self._next_watch()
 
     def fetch(self) -> None:
-        self._call("/registry/instances", CALL_S, self._fetched)
+        self._call(LIST, CALL_S, self._fetched)
+
+    def move(self, address: Address) -> None:
+        """Ask at another address from now on, first for the whole list, then for changes.
+
+        Guards against a watch that goes on at an address about to close, and
+        against a new service that counts its versions from anew: whatever whole
+        list comes first is taken. Would do harm if that list were older than
+        ours, for as long as the next change takes to come.
+        """
+        if address == self._address:
+            return
+        self.log(f"discovery is at {address} now")
+        self._address = address
+        self._drop_calls()
+        self._old = OLD_TRIES
+        self._watching = True
+        self._call(LIST, CALL_S, self._watched)
 
     def close(self) -> None:
         self._watching = False
-        self._told = lambda *_: None
-        for call in list(self._calls):
-            call.end(None)
+        self._drop_calls()
+
+    def _drop_calls(self) -> None:
+        for call in self._calls:
+            call.drop()
+        self._calls.clear()
 
     def _call(self, target: str, wait: float, done: Callable[[bytes | None], None]) -> None:
         def ended(body: bytes | None) -> None:
@@ -223,7 +248,7 @@
         self._calls.add(call)
 
     def _next_watch(self) -> None:
-        target = f"/registry/instances?from={self.roster.rev}&hold_ms={HOLD_MS}"
+        target = f"{LIST}?from={self.roster.rev}&hold_ms={HOLD_MS}"
         self._call(target, HOLD_MS / 1000 + CALL_S, self._watched)
 
     def _watched(self, body: bytes | None) -> None:
