Tell a bad answer or connection from a backend that has gone

Also found by reading and mended: answers over 64 KiB, which no backend may send, were streamed as they came, a 3 GB one for as long as it ran; a backend's 400 was tried again at others up to four times; want of descriptors counted against the backend; a dial cut off by the attempt's own time (200 ms aims, 250 ms dials) counted as nothing, so a vanished machine stayed in; a backend passed over as stalled never came back when its attempts timed out; gone backends and requests that ended in a line never served were kept for good; Request and Attempt formed a ring that only the collector frees. Change: what is spoilt is an ERROR that may have run; any answer is a sign of life; two lost connections in a row, not one, mean a lost process; three errors in a row mean a rest. Streaming is taken out: nothing is passed on before it is whole. An answer that has begun has two fifths of the dial's time.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -61,6 +61,8 @@
 FULL_REST_MAX = 2 * SECOND  # longest rest of a backend that turned an attempt away
 STALL = 6.0  # silence, in mean latencies, after which a backend in use is passed over
 STRIKES = 3  # time-outs in a row, no answer between, that make a backend silent
+LOST_STRIKES = 2  # the same of failures one of which is a lost connection
+ERRORS = 3  # errors in a row after which a backend rests
 BACKOFF = SECOND
 BACKOFF_MAX = 8 * SECOND
 # Solver.
@@ -213,7 +215,8 @@
 
 class Backend:
     __slots__ = (
-        "backoff", "boot", "bucket", "cap", "cell", "cold_until", "cost", "deal", "fulls", "held",
+        "backoff", "boot", "bucket", "cap", "cell", "cold_until", "cost", "deal", "errors",
+        "fulls", "held",
         "id", "index", "kind", "lat", "local", "offset", "rating", "rest_until", "seen", "since",
         "state", "stalled", "takers", "trial", "zone", "down_until", "strikes",
     )  # fmt: skip
@@ -243,6 +246,7 @@
         self.backoff = BACKOFF
         self.strikes = 0
         self.fulls = 0  # turned away in a row
+        self.errors = 0  # errors in a row
         self.cold_until = 0
         self.takers = 1  # nodes that share its cold budget
         self.rest_until = 0
@@ -460,6 +464,7 @@
                     self.settle(backend)
         for row in rows:
             self.member(now, row, update)
+        self.forget_gone()
         self.redeal()
         self.dispatch(now)
 
@@ -483,6 +488,14 @@
                 backend.rating = row.rating if row.rating > 0 else 1.0
         self.settle(backend)
 
+    def forget_gone(self) -> None:
+        """Drop what has left and holds nothing: ids are ever new, the list never ends."""
+        for b in list(self.backends.values()):
+            if b.state == State.GONE and not b.held:
+                if b.down_until:
+                    self.revive(b)
+                del self.backends[b.id]
+
     def redeal(self) -> None:
         """Deal every backend's slots to the nodes in turn (the paper's eqs. 5 and 6).
 
@@ -653,10 +666,17 @@
         if r.over:
             self.waiting_over -= 1
             c.waiting_over -= 1
+            line = c.over
         else:
             self.waiting -= 1
             c.waiting -= 1
-            c.counts[r.tenant if self.quota else 0] -= 1
+            t = r.tenant if self.quota else 0
+            c.counts[t] -= 1
+            line = c.lines[t]
+        # A line that is never served, as one behind the others may be, would keep
+        # all that ever waited in it.
+        while line and not line[0].queued:
+            line.popleft()
 
     def take(self, c: ClassState, over: bool) -> Request:
         """Next request of a class: tenants in turn by portion, beyond quota behind."""
@@ -945,11 +965,9 @@
         if 0 <= self.queue_column < len(load):
             cost = b.lat * (1.0 + max(load[self.queue_column], 0.0))
         b.cost = cost
-        b.seen = now
-        b.since = now
-        b.stalled = False
+        self.heard(now, b)
         b.fulls = 0
-        b.strikes = 0
+        b.errors = 0
         b.trial = False
         b.backoff = BACKOFF
 
@@ -968,17 +986,18 @@
         return ratio
 
     def failed(self, now: int, c: ClassState, b: Backend, outcome: int, taken: int) -> None:
-        if outcome == FULL:
-            self.fulls += 1
+        if outcome in (FULL, ERROR):
+            # Either is an answer: such a backend lives, and must not be left out,
+            # nor held for cold, as one whose process has gone.
             b.cost = 4.0
-            b.seen = now
-            b.since = now
-            # A full backend answers at once and so would always hold fewest:
-            # without a rest it draws the whole stream.
-            b.fulls += 1
-            rest = int(c.lat * (0.5 + self.random.random())) << min(b.fulls - 1, 6)
-            b.rest_until = max(b.rest_until, now + min(rest, FULL_REST_MAX))
-            self.remind(b.rest_until, b)
+            self.heard(now, b)
+            if outcome == FULL:
+                self.fulls += 1
+                b.fulls += 1
+                self.let_rest(now, c, b, b.fulls)
+            else:
+                b.errors += 1
+                self.let_rest(now, c, b, b.errors + 1 - ERRORS)
         elif outcome in (TIMEOUT, CONNECT_FAILED, RESET):
             b.cost = 6.0
             b.seen = now
@@ -990,10 +1009,38 @@
                 # time-outs tell. A hung backend answers nothing and counts once.
                 self.lost += not b.strikes
             b.strikes += 1
+            # One connection may break or fail for reasons of its own; where the
+            # process has gone the next one fails too, at once and unrun. One
+            # time-out may be load: with one slot it always looks like silence.
             lost = outcome in (CONNECT_FAILED, RESET)
-            # One time-out may be load: with one slot it always looks like silence.
-            if lost or (b.strikes >= STRIKES and now - b.since >= taken):
+            silent = b.strikes >= STRIKES and now - b.since >= taken
+            if silent or (lost and b.strikes >= LOST_STRIKES):
                 self.suspend(now, b, lost)
+        if b.stalled and not b.held:
+            # Passed over it gets no answer that could clear it: with nothing out
+            # any more it is tried again, one attempt at a time.
+            b.stalled = False
+            b.trial = True
+
+    def heard(self, now: int, b: Backend) -> None:
+        """Any answer, also a bad one, is a sign of life."""
+        b.seen = now
+        b.since = now
+        b.stalled = False
+        b.strikes = 0
+
+    def let_rest(self, now: int, c: ClassState, b: Backend, times: int) -> None:
+        """Leave out for a while a backend that answers without serving.
+
+        It does so at once and would always hold fewest: without a rest it draws
+        the whole stream. Guards as well against one that fails whatever it gets.
+        Does harm where errors come by chance, by a mean latency's rest each.
+        """
+        if times < 1:
+            return
+        rest = int(c.lat * (0.5 + self.random.random())) << min(times - 1, 6)
+        b.rest_until = max(b.rest_until, now + min(rest, FULL_REST_MAX))
+        self.remind(b.rest_until, b)
 
     def suspend(self, now: int, b: Backend, restarted: bool) -> None:
         """Leave a silent or unreachable backend alone; never more than half of all."""
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -10,6 +10,7 @@
 import json
 import os
 import re
+import select
 import signal
 import socket
 import subprocess
@@ -153,6 +154,16 @@
         self.process.send_signal(signal.SIGTERM)
         return self.process.wait(LIMIT)
 
+    def says(self, words: str) -> None:
+        """Read the log up to a line with these words."""
+        assert self.process.stderr is not None
+        end = time.monotonic() + LIMIT
+        for line in self.process.stderr:
+            if words in line:
+                return
+            assert time.monotonic() < end, line
+        raise AssertionError(f"the log ended without {words!r}")
+
     def descriptors(self) -> int:
         return len(os.listdir(f"/proc/{self.process.pid}/fd"))
 
@@ -241,6 +252,13 @@
     return Peer(server.accept()[0])
 
 
+def accept_any(*servers: socket.socket) -> tuple[Peer, socket.socket]:
+    """The next connection to any of these, and to which it came."""
+    ready = select.select(servers, (), (), LIMIT)[0]
+    assert ready, "no connection came"
+    return accept(ready[0]), ready[0]
+
+
 def until(condition: Any) -> None:
     """Wait for something that only the process itself can bring about."""
     end = time.monotonic() + LIMIT
--- /dev/null
+++ b/tests/test_backends.py
@@ -0,0 +1,177 @@
+"""Backends that answer badly, break off or can't be reached."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from .harness import (
+    Peer,
+    Running,
+    accept,
+    accept_any,
+    answer,
+    listen,
+    node,
+    request,
+    roster,
+    target,
+)
+
+
+@contextmanager
+def behind(tmp_path: Path, **over: Any) -> Iterator[tuple[socket.socket, Running]]:
+    """A node with one backend."""
+    with listen() as backend:
+        known = roster(target("s-1", backend.getsockname()[1]))
+        with node(tmp_path, known, **over) as n:
+            yield backend, n
+
+
+def reaches(client: Peer, peer: Peer, rid: str, body: bytes | None = b"x") -> None:
+    client.send(request("/credit" if body else "/balance", body, rid=rid))
+    assert peer.message()[1]["x-request-id"] == rid
+
+
+SPOILT = [
+    b"\x8a\x00noise\r\n\r\n",
+    b"ICY 200 OK\r\nContent-Length: 2\r\n\r\nab",
+    b"HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nab",
+    b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 2\r\n\r\nab",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n" + b"x" * 70_000,
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n" + b"x" * 70_000,
+    b"HTTP/1.1 200 OK\r\n\r\nhow long is it?",
+    b"HTTP/1.1 200 OK\r\nX-Pad: " + b"p" * 20_000,
+    b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nno end",
+    b"HTTP/1.1 200 OK\r\nX-No-End: 1\r\n",
+]
+
+
+@contextmanager
+def before_two(tmp_path: Path) -> Iterator[tuple[socket.socket, socket.socket, Running]]:
+    """A node with two backends."""
+    with listen() as one, listen() as two:
+        known = roster(*(target(f"s-{i}", s.getsockname()[1]) for i, s in enumerate((one, two))))
+        with node(tmp_path, known) as n:
+            yield one, two, n
+
+
+def fails(client: Peer, *backends: socket.socket) -> Peer:
+    """Send an unsafe request; returns the connection on which it came to a backend."""
+    client.send(request("/credit", b"x", rid="a1"))
+    peer, _ = accept_any(*backends)
+    assert peer.message()[1]["x-request-id"] == "a1"
+    return peer
+
+
+def both_are_used(n: Running, *backends: socket.socket) -> None:
+    """Of two requests at once each backend gets one."""
+    clients = [n.connect() for _ in backends]
+    for i, client in enumerate(clients):
+        client.send(request("/credit", b"x", rid=f"b{i}"))
+    for backend in backends:
+        peer = accept(backend)
+        peer.message()
+        peer.send(answer(b"served"))
+    assert [client.message()[2] for client in clients] == [b"served"] * len(clients)
+
+
+@pytest.mark.parametrize("spoilt", SPOILT, ids=range(len(SPOILT)))
+def test_a_spoilt_answer_fails_and_leaves_its_backend_in(tmp_path: Path, spoilt: bytes) -> None:
+    """It may have run, so an unsafe request does not go out again."""
+    with before_two(tmp_path) as (one, two, n):
+        client = n.connect()
+        peer = fails(client, one, two)
+        peer.send(spoilt)
+        assert client.message()[0] == "HTTP/1.1 502 Bad Gateway"
+        assert peer.ends() == b""
+        both_are_used(n, one, two)
+
+
+def test_good_answers_with_more_than_belongs_to_them_are_served(tmp_path: Path) -> None:
+    early = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"
+    with behind(tmp_path) as (backend, n):
+        client = n.connect()
+        for behind_it in (answer(b"served"), b"\x8a\x00noise"):
+            client.send(request())
+            peer = accept(backend)
+            peer.message()
+            peer.send(early + answer(b"served", "200 OK", "X-Server-Load: =,=") + behind_it)
+            assert client.message()[2] == b"served"
+            assert peer.ends() == b""
+
+
+def test_an_answer_is_served_only_when_it_is_whole(tmp_path: Path) -> None:
+    """Its parts come in three writes; what breaks off is not begun."""
+    whole = answer(b"y" * 60_000)
+    with behind(tmp_path) as (backend, n):
+        client = n.connect()
+        client.send(request("/credit", b"x", rid="a1"))
+        peer = accept(backend)
+        peer.message()
+        for part in (whole[:30], whole[30:40_000], whole[40_000:]):
+            peer.send(part)
+        assert client.message()[2] == b"y" * 60_000
+        reaches(client, peer, "a2")
+        peer.send(whole[:40_000])
+        peer.close()
+        assert client.message()[0] == "HTTP/1.1 502 Bad Gateway"
+
+
+def test_one_broken_connection_does_not_leave_its_backend_out(tmp_path: Path) -> None:
+    """One that a backend resets under a request tells little of its process."""
+    with before_two(tmp_path) as (one, two, n):
+        client = n.connect()
+        fails(client, one, two).reset()
+        assert client.message()[0] == "HTTP/1.1 502 Bad Gateway"
+        both_are_used(n, one, two)
+
+
+def test_what_a_backend_holds_against_the_request_is_final(tmp_path: Path) -> None:
+    """No other backend would say otherwise: a safe request is not tried again."""
+    with behind(tmp_path) as (backend, n):
+        client = n.connect()
+        client.send(request(rid="a1"))
+        peer = accept(backend)
+        peer.message()
+        peer.send(answer(b"", "400 Bad Request"))
+        assert client.message()[0] == "HTTP/1.1 400 Bad Request"
+        reaches(client, peer, "a2", None)
+        peer.send(answer(b"served"))
+        assert client.message()[2] == b"served"
+
+
+def test_a_backend_that_no_dial_reaches_is_left_out(tmp_path: Path) -> None:
+    """Its machine has vanished: dials hang for longer than any attempt may take."""
+    aims = {"target": 150_000_000, "deadline": 500_000_000, "effect": "pure"}
+    settings = {"classes": [{"name": "balance", **aims}, {"name": "credit", **aims}]}
+    with socket.socket() as full:
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        held = [socket.socket() for _ in range(4)]  # nobody accepts: the next dials hang
+        try:
+            for sock in held:
+                sock.setblocking(False)
+                sock.connect_ex(full.getsockname())
+            with listen() as backend, listen() as silent:
+                known = roster(
+                    target("s-1", full.getsockname()[1]),
+                    target("s-2", backend.getsockname()[1]),
+                    target("s-3", backend.getsockname()[1]),
+                )
+                discovery = silent.getsockname()[1]  # so that nothing else is logged
+                with node(tmp_path, known, discovery, settings=settings) as n:
+                    clients = [n.connect() for _ in range(12)]
+                    for i, client in enumerate(clients):
+                        client.send(request(rid=f"a{i}", timeout=400))
+                    n.says("out: connection failed")
+        finally:
+            for sock in held:
+                sock.close()
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -140,10 +140,11 @@
 
 def test_state_changes_are_logged_once_a_second() -> None:
     balancer, host = build(count=6)
-    for i in range(4):
+    for i in range(12):
         balancer.on_request(MS, i, 1, SECOND)
-    for i in range(3):
+    for i in range(12):
         balancer.on_outcome(2 * MS, i, 0, 6, MS, True)
+    assert balancer.down > 1
     assert len(host.named("log")) == 1
 
 
@@ -463,3 +464,36 @@
         asked.append(due)
         balancer.on_members(due + 250 * MS, Update.FAILED)
     assert max(b - a for a, b in pairwise(asked)) <= within
+
+
+def test_gone_backends_leave_nothing_behind() -> None:
+    """Backends are ever replaced under new ids; with a list kept of all it never ends."""
+    balancer, _ = build(count=3)
+    for i in range(200):
+        rows = [Listing(1000 + i, State.READY), Listing(999 + i, State.GONE)]
+        balancer.on_members(i * SECOND, Update.DELTA, rows)
+    assert set(balancer.backends) == {100, 101, 102, 1199}
+
+
+def test_a_line_that_is_never_served_does_not_grow() -> None:
+    """What waits behind the others may be refused for ever without a turn."""
+    balancer, _ = build(Settings(classes=(PURE,), max_retry_after=SECOND), count=1)
+    for k in range(50):
+        now = k * SECOND
+        for i in range(20):
+            balancer.on_request(now, 100 * k + i, 0, SECOND, client_retry=i >= balancer.total)
+        assert balancer.waiting_over == 20 - balancer.total
+        balancer.on_timer(now + 190 * MS, 1)
+        for i in range(balancer.total):
+            balancer.on_outcome(now + 191 * MS, 100 * k + i, 0, 1, 191 * MS, True)
+    assert len(balancer.classes[0].over) == 0
+
+
+def test_a_backend_passed_over_comes_back_once_nothing_is_out() -> None:
+    """It gets nothing while passed over, so no answer could ever clear it."""
+    balancer, host = build(Settings(classes=(UNSAFE,)), count=1)
+    balancer.on_request(MS, 0, 0, SECOND)
+    balancer.on_request(SECOND, 1, 0, SECOND)
+    assert balancer.backends[100].stalled and len(host.named("send")) == 1
+    balancer.on_outcome(SECOND + MS, 0, 0, 4, SECOND, True)
+    assert [c[1] for c in host.named("send")] == [0, 1]
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from .harness import Running, accept, answer, listen, node, request, roster, target
+from .harness import accept, answer, listen, node, request, roster, target
 
 
 def replace_config(tmp_path: Path, text: str) -> None:
@@ -17,15 +17,6 @@
     new.rename(tmp_path / "config.json")
 
 
-def says(n: Running, words: str) -> None:
-    """Read the log up to a line with these words."""
-    assert n.process.stderr is not None
-    for line in n.process.stderr:
-        if words in line:
-            return
-    raise AssertionError(f"the log ended without {words!r}")
-
-
 def test_a_reload_moves_to_the_discovery_that_the_file_names(tmp_path: Path) -> None:
     """PROXY_DISCOVERY still names the old one; the list of the new one counts at once."""
     with listen() as first, listen() as second, listen() as backend:
@@ -62,7 +53,7 @@
         peer.message()
         replace_config(tmp_path, text)
         n.process.send_signal(signal.SIGHUP)
-        says(n, "going on as before")
+        n.says("going on as before")
         peer.send(answer(b"served"))
         assert client.message()[2] == b"served"
         client.send(request())
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -31,6 +31,7 @@
 BACKSTOP = 10 * MS  # past its deadline a request the module forgot is failed
 REARM = 100 * MS  # a timer whose event raised comes again after this long
 NO_TIMER = 1 << 63
+DIAL_PART = 4  # one in so many of the dial's time is long for a dial
 LOG_LINES = 20  # a second
 RESERVED = 24  # descriptors for the listener, the loop, discovery and the log
 OVERLAP = 8  # of them, for connections that replace one just given up
@@ -264,6 +265,9 @@
         """Drop a request that has ended and has nothing out any more."""
         if r.ended and not r.live and self.requests.pop(r.id, None) is not None:
             r.body = []
+            # Attempts point back at their request: left in a ring, each would wait
+            # for the collector, which here comes by less and less often.
+            r.attempts = []
             self.budget.give(r.size)
 
     def finish(self, r: Request, status: int, retry_after: int = 0) -> None:
@@ -388,7 +392,12 @@
             return
         connection = a.connection
         if connection is not None and not connection.abandon():
-            outcome = Outcome.MOOT
+            # A machine that has vanished never lets a dial come up. Where the
+            # attempt's time is shorter than the dial's, only this tells of it; a
+            # moment's wait may be our own lateness and tells nothing.
+            waited = (self.now - a.sent) * DIAL_PART >= self.config.settings.connect_timeout
+            dead = outcome == Outcome.TIMEOUT and waited
+            outcome = Outcome.CONNECT_FAILED if dead else Outcome.MOOT
         self.conclude(a, outcome)
 
     def overdue(self, r: Request) -> None:
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -17,7 +17,6 @@
 if TYPE_CHECKING:
     from windrelay.config import Address
     from windrelay.node import Node, Request
-    from windrelay.upstream import BackendConnection
 
 MS = 1_000_000
 MAX_HEAD = 32 << 10
@@ -113,9 +112,8 @@
 
     __slots__ = (
         "_body_sweep", "_early", "_eof", "_error", "_head_size", "_headers_done", "_incoming",
-        "_keep_alive", "_lingering", "_old_http", "_parser", "_progress", "_reading_paused",
-        "_request", "_server", "_since", "_sock", "_source", "_stream_chunked", "_transport",
-        "_write_paused", "_write_since",
+        "_keep_alive", "_lingering", "_parser", "_progress", "_reading_paused", "_request",
+        "_server", "_since", "_sock", "_transport", "_write_since",
     )  # fmt: skip
 
     def __init__(self, server: Server, sock: socket.socket) -> None:
@@ -126,17 +124,13 @@
         self._incoming: Incoming | None = None
         self._early: deque[Incoming] = deque()
         self._request: Request | None = None
-        self._source: BackendConnection | None = None
-        self._stream_chunked = False
         self._headers_done = False
         self._head_size = 0
         self._keep_alive = True
-        self._old_http = False
         self._eof = False
         self._error = 0
         self._lingering = False
         self._reading_paused = False
-        self._write_paused = False
         self._since = 0  # sweep at which the head began, or lingering
         self._body_sweep = 0  # sweep at which the body last grew
         self._write_since = 0
@@ -215,7 +209,6 @@
         if size > MAX_HEAD:
             raise BadRequest(431)
         self._server.read_head(incoming)
-        self._old_http = parser.get_http_version() == "1.0"
         if incoming.length > MAX_BODY:
             raise BadRequest(413)
         if incoming.length or incoming.chunked:
@@ -257,7 +250,7 @@
                 lines,
             )
         incoming.lines = []
-        if self._request is not None or self._source is not None or self._early:
+        if self._request is not None or self._early:
             self._early.append(incoming)
             # The next request is here before this one's answer: enough read.
             self._pause_reading()
@@ -283,7 +276,7 @@
 
     def _next(self) -> None:
         """Begin what the client sent early; on a turn of its own, so that calls do not nest."""
-        if self._request is None and self._source is None and self._early:
+        if self._request is None and self._early:
             self._begin(self._early.popleft())
 
     def _pause_reading(self) -> None:
@@ -325,44 +318,6 @@
         transport.write(b"".join((head, end, *chunks)) if chunks else head + end)
         self._after_answer()
 
-    def stream_begin(self, source: BackendConnection, content_type: bytes, length: int) -> None:
-        """The first bytes of a large answer; the rest follows as the client reads."""
-        self._request = None
-        self._source = source
-        head = b"HTTP/1.1 200 OK\r\n"
-        self._stream_chunked = length < 0 and not self._old_http
-        if length >= 0:
-            head += b"Content-Length: %d\r\n" % length
-        elif self._stream_chunked:
-            head += b"Transfer-Encoding: chunked\r\n"
-        else:
-            self._keep_alive = False
-        if content_type:
-            head += b"Content-Type: %s\r\n" % content_type
-        assert self._transport is not None
-        self._transport.write(head + (b"Connection: close\r\n\r\n" if self._closes() else b"\r\n"))
-
-    def stream_data(self, data: bytes) -> None:
-        transport = self._transport
-        if transport is None or transport.is_closing():
-            return
-        transport.write(b"%x\r\n%s\r\n" % (len(data), data) if self._stream_chunked else data)
-
-    def stream_end(self) -> None:
-        self._source = None
-        transport = self._transport
-        if transport is None or transport.is_closing():
-            return
-        if self._stream_chunked:
-            transport.write(b"0\r\n\r\n")
-        self._after_answer()
-
-    def stream_break(self) -> None:
-        """The backend broke off: a reset, or too few bytes, tells the client."""
-        self._source = None
-        if self._transport is not None:
-            self._transport.abort()
-
     def _after_answer(self) -> None:
         if self._closes():
             self._end()
@@ -382,8 +337,8 @@
         self._drop_incoming()
         self._parser = None
         self._error = status
-        self._keep_alive = self._keep_alive and bool(self._request or self._source)
-        if self._request is not None or self._source is not None or self._early:
+        self._keep_alive = self._keep_alive and self._request is not None
+        if self._request is not None or self._early:
             return
         self._error = 0
         transport = self._transport
@@ -419,16 +374,6 @@
         while self._early:
             self._server.node.budget.give(self._early.popleft().size)
 
-    def pause_writing(self) -> None:
-        self._write_paused = True
-        if self._source is not None:
-            self._source.hold()
-
-    def resume_writing(self) -> None:
-        self._write_paused = False
-        if self._source is not None:
-            self._source.go_on()
-
     # ---- ends ---------------------------------------------------------
 
     def eof_received(self) -> bool:
@@ -436,7 +381,7 @@
         # that has closed costs an answer that nobody reads. Taking the first for
         # the second would lose a request.
         self._eof = True
-        return self._request is not None or self._source is not None or bool(self._early)
+        return self._request is not None or bool(self._early)
 
     def connection_lost(self, exc: Exception | None) -> None:
         server = self._server
@@ -447,9 +392,6 @@
         self._drop_incoming()
         self._drop_early()
         request, self._request = self._request, None
-        source, self._source = self._source, None
-        if source is not None:
-            source.abandon()
         if request is not None:
             server.node.client_gone(request)
         server.node.clients -= 1
@@ -461,7 +403,6 @@
         if (
             transport is None
             or self._request is not None
-            or self._source is not None
             or self._incoming is not None
             or self._early
             or transport.get_write_buffer_size()
@@ -480,7 +421,6 @@
         transport = self._transport
         return transport is None or (
             self._request is None
-            and self._source is None
             and self._incoming is None
             and not self._early
             and not transport.get_write_buffer_size()
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -6,6 +6,7 @@
 import socket
 import time
 from collections.abc import Sequence
+from math import isfinite
 from typing import TYPE_CHECKING, cast
 
 import httptools
@@ -15,11 +16,14 @@
 
 if TYPE_CHECKING:
     from windrelay.node import Attempt, Node
-    from windrelay.server import ClientConnection
 
-HOLD = 64 << 10  # answers up to this size are held until they are whole
 PIECE = 64 << 10  # largest write of a request's body
-MAX_HEAD = 64 << 10  # of an answer, without its body
+MAX_BODY = 64 << 10  # of an answer
+MAX_HEAD = 16 << 10  # of an answer, without its body
+ANSWER_PART = 0.4  # of the dial's time: so long an answer that has begun may take
+# What a backend says of the request, not of itself: no other would say otherwise,
+# so it is no reason for a further attempt. Not those that ask for another time.
+CLIENT_FAULTS = frozenset(range(400, 500)) - {408, 421, 425, 429}
 MAX_INTERIM = 8  # 1xx answers before the real one
 IDLE_MARGIN_NS = 2_000_000_000  # closed so long before the backend would
 MS = 1_000_000
@@ -40,13 +44,18 @@
 
     `written` is the line that the rules hang on: false for as long as a part of
     the request, its last byte included, has certainly not left the process.
+
+    Nothing of an answer goes to the client before it is whole. One that can't be
+    read, is larger than any may be, or does not come to its end is spoilt: an
+    error that may have run, and the end of the connection. A backend that sends
+    one lives; it is not to be taken for one whose process has gone.
     """
 
     __slots__ = (
-        "_chunked", "_chunks", "_closed", "_complete", "_connected", "_dial_timer", "_dirty",
-        "_head_size", "_headers_done", "_held", "_interim", "_keep_alive", "_length", "_let",
-        "_not_run", "_paused", "_piece", "_pieces", "_report", "_size", "_sock", "_status", "_task",
-        "_type", "address", "attempt", "backend", "idle_since", "parser", "reader", "transport",
+        "_chunked", "_chunks", "_closed", "_closes", "_complete", "_connected", "_dirty",
+        "_head_size", "_headers_done", "_interim", "_keep_alive", "_length", "_let", "_not_run",
+        "_paused", "_piece", "_pieces", "_report", "_size", "_sock", "_spoilt", "_status", "_task",
+        "_timer", "_type", "address", "attempt", "backend", "idle_since", "parser", "transport",
         "upstream", "written",
     )  # fmt: skip
 
@@ -55,17 +64,15 @@
         self.backend = backend
         self.address = address
         self.attempt: Attempt | None = None
-        self.reader: ClientConnection | None = None  # who a large answer streams to
         self.transport: asyncio.Transport | None = None
         self.parser: httptools.HttpResponseParser | None = None
         self.idle_since = 0
         self._connected = False
         self._closed = False
         self._let = False
-        self._held = False
         self._sock: socket.socket | None = None
         self._task: asyncio.Task[None] | None = None
-        self._dial_timer: asyncio.TimerHandle | None = None
+        self._timer: asyncio.TimerHandle | None = None  # of the dial, then of an answer
         self._reset()
 
     def _reset(self) -> None:
@@ -82,6 +89,8 @@
         self._headers_done = False
         self._length = -1
         self._chunked = False
+        self._closes = False
+        self._spoilt = False
         self._not_run = False
         self._report = b""
         self._type = b""
@@ -100,7 +109,7 @@
         self._sock = sock
         self.upstream.count += 1
         timeout = node.config.settings.connect_timeout / 1e9
-        self._dial_timer = node.loop.call_later(timeout, self._dial_expired)
+        self._timer = node.loop.call_later(timeout, self._dial_expired)
         self._task = node.loop.create_task(self._connect(sock))
         self._task.add_done_callback(self._dialled)
 
@@ -132,9 +141,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        if self._dial_timer is not None:
-            self._dial_timer.cancel()
-            self._dial_timer = None
+        self._stop_timer()
         if self._closed:
             self.transport.abort()
             return
@@ -205,7 +212,7 @@
         parser = self.parser
         if parser is None:
             return
-        if self.attempt is None and self.reader is None:
+        if self.attempt is None:
             # Unasked-for bytes on an idle connection: they answer nobody.
             self._close()
             return
@@ -214,14 +221,15 @@
         try:
             parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._dirty = True
-            if not self._complete:
-                self._broken()
-                return
+            self._dirty = self._spoilt = True
         if self._complete:
             self._answered()
-        elif not self._headers_done and self._head_size > MAX_HEAD:
-            self._broken()
+        elif self._spoilt or (not self._headers_done and self._head_size > MAX_HEAD):
+            self._spoil()
+        elif self._timer is None:
+            node = self.upstream.node
+            limit = ANSWER_PART * node.config.settings.connect_timeout / 1e9
+            self._timer = node.loop.call_later(limit, self._spoil)
 
     def on_message_begin(self) -> None:
         if self._complete:
@@ -237,6 +245,8 @@
             self._type = value
         elif name == b"transfer-encoding":
             self._chunked = True
+        elif name == b"connection":
+            self._closes = value.strip().lower() == b"close"
         elif name == b"x-not-processed":
             self._not_run = value.strip() == b"1"
         elif name == b"x-server-load":
@@ -247,6 +257,11 @@
             return
         self._status = self.parser.get_status_code()
         self._headers_done = True
+        # With no length, only an end that was announced tells a whole answer from
+        # one that broke off.
+        endless = self._length < 0 and not self._chunked and not self._closes
+        if self._status == 200 and (endless or self._length > MAX_BODY):
+            self._spoilt = True
 
     def on_body(self, body: bytes) -> None:
         if self.parser is None:
@@ -255,12 +270,10 @@
             self._dirty = True
             return
         self._size += len(body)
-        if self.reader is not None:
-            self.reader.stream_data(body)
+        if self._size > MAX_BODY:
+            self._spoilt = True
         elif self._status == 200:
             self._chunks.append(body)
-            if (self._size > HOLD or self._length > HOLD) and self.attempt is not None:
-                self._stream()
         # The text of an error is of no use to anybody: it is not kept.
 
     def on_message_complete(self) -> None:
@@ -270,6 +283,8 @@
             self._interim += 1
             self._begin_answer()
             return
+        if self._spoilt:
+            return
         self._keep_alive = self.parser.should_keep_alive()
         self._complete = True
 
@@ -280,7 +295,8 @@
             and not self._complete
             and self._length < 0
             and not self._chunked
-            and (self.attempt is not None or self.reader is not None)
+            and not self._spoilt
+            and self.attempt is not None
         ):
             self._complete = True
             self._dirty = True
@@ -303,10 +319,10 @@
 
     def _answered(self) -> None:
         attempt, self.attempt = self.attempt, None
-        reader, self.reader = self.reader, None
         transport = self.transport
         chunks, self._chunks = self._chunks, []
         node = self.upstream.node
+        self._stop_timer()
         reusable = (
             not self._dirty
             and self.written
@@ -315,14 +331,13 @@
             and transport is not None
             and not transport.is_closing()
         )
-        if reader is not None:
-            reader.stream_end()
-            self.go_on()
         outcome = self._outcome()
         if attempt is not None:
             r = attempt.request
             if r is not None and outcome == Outcome.OK and not r.ended and r.client is not None:
                 r.client.answer(self._type, chunks, self._size)
+            elif r is not None and self._status in CLIENT_FAULTS:
+                node.finish(r, 400)
             elif r is None and outcome == Outcome.ERROR and self._status == 503:
                 outcome = Outcome.FULL
         if reusable:
@@ -342,41 +357,11 @@
             for part in self._report.split(b","):
                 word, _, value = part.strip().partition(b"=")
                 values[word.decode()] = values[LOAD_WORDS.get(word, word.decode())] = float(value)
-            return tuple(values[column] for column in config.settings.load_columns)
+            load = tuple(values[column] for column in config.settings.load_columns)
+            return load if all(map(isfinite, load)) else ()
         except (ValueError, KeyError):
             return ()
 
-    # ---- large answers ------------------------------------------------
-
-    def _stream(self) -> None:
-        """Pass on a large answer from its first bytes; from here it is the client's."""
-        attempt = self.attempt
-        assert attempt is not None
-        r = attempt.request
-        self.attempt = None
-        if not self.written or r is None or r.client is None:
-            # Too early to be true, or nobody waits for the rest any more.
-            self._close()
-            self.upstream.node.conclude(attempt, self._outcome(), self._load())
-            return
-        client = self.reader = r.client
-        chunks, self._chunks = self._chunks, []
-        client.stream_begin(self, self._type, self._length if not self._chunked else -1)
-        for chunk in chunks:
-            client.stream_data(chunk)
-        self.upstream.node.conclude(attempt, Outcome.OK, self._load())
-
-    def hold(self) -> None:
-        """The client reads slowly: leave the rest with the backend."""
-        if self.transport is not None and not self._closed and not self._held:
-            self._held = True
-            self.transport.pause_reading()
-
-    def go_on(self) -> None:
-        if self.transport is not None and not self._closed and self._held:
-            self._held = False
-            self.transport.resume_reading()
-
     # ---- ends ---------------------------------------------------------
 
     def abandon(self) -> bool:
@@ -386,20 +371,28 @@
         """
         sent = self.written
         self.attempt = None
-        self.reader = None
         self._close()
         return sent
 
     def _broken(self) -> None:
-        """The connection is of no more use; whoever waits on it learns so."""
+        """The connection has gone; whoever waits on it learns so."""
+        self._fail(Outcome.RESET)
+
+    def _spoil(self) -> None:
+        """What came is no answer: it has run, and the connection is of no more use."""
+        self._fail(Outcome.ERROR)
+
+    def _fail(self, outcome: Outcome) -> None:
         attempt, self.attempt = self.attempt, None
-        reader, self.reader = self.reader, None
         self._close()
-        if reader is not None:
-            reader.stream_break()
         if attempt is not None:
-            outcome = Outcome.RESET if self.written else Outcome.CONNECT_FAILED
-            self.upstream.node.conclude(attempt, outcome)
+            never = not self.written
+            self.upstream.node.conclude(attempt, Outcome.CONNECT_FAILED if never else outcome)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
 
     def _close(self) -> None:
         if self._closed:
@@ -409,9 +402,7 @@
         self.parser = None
         self._chunks = []
         self._pieces = ()
-        if self._dial_timer is not None:
-            self._dial_timer.cancel()
-            self._dial_timer = None
+        self._stop_timer()
         if self.transport is not None:
             self.transport.abort()
         elif self._task is not None and not self._connected:
@@ -466,7 +457,8 @@
                 return
             conn.abandon()
         if not self.node.room_for_upstream():
-            self.node.conclude(attempt, Outcome.CONNECT_FAILED)
+            # Our own want of descriptors says nothing of the backend.
+            self.node.conclude(attempt, Outcome.MOOT)
             return
         conn = BackendConnection(self, backend, address)
         attempt.connection = conn
@@ -474,7 +466,7 @@
             conn.dial(attempt)
         except OSError:
             attempt.connection = None
-            self.node.conclude(attempt, Outcome.CONNECT_FAILED)
+            self.node.conclude(attempt, Outcome.MOOT)
 
     def pop(self, backend: int) -> BackendConnection | None:
         conns = self.idle.get(backend)
