Take whole, single, fitting requests only, and soon

Symptom: with bad clients 147 of their requests came to backends in 24 s, unfit ones were waited for 5 to 20 s where an error is owed within 3, and silent connections held 317 of 384 descriptors. Cause, windrelay/server.py: the id of another client's open request was taken (all 114 answers 400 in a tap of n0 were to such, tried up to four times each); up to 16 requests sent ahead were queued and begun one by one (_early); bodies of 32 MB were read though none may pass 64 KiB; the method was not held against the class; patience was counted anew for head and body. Under want of descriptors drop_oldest() closed clients that ask before those that never had, then idle backend connections; room_for_client() let clients have the backends' part as these used it. Node.log() raised where nobody reads it any more, and kept a stop from ending. Change: one request at a time, begun when nothing came behind it, whole within 2.5 s of the connection's start; an open id is a 409; those that never asked go first, and above half the room those at rest for 2 s.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -84,3 +84,10 @@
         raise
     assert process.returncode == 2
     assert says in err and len(err.splitlines()) == 1
+
+
+def test_a_log_that_nobody_reads_stops_nothing(tmp_path: Path) -> None:
+    with node(tmp_path, roster()) as n:
+        assert n.process.stderr is not None
+        n.process.stderr.close()
+        assert n.stop() == 0  # which it logs first
--- a/windrelay/__main__.py
+++ b/windrelay/__main__.py
@@ -117,6 +117,8 @@
     except ConfigError as err:
         print(f"windrelay: {err}", file=sys.stderr)
         return 2
+    # A full pipe behind the log must not stop the loop.
+    os.set_blocking(sys.stderr.fileno(), False)
     loop = uvloop.new_event_loop()
     asyncio.set_event_loop(loop)
     try:
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import sys
 import time
 import traceback
@@ -36,22 +37,20 @@
 RESERVED = 24  # descriptors for the listener, the loop, discovery and the log
 OVERLAP = 8  # of them, for connections that replace one just given up
 UPSTREAM_PART = 4  # one in so many descriptors is kept for backends
-BASE_MB = 44  # what the program itself takes
-LARGEST_BODY = 32 << 20
+BASE_MB = 32  # what the program itself takes, connections included
 
 
 class Budget:
     """Bytes of bodies and answers held, over all connections.
 
     Above `soft` reading is paused, but for the oldest unfinished body: it may
-    always grow, by LARGEST_BODY at most, so bodies never wait for one another.
+    always grow, to the largest that is taken, so bodies never wait for one another.
     """
 
     __slots__ = ("held", "paused", "soft", "unfinished")
 
     def __init__(self, memory_mb: int) -> None:
-        room = (memory_mb - BASE_MB << 20) - LARGEST_BODY
-        self.soft = max(room * 3 // 4, 4 << 20)
+        self.soft = max((memory_mb - BASE_MB << 20) // 2, 4 << 20)
         self.held = 0
         self.paused: dict[ClientConnection, None] = {}
         self.unfinished: dict[ClientConnection, None] = {}  # larger bodies, oldest first
@@ -87,7 +86,8 @@
 
 class Request:
     __slots__ = (
-        "arrived", "attempts", "body", "client", "deadline", "ended", "head", "id", "live", "size",
+        "arrived", "attempts", "body", "client", "deadline", "ended", "head", "id", "label", "live",
+        "size",
     )  # fmt: skip
 
     def __init__(
@@ -96,6 +96,7 @@
         self.id = rid
         self.client: ClientConnection | None = client
         self.head = incoming.head
+        self.label = incoming.label
         self.body = incoming.body
         self.size = incoming.size
         self.arrived = now
@@ -135,6 +136,7 @@
         self.discovery = Discovery(config, self.members_told, self.log)
         self.requests: dict[int, Request] = {}
         self.open = 0
+        self.labels: set[bytes] = set()  # ids that clients gave, of the open ones
         self.last_id = 0
         self.inside = False
         self.outcomes: deque[tuple[Attempt, Outcome, int, Sequence[float]]] = deque()
@@ -182,6 +184,7 @@
         r = Request(rid, client, incoming, now, left)
         self.requests[rid] = r
         self.open += 1
+        self.labels.add(r.label)
         self.later(r.deadline + BACKSTOP, r)
         try:
             self.balancer.on_request(
@@ -259,6 +262,7 @@
         r.ended = True
         r.client = None
         self.open -= 1
+        self.labels.discard(r.label)
         self.forget(r)
 
     def forget(self, r: Request) -> None:
@@ -345,7 +349,9 @@
             self.log_lines = 0
         self.log_lines += 1
         if self.log_lines <= LOG_LINES:
-            print(f"{self.config.name}: {text}", file=sys.stderr, flush=True)
+            # A log that nobody reads any more, or not fast enough, must stop no request.
+            with contextlib.suppress(OSError):
+                print(f"{self.config.name}: {text}", file=sys.stderr, flush=True)
 
     # ---- time ---------------------------------------------------------
 
@@ -417,11 +423,17 @@
 
     # ---- descriptors --------------------------------------------------
 
+    def most_clients(self) -> int:
+        """How many clients fit, leaving backends their part."""
+        return self.sockets - max(self.sockets // UPSTREAM_PART, self.upstream.count)
+
     def room_for_client(self) -> bool:
-        """Whether one more client fits, leaving backends their part."""
-        used = self.clients + self.upstream.count
-        most = self.sockets - max(self.sockets // UPSTREAM_PART - self.upstream.count, 0)
-        return used < self.sockets and self.clients < most
+        return self.clients < self.most_clients()
+
+    def drop_beyond_part(self) -> None:
+        """Give up an idle connection to a backend for a client, never of their own part."""
+        if self.upstream.count > self.sockets // UPSTREAM_PART:
+            self.upstream.drop_oldest()
 
     def room_for_upstream(self) -> bool:
         """Whether one more connection to a backend fits, giving up an idle one for it."""
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -8,32 +8,32 @@
 import struct
 import termios
 import time
-from collections import deque
 from typing import TYPE_CHECKING, cast
 from zlib import crc32
 
 import httptools
 
+from flinthatch import Effect
+
 if TYPE_CHECKING:
     from windrelay.config import Address
     from windrelay.node import Node, Request
 
 MS = 1_000_000
-MAX_HEAD = 32 << 10
-MAX_BODY = 32 << 20
+MAX_HEAD = 16 << 10
+MAX_BODY = 64 << 10  # as the protocol has it
+MAX_ID = 128  # bytes of a request's id
 SMALL_BODY = 16 << 10  # never made to wait for room
-MAX_EARLY = 16  # requests a client may have sent ahead
 BACKLOG = 1024
 ACCEPTS = 64  # in one turn of the loop
-# Patience with slow clients, in sweeps: a node that was stopped for a while must
-# not take its own absence for the clients'.
-SWEEP_S = 0.5
-HEAD_SWEEPS = 10
-BODY_SWEEPS = 20  # without a byte
-BODY_GRACE_SWEEPS = 20  # and on average at least ...
-BODY_BYTES_A_SWEEP = 16 << 10  # ... half of what PROTOCOL lets a slow client take
-WRITE_SWEEPS = 30  # without a byte taken
-LINGER_SWEEPS = 3
+# Patience with clients, in sweeps: a node that was stopped for a while must not
+# take its own absence for the clients'.
+SWEEP_S = 0.25
+WHOLE_SWEEPS = 9  # for a whole request, the first one from the connection's start
+REST_SWEEPS = 9  # without a request, after which a connection may be closed for room
+WRITE_SWEEPS = 40  # without a byte taken
+LINGER_SWEEPS = 4
+IDLE_PART = 0.5  # of the room for clients, above which the oldest resting ones go
 
 TCP_INFO_SIZE = 56
 LAST_DATA_RECEIVED = struct.Struct("=52xI")
@@ -44,6 +44,7 @@
     404: b"Not Found",
     405: b"Method Not Allowed",
     408: b"Request Timeout",
+    409: b"Conflict",
     413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
     502: b"Bad Gateway",
@@ -82,8 +83,9 @@
     """A request as it is read; `head` is what each attempt starts with."""
 
     __slots__ = (
-        "body", "chunked", "cls", "fields", "head", "hint", "keep_alive", "key", "length",
-        "lines", "method", "probe", "received", "retried", "size", "tenant", "timeout", "url",
+        "body", "chunked", "cls", "fields", "head", "hint", "keep_alive", "key", "label",
+        "length", "lines", "method", "probe", "received", "retried", "size", "tenant", "timeout",
+        "url",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -96,6 +98,7 @@
         self.length = 0
         self.chunked = False
         self.head = b""
+        self.label = b""  # the id the client gave it
         self.keep_alive = True
         self.probe = False
         self.cls = 0
@@ -108,12 +111,17 @@
 
 
 class ClientConnection(asyncio.Protocol):
-    """One client's connection; requests on it are answered one after another."""
+    """One client's connection, with one request on it at a time.
+
+    What follows on before the answer is no client of ours: the protocol has them
+    wait. Taking such requests would let one connection fill the queues, and bytes
+    hidden behind a request pass for one; so the connection is given up.
+    """
 
     __slots__ = (
-        "_body_sweep", "_early", "_eof", "_error", "_head_size", "_headers_done", "_incoming",
-        "_keep_alive", "_lingering", "_parser", "_progress", "_reading_paused", "_request",
-        "_server", "_since", "_sock", "_transport", "_write_since",
+        "_eof", "_head_size", "_headers_done", "_incoming", "_keep_alive", "_lingering",
+        "_parser", "_progress", "_reading_paused", "_request", "_server", "_since", "_sock",
+        "_transport", "_whole", "_write_since",
     )  # fmt: skip
 
     def __init__(self, server: Server, sock: socket.socket) -> None:
@@ -122,17 +130,17 @@
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpRequestParser | None = None
         self._incoming: Incoming | None = None
-        self._early: deque[Incoming] = deque()
+        self._whole: Incoming | None = None  # read to its end, not yet begun
         self._request: Request | None = None
         self._headers_done = False
         self._head_size = 0
         self._keep_alive = True
         self._eof = False
-        self._error = 0
         self._lingering = False
         self._reading_paused = False
-        self._since = 0  # sweep at which the head began, or lingering
-        self._body_sweep = 0  # sweep at which the body last grew
+        # The sweep at which it came up, or the last request began or was answered,
+        # or lingering began.
+        self._since = server.sweeps
         self._write_since = 0
         self._progress = (0, 0)
 
@@ -142,7 +150,7 @@
         self._transport = cast(asyncio.Transport, transport)
         self._parser = httptools.HttpRequestParser(self)
         self._server.connections.add(self)
-        self._server.idle[self] = None
+        self._server.fresh[self] = None
 
     def data_received(self, data: bytes) -> None:
         parser = self._parser
@@ -161,26 +169,27 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._reject(400)
             return
+        whole, self._whole = self._whole, None
         incoming = self._incoming
-        if incoming is None:
+        if whole is not None:
+            self._begin(whole)
+        elif incoming is None:
             return
-        if not self._headers_done:
+        elif not self._headers_done:
             if self._head_size > MAX_HEAD:
                 self._reject(431)
-        elif incoming.size:
-            self._body_sweep = self._server.sweeps
-            budget = self._server.node.budget
-            if budget.must_pause(self):
-                self._reading_paused = True
-                self._pause_reading()
+        elif incoming.size and self._server.node.budget.must_pause(self):
+            self._reading_paused = True
+            self._pause_reading()
 
     def on_message_begin(self) -> None:
-        if len(self._early) >= MAX_EARLY:
+        if self._request is not None or self._whole is not None:
             raise BadRequest(400)
         self._incoming = Incoming()
         self._headers_done = False
-        self._since = self._server.sweeps
-        self._server.idle.pop(self, None)
+        if self not in self._server.fresh:
+            self._since = self._server.sweeps
+        self._leave_rest()
 
     def on_url(self, url: bytes) -> None:
         assert self._incoming is not None
@@ -208,17 +217,17 @@
         size = len(incoming.url) + sum(map(len, incoming.lines))
         if size > MAX_HEAD:
             raise BadRequest(431)
+        if parser.get_http_version() not in ("1.0", "1.1"):
+            raise BadRequest(400)
         self._server.read_head(incoming)
         if incoming.length > MAX_BODY:
             raise BadRequest(413)
         if incoming.length or incoming.chunked:
-            self._body_sweep = self._since = self._server.sweeps
             if incoming.length > SMALL_BODY or incoming.chunked:
                 self._server.node.budget.unfinished[self] = None
             if incoming.fields.get(b"expect", b"").lower() == b"100-continue":
                 assert self._transport is not None
-                if self._request is None:
-                    self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         incoming = self._incoming
@@ -250,21 +259,22 @@
                 lines,
             )
         incoming.lines = []
-        if self._request is not None or self._early:
-            self._early.append(incoming)
-            # The next request is here before this one's answer: enough read.
-            self._pause_reading()
-        else:
-            self._begin(incoming)
+        # Begun only once what came with it is read: it must be the last of it.
+        self._whole = incoming
 
     def _begin(self, incoming: Incoming) -> None:
-        self._server.idle.pop(self, None)
         self._keep_alive = incoming.keep_alive
         node = self._server.node
         if incoming.probe:
             ready = not self._server.stopping
             self._write_head(READY if ready else EMPTY[503])
             return
+        if incoming.label in node.labels:
+            # Another client's, still open: with two under one id a backend could
+            # take either's answer for the other's.
+            node.budget.give(incoming.size)
+            self._reject(409)
+            return
         waited = time.monotonic_ns() - incoming.received
         # Set first: the answer may come before the call returns.
         request = node.request(self, incoming, waited)
@@ -274,11 +284,6 @@
         elif not request.ended:
             self._request = request
 
-    def _next(self) -> None:
-        """Begin what the client sent early; on a turn of its own, so that calls do not nest."""
-        if self._request is None and self._early:
-            self._begin(self._early.popleft())
-
     def _pause_reading(self) -> None:
         if self._transport is not None:
             self._transport.pause_reading()
@@ -286,8 +291,7 @@
     def resume_body(self) -> None:
         """There is room for more of the body."""
         self._reading_paused = False
-        self._body_sweep = self._server.sweeps
-        if self._transport is not None and not self._early:
+        if self._transport is not None:
             self._transport.resume_reading()
 
     # ---- answering ----------------------------------------------------
@@ -321,26 +325,16 @@
     def _after_answer(self) -> None:
         if self._closes():
             self._end()
-        elif self._early:
-            self._server.node.loop.call_soon(self._next)
-        elif self._error:
-            self._reject(self._error)
         else:
-            if self._incoming is None:
-                self._server.idle[self] = None
-            assert self._transport is not None
-            if not self._reading_paused:
-                self._transport.resume_reading()
+            self._since = self._server.sweeps
+            self._server.idle[self] = None
 
     def _reject(self, status: int) -> None:
-        """Answer what can't be read as a request, once the one before it is answered."""
-        self._drop_incoming()
+        """Answer what can't be read as a request, and close."""
         self._parser = None
-        self._error = status
-        self._keep_alive = self._keep_alive and self._request is not None
-        if self._request is not None or self._early:
-            return
-        self._error = 0
+        request, self._request = self._request, None
+        if request is not None:
+            self._server.node.client_gone(request)
         transport = self._transport
         if transport is not None and not transport.is_closing():
             transport.write(EMPTY[status] + b"Connection: close\r\n\r\n")
@@ -351,9 +345,8 @@
         and the reset could reach the client before the answer does."""
         transport = self._transport
         assert transport is not None
-        self._server.idle.pop(self, None)
+        self._leave_rest()
         self._drop_incoming()
-        self._drop_early()
         self._parser = None
         if self._eof:
             transport.close()
@@ -363,16 +356,18 @@
         transport.write_eof()
         transport.resume_reading()
 
+    def _leave_rest(self) -> None:
+        self._server.fresh.pop(self, None)
+        self._server.idle.pop(self, None)
+
     def _drop_incoming(self) -> None:
-        incoming, self._incoming = self._incoming, None
+        """Give back what a request not begun holds."""
         budget = self._server.node.budget
         budget.finished(self)
-        if incoming is not None:
-            budget.give(incoming.size)
-
-    def _drop_early(self) -> None:
-        while self._early:
-            self._server.node.budget.give(self._early.popleft().size)
+        for incoming in (self._incoming, self._whole):
+            if incoming is not None:
+                budget.give(incoming.size)
+        self._incoming = self._whole = None
 
     # ---- ends ---------------------------------------------------------
 
@@ -381,16 +376,15 @@
         # that has closed costs an answer that nobody reads. Taking the first for
         # the second would lose a request.
         self._eof = True
-        return self._request is not None or bool(self._early)
+        return self._request is not None
 
     def connection_lost(self, exc: Exception | None) -> None:
         server = self._server
         self._transport = None
         self._parser = None
         server.connections.discard(self)
-        server.idle.pop(self, None)
+        self._leave_rest()
         self._drop_incoming()
-        self._drop_early()
         request, self._request = self._request, None
         if request is not None:
             server.node.client_gone(request)
@@ -404,7 +398,6 @@
             transport is None
             or self._request is not None
             or self._incoming is not None
-            or self._early
             or transport.get_write_buffer_size()
         ):
             return False
@@ -422,35 +415,38 @@
         return transport is None or (
             self._request is None
             and self._incoming is None
-            and not self._early
             and not transport.get_write_buffer_size()
         )
 
     def close(self) -> None:
         if self._transport is not None:
-            self._server.idle.pop(self, None)
+            self._leave_rest()
             self._transport.close()
 
+    def age(self) -> int:
+        """Sweeps since it came up, or was last busy."""
+        return self._server.sweeps - self._since
+
     def sweep(self, sweep: int) -> None:
         """Give up a client that has stopped sending or taking bytes."""
         transport = self._transport
         if transport is None:
             return
         waiting = transport.get_write_buffer_size()
-        if self._lingering and not waiting and sweep - self._since > LINGER_SWEEPS:
-            transport.abort()
-            return
-        incoming = self._incoming
-        if incoming is not None and not self._reading_paused and self._parser is not None:
-            if not self._headers_done:
-                if sweep - self._since > HEAD_SWEEPS:
-                    self._reject(408)
-                    return
-            else:
-                earned = BODY_GRACE_SWEEPS + incoming.size // BODY_BYTES_A_SWEEP
-                if sweep - self._body_sweep > BODY_SWEEPS or sweep - self._since > earned:
-                    self._reject(408)
-                    return
+        if self._lingering:
+            if not waiting and self.age() > LINGER_SWEEPS:
+                transport.abort()
+                return
+        elif self.age() > WHOLE_SWEEPS:
+            # Guards against heads and bodies that never end, and against whoever
+            # connects and says nothing: however slowly bytes come, a request must be
+            # whole by then. Does harm to a client behind a very slow line.
+            if self._incoming is not None:
+                self._reject(408)
+                return
+            if self in self._server.fresh and self.resting():
+                self.close()
+                return
         if not waiting:
             self._write_since = sweep
             return
@@ -469,7 +465,9 @@
     def __init__(self, node: Node) -> None:
         self.node = node
         self.connections: set[ClientConnection] = set()
-        self.idle: dict[ClientConnection, None] = {}  # longest idle first
+        # At rest, longest first: those that have asked, and those that never have.
+        self.idle: dict[ClientConnection, None] = {}
+        self.fresh: dict[ClientConnection, None] = {}
         self.sweeps = 0
         self.stopping = False
         self._paused = False
@@ -479,6 +477,7 @@
         self._classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
         self._tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
         self._deadlines = [c.deadline for c in settings.classes]
+        self._methods = [b"GET" if c.effect == Effect.PURE else b"POST" for c in settings.classes]
         node.freed = self.freed
 
     def listen(self, address: Address) -> int:
@@ -532,10 +531,13 @@
         if self.node.room_for_client():
             return True
         self._pause()
-        if not self.drop_oldest():
-            self.node.upstream.drop_oldest()
+        self._give_way()
         return False
 
+    def _give_way(self) -> None:
+        if not self.drop_oldest():
+            self.node.drop_beyond_part()
+
     def _pause(self) -> None:
         if self._sock is not None and not self._paused:
             self._paused = True
@@ -548,20 +550,44 @@
             self.node.loop.add_reader(self._sock, self._accept)
 
     def drop_oldest(self) -> bool:
-        """Close the client connection that has rested longest; False where none rests."""
-        for conn in self.idle:
+        """Close the client connection that has rested longest; False where none may go.
+
+        Before those that have asked go those that never have, once they had a
+        moment to: hundreds that say nothing must not push out clients that do.
+        """
+        rested = REST_SWEEPS if self.fresh or self._tasks else 0
+        return (
+            self._drop(self.fresh, 1) or self._drop(self.idle, rested) or self._drop(self.fresh, 0)
+        )
+
+    def _drop(self, conns: dict[ClientConnection, None], least: int) -> bool:
+        for conn in conns:
+            if conn.age() < least:
+                return False
             if conn.resting():
                 conn.close()
                 return True
         return False
 
+    def make_room(self) -> None:
+        """Close the oldest resting connections before there is want of descriptors.
+
+        Guards against clients that keep connections and never ask again: at the
+        limit each new client would wait for one of them to be closed. One that
+        asks just then has to ask once more on a new connection.
+        """
+        surplus = self.node.clients - int(IDLE_PART * self.node.most_clients())
+        while surplus > 0 and self._drop(self.idle, REST_SWEEPS):
+            surplus -= 1
+
     def sweep(self) -> None:
         self.sweeps += 1
         for conn in list(self.connections):
             conn.sweep(self.sweeps)
+        self.make_room()
         self.freed()
-        if self._paused and not self.drop_oldest():
-            self.node.upstream.drop_oldest()
+        if self._paused:
+            self._give_way()
 
     # ---- stopping -----------------------------------------------------
 
@@ -570,16 +596,23 @@
         sock = self._sock
         if sock is None:
             return
-        for conn in list(self.idle):
-            if conn.resting():
-                conn.close()
+        self.close_resting()
         for _ in range(BACKLOG // ACCEPTS):
             self._accept()
         self._pause()
         self._sock = None
         sock.close()
 
+    def close_resting(self) -> None:
+        for conn in [*self.idle, *self.fresh]:
+            if conn.resting():
+                conn.close()
+
     def finished(self) -> bool:
+        """Whether nothing is held, and nothing lies unread, that a stop must wait for."""
+        self.close_resting()
+        if self.idle or self.fresh:
+            return False
         return not self._tasks and all(conn.finished() for conn in self.connections)
 
     # ---- heads --------------------------------------------------------
@@ -589,6 +622,8 @@
         fields = incoming.fields
         path = incoming.url.partition(b"?")[0]
         incoming.chunked = b"transfer-encoding" in fields
+        if incoming.chunked and b"content-length" in fields:
+            raise BadRequest(400)  # one may hide a request from whoever goes by the other
         incoming.length = int(fields.get(b"content-length", b"0"))
         parts = path.split(b"/")
         if path == b"/health/ready":
@@ -599,12 +634,16 @@
         cls = self._classes.get(parts[1]) if len(parts) > 1 and not parts[0] else None
         if cls is None:
             raise BadRequest(404)
-        if incoming.method not in (b"GET", b"POST"):
+        if incoming.method != self._methods[cls]:
             raise BadRequest(405)
+        if incoming.method == b"GET" and (incoming.length or incoming.chunked):
+            raise BadRequest(400)
         if fields.get(b"x-priority-class", parts[1]) != parts[1]:
             raise BadRequest(400)
-        if not fields.get(b"x-request-id") or b"host" not in fields:
+        label = fields.get(b"x-request-id", b"")
+        if not 0 < len(label) <= MAX_ID or b"host" not in fields:
             raise BadRequest(400)
+        incoming.label = label
         if self._tenants:
             tenant = self._tenants.get(fields.get(b"x-tenant-id", b""))
             if tenant is None:
