Live with connections that backends reset by chance

Cause: with 3 to 10% of attempts reset while the backend lives, two lost connections in a row are common, and Balancer.failed() then left the backend out for 1 to 8 s and held it for cold 8.3 s more; again() charged each reset of a safe request a whole unit of the retry budget, of which a request earns a tenth; and a request whose connection went as it came counted as may have run, so an unsafe one failed. A tap on the sockets: 285 of 430 connections lost under an attempt were lost within 2 ms of its write. Ruled out: stale lists (no attempt was refused), want of descriptors (94 of 384). Change: four failures in a row, with short rests between, mean a lost process; only a refused or broken dial has it held for cold; a reset that came at once costs the budget as little as such an error; an unsafe request's last byte follows 2 ms behind the rest, so that a connection that has gone is known by then and the request goes elsewhere, never having run.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -61,7 +61,7 @@
 FULL_REST_MAX = 2 * SECOND  # longest rest of a backend that turned an attempt away
 STALL = 6.0  # silence, in mean latencies, after which a backend in use is passed over
 STRIKES = 3  # time-outs in a row, no answer between, that make a backend silent
-LOST_STRIKES = 2  # the same of failures one of which is a lost connection
+LOST_STRIKES = 4  # the same of failures, the last of them a lost connection
 ERRORS = 3  # errors in a row after which a backend rests
 BACKOFF = SECOND
 BACKOFF_MAX = 8 * SECOND
@@ -934,13 +934,14 @@
             if not r.live:
                 self.requests.pop(request, None)
         elif not r.live:
-            self.again(now, r, min(taken / c.lat, 1.0) if outcome == ERROR else 1.0)
+            at_once = outcome in (ERROR, RESET)
+            self.again(now, r, min(taken / c.lat, 1.0) if at_once else 1.0)
         self.dispatch(now)
 
     def again(self, now: int, r: Request, price: float) -> None:
         """Queue a further attempt ahead of the others, or answer for good.
 
-        The budget bounds work done twice: an error that came at once cost none.
+        The budget bounds work done twice: an error or reset that came at once cost none.
         Charged in full, two failing backends of eleven used it up and a fifth of
         the requests was refused with most of the fleet idle.
         """
@@ -1015,7 +1016,11 @@
             lost = outcome in (CONNECT_FAILED, RESET)
             silent = b.strikes >= STRIKES and now - b.since >= taken
             if silent or (lost and b.strikes >= LOST_STRIKES):
-                self.suspend(now, b, lost)
+                self.suspend(now, b, lost, outcome == CONNECT_FAILED)
+            elif lost:
+                # Where connections break by chance this spaces the failures that
+                # are told from a loss; where all is lost it keeps the stream off.
+                self.let_rest(now, c, b, b.strikes - 1)
         if b.stalled and not b.held:
             # Passed over it gets no answer that could clear it: with nothing out
             # any more it is tried again, one attempt at a time.
@@ -1042,7 +1047,7 @@
         b.rest_until = max(b.rest_until, now + min(rest, FULL_REST_MAX))
         self.remind(b.rest_until, b)
 
-    def suspend(self, now: int, b: Backend, restarted: bool) -> None:
+    def suspend(self, now: int, b: Backend, lost: bool, restarted: bool) -> None:
         """Leave a silent or unreachable backend alone; never more than half of all."""
         if b.down_until or (self.down + 1) * 2 > self.ready:
             return
@@ -1051,7 +1056,7 @@
         if restarted:
             # Its process may be replaced before the list says so.
             b.cold_until = b.down_until + self.settings.cold
-        why = "connection failed or reset" if restarted else "no answer since the send"
+        why = "connection failed or reset" if lost else "no answer since the send"
         self.say(now, f"backend {b.id} out: {why}")
         self.down += 1
         self.remind(b.down_until, b)
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -87,7 +87,7 @@
 class Request:
     __slots__ = (
         "arrived", "attempts", "body", "client", "deadline", "ended", "head", "id", "label", "live",
-        "size",
+        "once", "size",
     )  # fmt: skip
 
     def __init__(
@@ -97,6 +97,7 @@
         self.client: ClientConnection | None = client
         self.head = incoming.head
         self.label = incoming.label
+        self.once = incoming.method != b"GET"
         self.body = incoming.body
         self.size = incoming.size
         self.arrived = now
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -17,9 +17,11 @@
 if TYPE_CHECKING:
     from windrelay.node import Attempt, Node
 
-PIECE = 64 << 10  # largest write of a request's body
 MAX_BODY = 64 << 10  # of an answer
 MAX_HEAD = 16 << 10  # of an answer, without its body
+# A request that may not run twice goes out but for its last byte, and that byte so
+# much later, in seconds: a connection that has gone tells of it by then.
+HOLD_S = 0.002
 ANSWER_PART = 0.4  # of the dial's time: so long an answer that has begun may take
 # What a backend says of the request, not of itself: no other would say otherwise,
 # so it is no reason for a further attempt. Not those that ask for another time.
@@ -53,6 +55,7 @@
 
     __slots__ = (
         "_chunked", "_chunks", "_closed", "_closes", "_complete", "_connected", "_dirty",
+        "_held_back",
         "_head_size", "_headers_done", "_interim", "_keep_alive", "_length", "_let", "_not_run",
         "_paused", "_piece", "_pieces", "_report", "_size", "_sock", "_spoilt", "_status", "_task",
         "_timer", "_type", "address", "attempt", "backend", "idle_since", "parser", "transport",
@@ -80,6 +83,7 @@
         self._pieces: Sequence[bytes] = ()
         self._piece = 0
         self._paused = False
+        self._held_back = False
         self._interim = 0
         self._begin_answer()
 
@@ -171,21 +175,30 @@
         else:
             left = attempt.sent + attempt.limit - time.monotonic_ns()
             head = b"%s%d\r\n\r\n" % (r.head, max(left // MS, 1))
-            if not r.size:
-                self._pieces = (head,)
-            elif r.size <= PIECE:
-                self._pieces = (b"".join((head, *r.body)),)
-            else:
-                self._pieces = (head, *r.body)
+            whole = b"".join((head, *r.body))
+            self._held_back = r.once
+            self._pieces = (whole[:-1], whole[-1:]) if r.once else (whole,)
+        self._write_on()
+        if self._held_back and not self._closed:
+            # Guards against connections that the backend has closed, or resets as a
+            # request comes: what had not been written to its end has never run and
+            # may go elsewhere. Costs such requests HOLD_S, and each a timer.
+            self._timer = self.upstream.node.loop.call_later(HOLD_S, self._release)
+
+    def _release(self) -> None:
+        self._timer = None
+        self._held_back = False
         self._write_on()
 
     def _write_on(self) -> None:
-        """Write piece by piece, never more than the kernel takes and one piece over."""
+        """Write piece by piece, never a further one while the kernel takes no more."""
         transport = self.transport
         assert transport is not None
         pieces = self._pieces
         last = len(pieces) - 1
         while self._piece <= last and not self._paused:
+            if self._held_back and self._piece == last:
+                return
             transport.write(pieces[self._piece])
             if transport.is_closing():
                 # The write itself failed: the kernel took nothing of this piece,
