End a client's connection with its answer where a fifth of descriptors rest

Cause: clients that ask once and keep their connection held all 128 places for clients (of 384 descriptors); nothing at rest was closed before 2.25 s, so places turned over at some 60 a second while 220 requests a second wanted one. They never reached the node, and half of all requests counted as refused with idle backends.

Change: an answer carries Connection: close while more than 0.2 of the descriptors' number are at rest. An end with the answer crosses no request. No hysteresis: each such end frees one place.

--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -35,6 +35,7 @@
 LINGER_SWEEPS = 4
 FLOOD_PART = 4  # one silent connection in so many is a flood of them
 IDLE_PART = 0.5  # of the room for clients, above which the oldest resting ones go
+REST_PART = 0.2  # of all descriptors, above which an answer ends its connection
 
 TCP_INFO_SIZE = 56
 LAST_DATA_RECEIVED = struct.Struct("=52xI")
@@ -311,7 +312,8 @@
         self._write_head(head)
 
     def _closes(self) -> bool:
-        return self._server.stopping or self._eof or not self._keep_alive
+        server = self._server
+        return server.stopping or self._eof or not self._keep_alive or server.crowded()
 
     def _write_head(self, head: bytes, chunks: list[bytes] | None = None) -> None:
         """Write an answer that is whole, and go on to what follows it."""
@@ -474,6 +476,7 @@
         self._paused = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._sock: socket.socket | None = None
+        self.most_at_rest = int(REST_PART * node.config.sockets)
         settings = node.config.settings
         self._classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
         self._tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
@@ -573,6 +576,19 @@
                 return True
         return False
 
+    def crowded(self) -> bool:
+        """Whether so many connections rest that a further one is not kept.
+
+        Guards against clients that ask once and keep their connection: closed only
+        after REST_SWEEPS, they held all places for clients while those with a
+        request waited unaccepted, and that looked like refusals with idle backends.
+        An end that comes with the answer crosses no request, so it may come at
+        once. No hysteresis: each end frees one place, and the number at rest stays
+        at the mark. Does harm where more clients than that ask again and again:
+        those beyond it pay a new connection for every request.
+        """
+        return len(self.idle) > self.most_at_rest
+
     def make_room(self) -> None:
         """Close the oldest resting connections before there is want of descriptors.
 
