--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: `python -m benchmarks.TOPIC [--quick]`, one JSON line last."""
--- /dev/null
+++ b/flinthatch/attempts.py
@@ -0,0 +1,309 @@
+"""Further attempts and second copies under a route's policy.
+
+Beside the Balancer's ordinary path: nothing here runs for requests without a
+policy. Free of I/O and clock; times are integer nanoseconds. The Balancer asks,
+for each end of an attempt, whether and when another may go out, and still holds
+its own rules over the answer (no second send of what may have run, most attempts
+of the settings, no attempt that can't be in time).
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from random import Random
+from typing import TYPE_CHECKING
+
+from flinthatch.balancer import Effect, Outcome
+from flinthatch.routes import BudgetSpec, Condition, Policy, condition
+
+if TYPE_CHECKING:
+    from flinthatch.balancer import Backend, Balancer, Request
+
+SECOND = 1_000_000_000
+
+# Learned percentiles. Buckets grow by an eighth: a delay within 12% is near enough.
+GROWTH = 1.125
+SHORTEST = 100_000
+BUCKETS = 110  # to 42 s
+MEMORY = 2000  # answers, after which old ones count half
+FEWEST = 50  # answers before a percentile is believed
+REFRESH = 50  # answers between two look-ups
+COPY_BURST = 2.0
+
+EDGES = [int(SHORTEST * GROWTH**i) for i in range(BUCKETS)]
+
+
+class Budget:
+    """A token bucket of further attempts: a part of requests plus a floor a second.
+
+    It holds at most the part of the requests that are active and the floor, so
+    that attempts stay under 1 + part times requests (and the floor), and what is
+    saved up in good times is no burst of retries in bad ones.
+    """
+
+    __slots__ = ("active", "at", "spec", "tokens")
+
+    def __init__(self, spec: BudgetSpec, now: int) -> None:
+        self.spec = spec
+        self.active = 0
+        self.at = now
+        self.tokens = spec.floor
+
+    def arrived(self, now: int) -> None:
+        self.active += 1
+        self._fill(now, self.spec.part)
+
+    def ended(self) -> None:
+        self.active -= 1
+
+    def take(self, now: int) -> bool:
+        """Whether one further attempt may go; if so it is paid for."""
+        self._fill(now, 0.0)
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def give_back(self) -> None:
+        self.tokens += 1.0
+
+    def _fill(self, now: int, more: float) -> None:
+        spec = self.spec
+        most = max(spec.floor + spec.part * self.active, 1.0)
+        grown = self.tokens + more + spec.floor * (now - self.at) / SECOND
+        self.tokens = min(grown, most)
+        self.at = now
+
+
+class Latencies:
+    """Answer times in growing buckets, old ones fading."""
+
+    __slots__ = ("_counts", "_known", "_since", "_total")
+
+    def __init__(self) -> None:
+        self._counts = [0.0] * (BUCKETS + 1)
+        self._total = 0.0
+        self._since = 0
+        self._known = 0
+
+    def add(self, taken: int) -> None:
+        self._counts[bisect_left(EDGES, taken)] += 1.0
+        self._total += 1.0
+        self._since += 1
+        if self._total > MEMORY:
+            self._counts = [n / 2 for n in self._counts]
+            self._total /= 2
+
+    def at(self, percentile: float) -> int:
+        """The upper edge of the percentile's bucket, 0 while too few are known."""
+        if self._total < FEWEST:
+            return 0
+        if self._since >= REFRESH or not self._known:
+            self._since = 0
+            self._known = self._look_up(percentile)
+        return self._known
+
+    def _look_up(self, percentile: float) -> int:
+        left = self._total * percentile / 100.0
+        for edge, n in zip(EDGES, self._counts, strict=False):
+            left -= n
+            if left <= 0:
+                return edge
+        return EDGES[-1]
+
+
+class RouteState:
+    """What is counted for one route and class, however often its policy is replaced."""
+
+    __slots__ = ("budget", "copies", "latencies", "policy")
+
+    def __init__(self, policy: Policy, now: int) -> None:
+        self.budget: Budget | None = None
+        self.copies = 0.0  # second copies that may go now
+        self.latencies = Latencies()
+        self.follow(policy, now)
+
+    def follow(self, policy: Policy, now: int) -> None:
+        """Take a policy's figures over; what is counted stays."""
+        self.policy = policy
+        if policy.budget is None:
+            self.budget = None
+        elif self.budget is None:
+            self.budget = Budget(policy.budget, now)
+        else:
+            self.budget.spec = policy.budget
+
+
+class Ticket:
+    """One request's hold on its policy and on the budgets it counts in."""
+
+    __slots__ = ("budgets", "due", "policy", "state")
+
+    def __init__(self, policy: Policy, state: RouteState, budgets: tuple[Budget, ...]) -> None:
+        self.policy = policy
+        self.state = state
+        self.budgets = budgets
+        self.due = 0  # when its back-off ends or its second copy goes
+
+
+class Attempts:
+    """The policies' part in one Balancer, which calls it for requests that have one."""
+
+    __slots__ = ("_balancer", "_random", "_states", "node")
+
+    def __init__(self, balancer: Balancer, seed: int, node: BudgetSpec, now: int) -> None:
+        self._balancer = balancer
+        self._random = Random(seed)
+        self._states: dict[tuple[str, str], RouteState] = {}
+        self.node = Budget(node, now)
+
+    def replace(self, node: BudgetSpec, names: set[str]) -> None:
+        """A new file: its node budget, and no memory of routes that it lacks.
+
+        Requests keep the policy and the budgets they came with.
+        """
+        self.node.spec = node
+        self._states = {k: s for k, s in self._states.items() if k[0] in names}
+
+    # ---- a request's course, in the order of the calls -----------------
+
+    def adopt(self, now: int, r: Request, policy: Policy) -> None:
+        """A request has come under this policy, which stays its own to the end."""
+        key = (policy.name, policy.cls)
+        state = self._states.get(key)
+        if state is None:
+            state = self._states[key] = RouteState(policy, now)
+        elif state.policy is not policy:
+            state.follow(policy, now)
+        if policy.copy is not None:
+            most = max(COPY_BURST, policy.copy.most * self.node.active)
+            state.copies = min(state.copies + policy.copy.most, most)
+        budgets = (self.node,) if state.budget is None else (self.node, state.budget)
+        for budget in budgets:
+            budget.arrived(now)
+        r.ticket = Ticket(policy, state, budgets)
+        if policy.timeout:
+            r.give_up = min(r.give_up, now + policy.timeout)
+        if policy.wanted:
+            r.aim_at = now + policy.wanted
+
+    def sending(self, now: int, r: Request, ticket: Ticket, limit: int) -> tuple[int, bool]:
+        """An attempt goes out: its time, and whether the usual patience holds for it.
+
+        Patience does not where the route says how long an attempt may take, nor
+        where time-outs are not tried again: ended early, such a request would
+        only be lost.
+        """
+        policy = ticket.policy
+        limit = min(limit, policy.attempt_timeout or limit)
+        if policy.copy is not None and not r.attempts and self._may_copy(r):
+            after = policy.copy.after or ticket.state.latencies.at(policy.copy.percentile)
+            if 0 < after < limit:
+                ticket.due = now + after
+                self._balancer.remind(ticket.due, r)
+        patient = policy.retry_on is None or Condition.TIMEOUT in policy.retry_on
+        return limit, patient and not policy.attempt_timeout
+
+    def attempt_ended(
+        self, now: int, r: Request, ticket: Ticket, number: int, outcome: int, taken: int
+    ) -> None:
+        """Learn from an attempt's end; what is still out for an answered request is cancelled.
+
+        Each cancelled attempt holds its slot until its own outcome.
+        """
+        if number == 0 and ticket.policy.copy and outcome in (Outcome.OK, Outcome.CANCELLED):
+            ticket.state.latencies.add(taken)
+        if outcome == Outcome.CANCELLED:
+            self._outlived(now, r, r.attempts[number].backend, taken)
+        elif r.ended and r.live:
+            self.cancel(r, 0)
+
+    def again(self, now: int, r: Request, ticket: Ticket, outcome: int, connected: bool) -> None:
+        """A further attempt where the route grants it, after its back-off, or the answer."""
+        balancer = self._balancer
+        policy = ticket.policy
+        ticket.due = 0
+        delay = self._delay(policy, len(r.attempts))
+        r.wait_by = min(r.aim_at, r.give_up) - int(r.cls.lat)
+        granted = policy.retry_on is None or condition(outcome, connected) in policy.retry_on
+        fits = now + delay < r.wait_by and balancer.may_resend(now, r)
+        if not (granted and fits and self._pay(now, ticket)):
+            balancer.finish(r)
+        elif delay:
+            ticket.due = now + delay
+            balancer.remind(ticket.due, r)
+        else:
+            balancer.again(now, r, 0.0)
+
+    def come_due(self, now: int, r: Request, ticket: Ticket) -> None:
+        """A back-off is over, or a second copy due: sent now or, with no room, not at all."""
+        ticket.due = 0
+        if r.ended:
+            return
+        if not r.live:
+            self._balancer.again(now, r, 0.0)
+        elif r.live == 1 and self._may_copy(r):
+            self._copy(now, r, ticket)
+
+    def cancel(self, r: Request, first: int) -> None:
+        """Give up a request's open attempts from this one on."""
+        for number, attempt in enumerate(r.attempts):
+            if attempt.open and number >= first:
+                self._balancer.actions.cancel(r.id, number)
+
+    def ended(self, ticket: Ticket) -> None:
+        """Its final answer is given, or its client gone; once a request."""
+        for budget in ticket.budgets:
+            budget.ended()
+
+    # ---- parts ---------------------------------------------------------
+
+    def _may_copy(self, r: Request) -> bool:
+        balancer = self._balancer
+        s = balancer.settings
+        granted = s.second_copies and s.can_cancel and r.cls.effect == Effect.PURE
+        return granted and not r.streaming and len(r.attempts) < balancer.most(r)
+
+    def _copy(self, now: int, r: Request, ticket: Ticket) -> None:
+        """To another backend that has a free slot nobody waits for, within the route's part."""
+        balancer = self._balancer
+        state = ticket.state
+        if state.copies < 1.0 or balancer.waiting or balancer.running >= balancer.total:
+            return
+        backend = balancer.pick(now)
+        if backend is not None:
+            backend = balancer.best_for(now, r, backend)
+        if backend is None or any(a.backend is backend for a in r.attempts):
+            return
+        if self._pay(now, ticket):
+            state.copies -= 1.0
+            balancer.send(now, r, backend)
+
+    def _delay(self, policy: Policy, tries: int) -> int:
+        """The back-off after `tries` attempts: full jitter under a doubling most."""
+        if not policy.backoff_base:
+            return 0
+        most = min(policy.backoff_base << min(tries - 1, 30), policy.backoff_most)
+        return self._random.randrange(most + 1)
+
+    def _pay(self, now: int, ticket: Ticket) -> bool:
+        """Charge a further attempt to the node's budget and the route's, or to neither."""
+        paid: list[Budget] = []
+        for budget in ticket.budgets:
+            if not budget.take(now):
+                for other in paid:
+                    other.give_back()
+                return False
+            paid.append(budget)
+        return True
+
+    def _outlived(self, now: int, r: Request, b: Backend, taken: int) -> None:
+        """A second copy was faster: the loser's time so far is the least it would have had.
+
+        Unlearned, a slow backend that always loses would look as it did at first.
+        """
+        ratio = min(taken / r.cls.lat, 10.0)
+        if ratio > b.lat:
+            b.lat += 0.2 * (ratio - b.lat)
+            b.cost = max(b.cost, ratio)
+            b.seen = now
--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -17,7 +17,11 @@
 from enum import IntEnum
 from heapq import heappop, heappush
 from random import Random
-from typing import NamedTuple, Protocol
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+
+if TYPE_CHECKING:
+    from flinthatch.attempts import Attempts, Ticket
+    from flinthatch.routes import Policy
 
 MS = 1_000_000
 SECOND = 1_000_000_000
@@ -264,7 +268,7 @@
 class Request:
     __slots__ = (
         "aim_at", "arrived", "attempts", "cls", "ended", "give_up", "hint", "id", "live",
-        "over", "queued", "ran", "streaming", "tenant", "wait_by",
+        "over", "queued", "ran", "streaming", "tenant", "ticket", "wait_by",
     )  # fmt: skip
 
     def __init__(self, rid: int, cls: ClassState, now: int, left: int, tenant: int) -> None:
@@ -283,6 +287,7 @@
         self.ended = False
         self.streaming = False
         self.hint = 0
+        self.ticket: Ticket | None = None  # where a route's policy goes before what is usual
 
 
 class ClassState:
@@ -410,6 +415,7 @@
         self.credit = [max(q * SECOND, 1.0) for q in self.quota]
         self.credit_at = [0] * tenants
         self.retry_credit = RETRY_BURST
+        self.policies: Attempts | None = None  # the host's, where it has a routes file
         # Since the last cycle.
         self.outcomes = 0
         self.fulls = 0
@@ -591,6 +597,7 @@
         key: int = 0,
         hint: int = 0,
         client_retry: bool = False,
+        policy: Policy | None = None,
     ) -> None:
         self.now = now
         if not 0 <= cls < len(self.classes):
@@ -602,6 +609,8 @@
         if c.spec.aim_stretch and hint:
             r.aim_at = now + min(c.aim + int(c.spec.aim_stretch * hint), c.spec.deadline)
         r.hint = hint
+        if policy is not None and self.policies is not None:
+            self.policies.adopt(now, r, policy)
         self.requests[request] = r
         c.arrivals += 1
         elapsed = c.elapsed(left)
@@ -808,7 +817,10 @@
         limit = max(end - now, MS)
         if not r.attempts:
             self.retry_credit = min(self.retry_credit + RETRY_PART, RETRY_BURST)
-        if c.effect == Effect.PURE and len(r.attempts) + 1 < self.settings.max_attempts:
+        patient = True
+        if r.ticket is not None and self.policies is not None:
+            limit, patient = self.policies.sending(now, r, r.ticket, limit)
+        if patient and c.effect == Effect.PURE and len(r.attempts) + 1 < self.most(r):
             patience = int(max(PATIENCE * c.lat, PATIENCE_PART * c.aim))
             if self.retry_credit >= 1.0:
                 limit = min(limit, patience)
@@ -852,7 +864,7 @@
         """The final answer without service: refused where harmless, else failed."""
         if r.ended:
             return
-        r.ended = True
+        self.end(r)
         if not r.over:
             r.cls.refused += 1
         if not r.live:
@@ -862,6 +874,18 @@
         else:
             self.actions.fail(r.id)
 
+    def end(self, r: Request) -> None:
+        """Its final answer is given, or its client gone."""
+        if not r.ended:
+            r.ended = True
+            if r.ticket is not None and self.policies is not None:
+                self.policies.ended(r.ticket)
+
+    def most(self, r: Request) -> int:
+        """The most attempts that a request may have."""
+        granted = r.ticket.policy.attempts if r.ticket is not None else 0
+        return min(granted or self.settings.max_attempts, self.settings.max_attempts)
+
     def stay_away(self, r: Request) -> int:
         """How long a refused client should wait.
 
@@ -885,7 +909,7 @@
 
     def may_resend(self, now: int, r: Request) -> bool:
         """Whether another attempt is allowed; in_group says where for keyed ones."""
-        if r.live or len(r.attempts) >= self.settings.max_attempts:
+        if r.live or len(r.attempts) >= self.most(r):
             return False
         if r.ran is None or r.cls.effect == Effect.PURE:
             return True
@@ -904,7 +928,9 @@
         taken: int,
         done: bool,
         load: Sequence[float] = (),
+        connected: bool = False,
     ) -> None:
+        """An attempt's end; `connected` tells a failed connect that came after it was up."""
         self.now = now
         r = self.requests.get(request)
         if r is None or attempt >= len(r.attempts) or not r.attempts[attempt].open:
@@ -929,13 +955,19 @@
         if outcome not in NEVER_RAN and r.ran is None:
             r.ran = a
         if done or outcome == OK:
-            r.ended = True
+            self.end(r)
+        if r.ticket is not None and self.policies is not None:
+            self.policies.attempt_ended(now, r, r.ticket, attempt, outcome, taken)
         if r.ended:
             if not r.live:
                 self.requests.pop(request, None)
         elif not r.live:
             at_once = outcome in (ERROR, RESET)
-            self.again(now, r, min(taken / c.lat, 1.0) if at_once else 1.0)
+            price = min(taken / c.lat, 1.0) if at_once else 1.0
+            if r.ticket is None or self.policies is None:
+                self.again(now, r, price)
+            else:
+                self.policies.again(now, r, r.ticket, outcome, connected)
         self.dispatch(now)
 
     def again(self, now: int, r: Request, price: float) -> None:
@@ -1086,9 +1118,11 @@
         r = self.requests.get(request)
         if r is None or r.ended:
             return
-        r.ended = True
+        self.end(r)
         if r.queued:
             self.unqueue(r)
+        if r.live > 1 and self.policies is not None:
+            self.policies.cancel(r, 1)
         if not r.live:
             self.requests.pop(request, None)
 
@@ -1125,6 +1159,8 @@
                     self.revive(item)
                 else:
                     self.settle(item)
+            elif item.ticket is not None and self.policies and 0 < item.ticket.due <= now:
+                self.policies.come_due(now, item, item.ticket)
             elif item.queued and item.wait_by <= now:
                 self.unqueue(item)
                 self.finish(item)
--- /dev/null
+++ b/flinthatch/canonical.py
@@ -0,0 +1,154 @@
+"""One canonical form for hosts and paths, used for matching and for what goes on.
+
+Two spellings that a server may take for the same resource get one form here, or
+are refused: otherwise a request could be matched under one route's policy and
+run under another's. Sources: RFC 3986 sections 3.2.2, 5.2.4 and 6.2.2; RFC 9112
+section 3.2. Pure functions over bytes.
+"""
+
+from __future__ import annotations
+
+import re
+from ipaddress import AddressValueError, IPv6Address
+from typing import NamedTuple
+
+MAX_PATH = 8192  # bytes, as sent
+MAX_SEGMENTS = 256
+MAX_HOST = 255
+
+_SEGMENT = rb"[A-Za-z0-9\-._~!$&'()*+,;=:@]"
+# Nothing encoded, no empty and no dot segment: what nearly every request has.
+_PLAIN = re.compile(rb"(?:/(?!\.{1,2}(?:/|\Z))" + _SEGMENT + rb"+)+/?|/").fullmatch
+_ALLOWED = re.compile(rb"(?:" + _SEGMENT + rb"|[/%])*").fullmatch
+_TRIPLET = re.compile(rb"%(..)?", re.DOTALL)
+_QUERY = re.compile(rb"[\x21\x22\x24-\x7e]*").fullmatch
+_LABELS = re.compile(
+    rb"[a-z0-9_](?:[a-z0-9_-]*[a-z0-9_])?(?:\.[a-z0-9_](?:[a-z0-9_-]*[a-z0-9_])?)*"
+)
+_UNRESERVED = frozenset(b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~")
+_ABSOLUTE = re.compile(rb"(?i:https?)://([^/?]*)(.*)", re.DOTALL).fullmatch
+
+
+class FormError(ValueError):
+    """A host or path without a canonical form; the text says which rule it breaks."""
+
+
+class Target(NamedTuple):
+    """A request target: `path` canonical, `query` with its `?` or empty, unchanged.
+
+    `authority` is that of the absolute form (it goes before Host, RFC 9112
+    section 3.2.2), None in the origin form.
+    """
+
+    path: bytes
+    query: bytes
+    authority: bytes | None
+
+
+def target(raw: bytes) -> Target:
+    """Take apart and canonise a request target; FormError where it has no one meaning."""
+    authority = None
+    if raw[:1] != b"/":
+        match = _ABSOLUTE(raw)
+        if match is None:
+            raise FormError("a request target is a path or an http URL")
+        authority, raw = match.groups()
+        if raw[:1] != b"/":
+            raw = b"/" + raw
+    path, mark, query = raw.partition(b"?")
+    if mark and not _QUERY(query):
+        raise FormError("a query holds no fragment, space or byte beyond ASCII")
+    return Target(canonical_path(path), mark + query, authority)
+
+
+def canonical_path(raw: bytes) -> bytes:
+    """The canonical form of an absolute path without its query.
+
+    Unreserved characters are decoded and other triplets upper-cased, then dot
+    segments removed, then empty segments; a trailing slash stays. Refused are an
+    encoded slash, backslash or control character (servers disagree on whether
+    they divide), `..` above the root, and what RFC 3986 does not allow.
+    """
+    if len(raw) > MAX_PATH:
+        raise FormError(f"a path has at most {MAX_PATH} bytes")
+    if _PLAIN(raw):
+        if raw.count(b"/") > MAX_SEGMENTS:
+            raise FormError(f"a path has at most {MAX_SEGMENTS} segments")
+        return raw
+    if raw[:1] != b"/":
+        raise FormError("a path begins with /")
+    if not _ALLOWED(raw):
+        raise FormError("a path holds a character that RFC 3986 does not allow there")
+    if raw.count(b"/") > MAX_SEGMENTS:
+        raise FormError(f"a path has at most {MAX_SEGMENTS} segments")
+    segments = _without_dots(_TRIPLET.sub(_decoded, raw).split(b"/")[1:])
+    trailing = not segments or segments[-1] == b""
+    kept = [s for s in segments if s]
+    if not kept:
+        return b"/"
+    return b"/" + b"/".join(kept) + (b"/" if trailing else b"")
+
+
+def _decoded(match: re.Match[bytes]) -> bytes:
+    digits = match[1]
+    try:
+        # int() alone would take "+1" or " 1" for hex digits.
+        if digits is None or not digits.isalnum():
+            raise ValueError
+        code = int(digits, 16)
+    except ValueError:
+        raise FormError("a % in a path is followed by two hex digits") from None
+    if code in _UNRESERVED:
+        return bytes((code,))
+    if code in b"/\\":
+        raise FormError("a path holds no encoded slash or backslash")
+    if code < 0x20 or code == 0x7F:
+        raise FormError("a path holds no encoded control character")
+    return b"%%%02X" % code
+
+
+def _without_dots(segments: list[bytes]) -> list[bytes]:
+    out: list[bytes] = []
+    last = len(segments) - 1
+    for i, segment in enumerate(segments):
+        if segment == b"..":
+            if not out:
+                raise FormError("a path's .. leads above the root")
+            out.pop()
+        elif segment != b".":
+            out.append(segment)
+            continue
+        if i == last:
+            out.append(b"")  # "/a/." and "/a/b/.." are the folder "/a/"
+    return out
+
+
+def canonical_host(raw: bytes) -> tuple[bytes, bytes]:
+    """The canonical host and the port (empty where none) of a Host field or authority.
+
+    Names and IPv4 addresses in lower case without a trailing dot, IPv6 literals
+    in brackets in the short form of RFC 5952. FormError for anything else, user
+    information included.
+    """
+    if not raw or len(raw) > MAX_HOST + 6:
+        raise FormError(f"a host has 1 to {MAX_HOST} bytes")
+    if raw[:1] == b"[":
+        literal, bracket, rest = raw[1:].partition(b"]")
+        try:
+            if not bracket or b"%" in literal:
+                raise AddressValueError
+            host = b"[" + str(IPv6Address(literal.decode("ascii"))).encode() + b"]"
+        except (AddressValueError, UnicodeDecodeError):
+            raise FormError("a host in brackets is an IPv6 address") from None
+        name, colon, port = b"", rest[:1], rest[1:]
+        if rest and colon != b":":
+            raise FormError("a host's closing bracket is followed by a port or nothing")
+    else:
+        name, colon, port = raw.partition(b":")
+        name = name.lower()
+        host = name[:-1] if name[-1:] == b"." else name
+        if len(host) > MAX_HOST or not _LABELS.fullmatch(host):
+            raise FormError("a host is labels of letters, digits, - and _ divided by dots")
+    if port and (not port.isdigit() or len(port) > 5 or int(port) > 65535):
+        raise FormError("a host's port is a number up to 65535")
+    return host, port
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,132 @@
+"""Stand-ins and a node as processes, for the demo and the benchmarks."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from http.client import HTTPConnection
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+SECOND = 1_000_000_000
+
+SETTINGS: dict[str, Any] = {
+    "areas": ["east"], "balancers": 1, "me": 0, "my_zone": 0, "skus": ["m2"],
+    "registry_mode": "push", "tick": 5_000_000,
+    "classes": [
+        {"name": "balance", "target": 800_000_000, "deadline": 2 * SECOND, "effect": "pure",
+         "credit": 1.0},
+        {"name": "credit", "target": 750_000_000, "deadline": 3 * SECOND, "effect": "side_effect",
+         "credit": 5.0},
+    ],
+    "limits": {"max_attempts": 4, "dial_timeout": 250_000_000, "idle_close": 60 * SECOND,
+               "max_retry_after": 2 * SECOND, "retry_after": True, "cancelling": True,
+               "second_copies": True, "probes": False},
+    "load_info": {"how": "off", "columns": []},
+    "rules": {"ask_within": 10 * SECOND, "drain_grace": 2 * SECOND, "cold": 8 * SECOND,
+              "cold_from": 0.3, "fall": 1_500_000_000, "fall_multiple": 3.0},
+}  # fmt: skip
+
+
+@dataclass(frozen=True, slots=True)
+class Process:
+    """One running stand-in or node: `address` is where it listens."""
+
+    popen: subprocess.Popen[str]
+    address: str
+
+    def call(self, method: str, path: str, body: object = None) -> Any:
+        """A control call to a stand-in; its JSON answer, or None where there is none."""
+        connection = HTTPConnection(self.address, timeout=10)
+        try:
+            connection.request(method, path, None if body is None else json.dumps(body))
+            answer = connection.getresponse().read()
+        finally:
+            connection.close()
+        return json.loads(answer) if answer else None
+
+    def cpu(self) -> float:
+        """CPU seconds used so far, user and system."""
+        fields = Path(f"/proc/{self.popen.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+@contextlib.contextmanager
+def started(words: Sequence[str], environ: dict[str, str] | None = None) -> Iterator[Process]:
+    """A process until the end of the block; it has said where it listens by then."""
+    popen = subprocess.Popen(
+        [sys.executable, "-B", *words],
+        cwd=ROOT,
+        env=os.environ | (environ or {}),
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
+    try:
+        assert popen.stdout is not None
+        line = popen.stdout.readline()
+        if "listening on " not in line:
+            raise RuntimeError(f"{' '.join(words)}: {line}{popen.stdout.read()}")
+        yield Process(popen, line.strip().rpartition(" ")[2])
+    finally:
+        popen.terminate()
+        try:
+            popen.wait(10)
+        except subprocess.TimeoutExpired:
+            popen.kill()
+            popen.wait()
+        if popen.stdout is not None:
+            popen.stdout.close()
+
+
+@contextlib.contextmanager
+def backends(
+    count: int, work_ms: float, queue: int = 16, module: str = "standins.backend"
+) -> Iterator[list[Process]]:
+    """So many stand-in servers, seeded by their number."""
+    with contextlib.ExitStack() as stack:
+        yield [
+            stack.enter_context(
+                started(
+                    ("-m", module, "--work-ms", str(work_ms), "--queue", str(queue),
+                     "--seed", str(i))
+                )
+            )
+            for i in range(1, count + 1)
+        ]  # fmt: skip
+
+
+@contextlib.contextmanager
+def node(
+    servers: Sequence[Process],
+    discovery: str = "127.0.0.1:1",
+    routes: str = "",
+    settings: dict[str, Any] | None = None,
+    memory_mb: int = 192,
+    sockets: int = 1024,
+) -> Iterator[Process]:
+    """A node before these servers, with a routes file where one is named."""
+    known = [
+        {"uid": f"s-{i}", "endpoint": s.address, "az": "east", "model": "m2", "pod_group": 1,
+         "state": "active", "capacity_hint": 1.0, "boot_ms": 0}
+        for i, s in enumerate(servers, 1)
+    ]  # fmt: skip
+    raw = {
+        "name": "n1", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1",
+        "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
+        "known": {"rev": 1, "all": True, "targets": known},
+        "settings": SETTINGS | (settings or {}),
+    }  # fmt: skip
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder, "config.json")
+        path.write_text(json.dumps(raw))
+        environ = {"PROXY_CONFIG": str(path), "PROXY_ROUTES": routes}
+        with started(("-m", "windrelay"), environ) as process:
+            yield process
--- /dev/null
+++ b/tests/test_canonical.py
@@ -0,0 +1,95 @@
+"""One form for every spelling of a host or path, or a refusal."""
+
+from __future__ import annotations
+
+import re
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from flinthatch.canonical import FormError, canonical_host, canonical_path, target
+
+PATHS = {
+    b"/": b"/",
+    b"/balance/7f3a": b"/balance/7f3a",
+    b"/balance/": b"/balance/",
+    b"/%62alance/%7E%41": b"/balance/~A",
+    b"/a/%c3%a9": b"/a/%C3%A9",
+    b"//balance///x": b"/balance/x",
+    b"/a/./b/../c": b"/a/c",
+    b"/a/%2e%2E/credit": b"/credit",
+    b"/a/b/..": b"/a/",
+    b"/a/.": b"/a/",
+    b"/a//../b": b"/a/b",
+    b"/a/...": b"/a/...",
+    b"/a/.b/..c": b"/a/.b/..c",
+    b"/a%252Fb": b"/a%252Fb",
+    b"/a;v=1/b,c@d": b"/a;v=1/b,c@d",
+    b"/" + b"x" * 8191: b"/" + b"x" * 8191,
+}
+NO_PATHS = [
+    b"", b"balance", b"*", b"/a%2Fb", b"/a%2fb", b"/a%5Cb", b"/a\\b", b"/%00", b"/a%0d%0ab",
+    b"/%", b"/%4", b"/%zz", b"/%+1", b"/% 1", b"/..", b"/a/../../b", b"/%2e%2e/a", b"/a b",
+    b"/a#b", b"/\xc3\xa9", b"/a<b", b"/" + b"x" * 8192, b"/a" * 257, b"/." * 257,
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("raw", PATHS)
+def test_a_path_has_one_form(raw: bytes) -> None:
+    assert canonical_path(raw) == PATHS[raw]
+
+
+@pytest.mark.parametrize("raw", NO_PATHS)
+def test_a_path_with_two_meanings_has_none(raw: bytes) -> None:
+    with pytest.raises(FormError):
+        canonical_path(raw)
+
+
+@settings(max_examples=500, derandomize=True, deadline=None)
+@given(st.lists(st.sampled_from([b"a", b".", b"..", b"", b"%2e", b"%41", b"%2F", b"%c3", b"%"])))
+def test_the_form_of_a_form_is_itself(parts: list[bytes]) -> None:
+    try:
+        form = canonical_path(b"/" + b"/".join(parts))
+    except FormError:
+        return
+    assert canonical_path(form) == form
+    inner = form[1:].split(b"/")
+    assert not {b".", b".."} & set(inner) and b"" not in inner[:-1]
+    assert not re.search(rb"%(2[EeFf]|41|c3)", form)
+
+
+HOSTS = {
+    b"Topup.Example.ORG": (b"topup.example.org", b""),
+    b"topup.example.org:8080": (b"topup.example.org", b"8080"),
+    b"topup.example.org.": (b"topup.example.org", b""),
+    b"topup.example.org.:80": (b"topup.example.org", b"80"),
+    b"a:": (b"a", b""),
+    b"127.0.0.1:1": (b"127.0.0.1", b"1"),
+    b"[2001:DB8:0:0::1]:443": (b"[2001:db8::1]", b"443"),
+    b"[::1]": (b"[::1]", b""),
+}
+NO_HOSTS = [
+    b"", b".", b"a..b", b"-a", b"a-", b"a b", b"user@a", b"a:80:90", b"a:x", b"a:99999", b"[::1",
+    b"[::1]x", b"[a]", b"[fe80::1%eth0]", b"::1", b"a/b", b"\xc3\xa9", b"a" * 262, b"a?b", b"*.a",
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("raw", HOSTS)
+def test_a_host_has_one_form(raw: bytes) -> None:
+    assert canonical_host(raw) == HOSTS[raw]
+
+
+@pytest.mark.parametrize("raw", NO_HOSTS)
+def test_what_is_no_host_has_none(raw: bytes) -> None:
+    with pytest.raises(FormError):
+        canonical_host(raw)
+
+
+def test_a_target_keeps_its_query_and_names_its_authority() -> None:
+    assert target(b"/a/./b?x=/../%2F") == (b"/a/b", b"?x=/../%2F", None)
+    assert target(b"HTTP://A.org:80/b?c") == (b"/b", b"?c", b"A.org:80")
+    assert target(b"https://a.org?c") == (b"/", b"?c", b"a.org")
+    for raw in (b"*", b"a.org:443", b"ftp://a/b", b"/a?b#c", b"/a?b c", b"/a?\xff"):
+        with pytest.raises(FormError):
+            target(raw)
--- /dev/null
+++ b/tests/test_routefile.py
@@ -0,0 +1,356 @@
+"""Bad routes files: every fault, with its line and its rule, and nothing else."""
+
+from __future__ import annotations
+
+import io
+from pathlib import Path
+
+import pytest
+
+from flinthatch import Effect, RequestClass, Scope, Settings
+from flinthatch.routefile import Fault, Result, decode
+from windrelay.operator.check import check_file, main
+from windrelay.operator.tomlfile import FileError, parse
+
+from .harness import ROOT
+from .routefiles import GOOD, line_of, spoilt
+
+MS = 1_000_000
+SETTINGS = Settings(
+    classes=(
+        RequestClass("balance", 800 * MS, 2000 * MS),
+        RequestClass("credit", 750 * MS, 3000 * MS, Effect.SIDE_EFFECT),
+        RequestClass("topup", 750 * MS, 3000 * MS, Effect.TOKEN, Scope.ZONE, 5000 * MS),
+    ),
+    max_attempts=4,
+    second_copies=True,
+    can_cancel=True,
+)
+
+
+def checked(text: str, settings: Settings | None = None) -> Result:
+    try:
+        raw, lines = parse(text.encode())
+    except FileError as err:
+        return Result(None, [Fault(err.line, err.rule, err.wrong, err.right)], [])
+    return decode(raw, lines, settings)
+
+
+def found(text: str, settings: Settings | None = None) -> list[tuple[int, str]]:
+    return [(f.line, f.rule) for f in checked(text, settings).faults]
+
+
+@pytest.mark.parametrize("settings", [None, SETTINGS])
+def test_the_good_file_is_good(settings: Settings | None) -> None:
+    result = checked(GOOD, settings)
+    assert not result.faults and not result.warnings
+    assert result.table is not None
+    assert [s.name for s in result.table.services] == ["topup"]
+
+
+ROUTE = '\n[[service.route]]\nname = "more"\n'
+REST = 'name = "rest"\nprefix = "/"\ndeny = true\n'
+
+# name: (changes, then for each fault expected: a mark in the spoilt file's line, and its rule)
+BAD: dict[str, tuple[list[tuple[str, str]], list[tuple[str, str]]]] = {
+    "no TOML": ([("version = 1", "version = ")], [("version", "syntax")]),
+    "key twice": ([("attempts = 3", "attempts = 3\nattempts = 2")], [("attempts = 2", "syntax")]),
+    "no version": ([("version = 1\n", "")], [("\n", "version")]),
+    "other version": ([("version = 1", "version = 2")], [("version", "version")]),
+    "version of another type": ([("version = 1", "version = true")], [("version", "version")]),
+    "unknown key at the top": ([("[limits]", "[limts]")], [("[limts]", "unknown-key")]),
+    "unknown key of a class": ([("attempts = 3", "atempts = 3")], [("atempts", "unknown-key")]),
+    "unknown key of a budget": ([("floor = 3", "flor = 3")], [("flor", "unknown-key")]),
+    "unknown key of a route": (
+        [('class = "balance"', 'klass = "balance"')],
+        [("klass", "unknown-key")],
+    ),
+    "duration without unit": ([('"800ms"', '"800"')], [('wanted = "800"', "bad-unit")]),
+    "duration as a number": ([('"800ms"', "800")], [("wanted = 800", "bad-unit")]),
+    "duration in hours": ([('"800ms"', '"1h"')], [('"1h"', "bad-unit")]),
+    "duration of nothing": ([('"800ms"', '"0ms"')], [('"0ms"', "bad-value")]),
+    "negative duration": ([('"800ms"', '"-5ms"')], [('"-5ms"', "bad-unit")]),
+    "attempts as a string": ([("attempts = 3", 'attempts = "3"')], [('"3"', "wrong-type")]),
+    "attempts as a truth": ([("attempts = 3", "attempts = true")], [("= true", "wrong-type")]),
+    "no attempts at all": ([("attempts = 3", "attempts = 0")], [("attempts = 0", "bad-value")]),
+    "unknown condition": ([('"reset", ', '"rest", ')], [('"rest", ', "bad-value")]),
+    "condition on a line of its own": (
+        [('retry_on = ["connect-failure", "refused", "reset", "error", "timeout"]',
+          'retry_on = [\n  "refused",\n  "eror",\n]')],
+        [('"eror"', "bad-value")],
+    ),
+    "unknown repeat": ([('"safe"', '"always"')], [('"always"', "bad-value")]),
+    "no repeat": ([('repeat = "never"\n', "")], [("[class.credit]", "missing-key")]),
+    "credit's second attempt": (
+        [('give_up = "3s"', 'give_up = "3s"\nattempts = 2')],
+        [("attempts = 2", "never-attempts")],
+    ),
+    "credit's second attempt by defaults": (
+        [("[defaults]", "[defaults]\nattempts = 2")],
+        [("attempts = 2", "never-attempts")],
+    ),
+    "credit's second attempt by its base": (
+        [('repeat = "never"', 'repeat = "never"\nbase = "balance"'),
+         ("second_copy = { after", "# second_copy = { after")],
+        [("attempts = 3", "never-attempts")],
+    ),
+    "credit's second attempt by its route": (
+        [('class = "credit"', 'class = "credit"\nattempts = 2')],
+        [("attempts = 2", "never-attempts")],
+    ),
+    "credit's path as a safe class": (
+        [('prefix = "/credit"\nclass = "credit"', 'prefix = "/credit"\nclass = "balance"')],
+        [('prefix = "/credit"', "captures-stricter")],
+    ),
+    "a part of credit's path as a safe class": (
+        [(REST, 'name = "by-id"\npath = "/credit/{id}"\nclass = "balance"\n'
+          "\n[[service.route]]\n" + REST)],
+        [('path = "/credit/{id}"', "captures-stricter")],
+    ),
+    "credit's path by a parameter": (
+        [(REST, 'name = "by-id"\npath = "/{any}/{id}"\nclass = "balance"\n'
+          "\n[[service.route]]\n" + REST), ('prefix = "/credit"', 'prefix = "/pay"')],
+        [('path = "/{any}', "captures-stricter")],
+    ),
+    "everything as a safe class": (
+        [("deny = true", 'class = "balance"'), ('prefix = "/credit"', 'path = "/credit"')],
+        [('prefix = "/"', "captures-stricter")],
+    ),
+    "a copy of a credit": (
+        [('give_up = "3s"', 'give_up = "3s"\nsecond_copy = { after = "9ms", most = 0.1 }')],
+        [('"9ms"', "never-copy")],
+    ),
+    "a condition that may have run, for credit": (
+        [('"reset-before-sent"', '"reset-before-sent", "timeout"')],
+        [('"timeout"]\n\n[class.topup]', "never-condition")],
+    ),
+    "a copy of a keyed one": (
+        [('scope = "zone"', 'scope = "zone"\nsecond_copy = { after = "9ms", most = 0.1 }'),
+         ('class = "credit"', 'class = "topup"\nmethods = ["POST"]'),
+         ('prefix = "/credit"', 'prefix = "/topup"')],
+        [('"9ms"', "keyed-copy")],
+    ),
+    "a keyed one without window": ([('window = "5s"\n', "")], [("[class.topup]", "keyed-window")]),
+    "a keyed one tried beyond its window": (
+        [('window = "5s"', 'window = "1s"\nattempts = 3\nattempt_timeout = "500ms"')],
+        [('"500ms"', "keyed-window")],
+    ),
+    "time-out over the give-up time": (
+        [('give_up = "3s"', 'give_up = "3s"\ntimeout = "4s"')],
+        [('"4s"', "timeout-over-give-up")],
+    ),
+    "attempt over the whole": (
+        [('attempt_timeout = "600ms"', 'attempt_timeout = "1600ms"')],
+        [('"1600ms"', "attempt-over-timeout")],
+    ),
+    "attempts that don't fit": (
+        [('attempt_timeout = "600ms"', 'attempt_timeout = "800ms"')],
+        [("attempts = 3", "attempts-dont-fit")],
+    ),
+    "copy after its attempt's end": (
+        [('after = "80ms"', 'after = "600ms"')],
+        [('after = "600ms"', "copy-after-end")],
+    ),
+    "copy with one attempt": (
+        [("attempts = 3", "attempts = 1")],
+        [("second_copy", "copy-attempts")],
+    ),
+    "copy without bound": ([(", most = 0.05", "")], [("second_copy", "missing-key")]),
+    "copy with both times": (
+        [('after = "80ms"', 'after = "80ms", percentile = 95')],
+        [("second_copy", "missing-key")],
+    ),
+    "more attempts than the settings' most": (
+        [("attempts = 4", "attempts = 2")],
+        [("attempts = 3", "attempts-over-most")],
+    ),
+    "budget over the whole": (
+        [("part = 0.2, floor = 3", "part = 1.5, floor = 3")],
+        [("part = 1.5", "budget-over-whole")],
+    ),
+    "negative budget": (
+        [("part = 0.2, floor = 3", "part = -0.1, floor = 3")],
+        [("part = -0.1", "budget-over-whole")],
+    ),
+    "budget of the node over the whole": (
+        [("part = 0.2, floor = 5", "part = 2, floor = 5")],
+        [("part = 2", "budget-over-whole")],
+    ),
+    "back-off the wrong way round": (
+        [('most = "40ms"', 'most = "1ms"')],
+        [("backoff", "backoff-order")],
+    ),
+    "wanted after the end": ([('"800ms"', '"1600ms"')], [('"1600ms"', "wanted-over-timeout")]),
+    "unknown class of a route": (
+        [('class = "credit"', 'class = "credits"')],
+        [('"credits"', "unknown-class")],
+    ),
+    "unknown class among conditions": (
+        [('class = "credit"', 'class = "credit"\nclasses = ["credti"]')],
+        [('"credti"', "unknown-class"), ('prefix = "/credit"', "")],
+    ),
+    "unknown base": ([('scope = "zone"', 'scope = "zone"\nbase = "x"')], [('"x"', "unknown-base")]),
+    "a class its own base": (
+        [('scope = "zone"', 'scope = "zone"\nbase = "topup"')],
+        [('base = "topup"', "inherit-loop")],
+    ),
+    "bases that go round": (
+        [('repeat = "safe"', 'repeat = "safe"\nbase = "topup"'),
+         ('scope = "zone"', 'scope = "zone"\nbase = "balance"')],
+        [('base = "topup"', "inherit-loop"), ('base = "balance"', "inherit-loop"),
+         ("second_copy", "keyed-copy")],
+    ),
+    "route's name twice": (
+        [('name = "credit"', 'name = "balance"')],
+        [('name = "balance"\nprefix = "/credit"', "duplicate-name")],
+    ),
+    "service's name twice": (
+        [("deny = true", 'deny = true\n\n[[service]]\nname = "topup"  # again\n'
+          'hosts = ["b.org"]\n\n[[service.route]]\nname = "a"\nprefix = "/"')],
+        [("# again", "duplicate-name")],
+    ),
+    "host twice": (
+        [('"*.example.org"', '"topup.example.org"')],
+        [("hosts", "duplicate-host")],
+    ),
+    "host with a port": ([('"*.example.org"', '"a.org:80"')], [("hosts", "bad-host")]),
+    "host in upper case": ([('"*.example.org"', '"A.org"')], [("hosts", "bad-host")]),
+    "star in a host": ([('"*.example.org"', '"a.*.org"')], [("hosts", "bad-host")]),
+    "no hosts": (
+        [('hosts = ["topup.example.org", "*.example.org"]\n', "")],
+        [("[[service]]", "missing-key")],
+    ),
+    "no service": ([(GOOD[GOOD.index("[[service]]") :], "")], [("version", "missing-key")]),
+    "no catch": ([('prefix = "/"\n', 'prefix = "/rest"\n')], [("[[service]]", "no-catch")]),
+    "equal routes": (
+        [(REST, 'name = "b2"\nprefix = "/balance"  # again\nclass = "balance"\n'
+          "\n[[service.route]]\n" + REST)],
+        [("# again", "equal-routes")],
+    ),
+    "routes equal where their methods meet": (
+        [('prefix = "/balance"\nclass', 'path = "/balance"\nmethods = ["GET"]\nclass'),
+         (REST, 'name = "b2"\npath = "/balance"  # again\nmethods = ["GET", "POST"]\n'
+          "\n[[service.route]]\n" + REST)],
+        [("# again", "equal-routes")],
+    ),
+    "a route that its methods hide": (
+        [('prefix = "/balance"\n', 'prefix = "/balance"\nmethods = ["POST"]\n')],
+        [('prefix = "/balance"', "unreachable-route")],
+    ),
+    "a route that two others hide together": (
+        [(REST, 'name = "g"\npath = "/x"\nmethods = ["GET"]\ndeny = true\n'
+          '\n[[service.route]]\nname = "p"\npath = "/x"\nmethods = ["POST"]\ndeny = true\n'
+          '\n[[service.route]]\nname = "x"\npath = "/x"  # hidden\n'
+          "\n[[service.route]]\n" + REST)],
+        [("# hidden", "unreachable-route")],
+    ),
+    "path and prefix": (
+        [('prefix = "/credit"', 'prefix = "/credit"\npath = "/credit"')],
+        [('prefix = "/credit"', "missing-key")],
+    ),
+    "path without slash": ([('"/credit"', '"credit"')], [('prefix = "credit"', "bad-path")]),
+    "path with dots": ([('"/credit"', '"/a/../credit"')], [("/../", "bad-path")]),
+    "path with an encoded slash": ([('"/credit"', '"/a%2Fb"')], [("%2F", "bad-path")]),
+    "path with an encoded letter": ([('"/credit"', '"/%63redit"')], [("%63", "bad-path")]),
+    "path with an empty segment": ([('"/credit"', '"/a//b"')], [("/a//b", "bad-path")]),
+    "half a parameter": ([('"/credit"', '"/credit/x{id}"')], [("x{id}", "bad-path")]),
+    "parameter twice": ([('"/credit"', '"/{a}/{a}"')], [("/{a}", "bad-path")]),
+    "prefix with a slash at its end": ([('"/credit"', '"/credit/"')], [('"/credit/"', "bad-path")]),
+    "a denial that grants": (
+        [("deny = true", "deny = true\nattempts = 2")],
+        [("deny = true", "deny-grants")],
+    ),
+    "a route looser than its class": (
+        [('class = "credit"', 'class = "credit"\nrepeat = "safe"')],
+        [('"safe"\n\n[[service.route]]', "repeat-looser")],
+    ),
+    "unknown method": (
+        [('class = "credit"', 'class = "credit"\nmethods = ["PUT"]')],
+        [('"PUT"', "bad-value")],
+    ),
+    "several at once": (
+        [("attempts = 3", "attempts = 9"), ('"5ms"', '"5 ms"'), ("deny = true", "deny = 1")],
+        [('"5 ms"', "bad-unit"), ("attempts = 9", "attempts-over-most"),
+         ("attempts = 9", "attempts-dont-fit"), ("deny = 1", "wrong-type")],
+    ),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_a_bad_file_is_refused_at_its_line_and_rule(name: str) -> None:
+    changes, expected = BAD[name]
+    text = spoilt(*changes)
+    want = sorted((line_of(text, mark), rule) for mark, rule in expected if rule)
+    assert sorted(found(text)) == want
+    assert checked(text).table is None
+
+
+AGAINST = {
+    "a class the settings lack": ([("class.topup", "class.tpoup")], "class.tpoup", "unknown-class"),
+    "looser than the settings": (
+        [('repeat = "never"', 'repeat = "safe"'), ('prefix = "/credit"', 'prefix = "/pay"')],
+        'repeat = "safe"\ngive_up = "3s"',
+        "repeat-looser",
+    ),
+    "a window longer than servers remember": ([('"5s"', '"6s"')], '"6s"', "keyed-window"),
+    "a scope wider than servers know": ([('"zone"', '"all"')], '"all"', "keyed-scope"),
+    "clients that leave earlier": ([('"3s"', '"4s"')], '"4s"', "give-up-late"),
+}
+
+
+@pytest.mark.parametrize("name", AGAINST)
+def test_a_file_that_the_settings_contradict_is_refused(name: str) -> None:
+    changes, mark, rule = AGAINST[name]
+    text = spoilt(*changes)
+    assert (line_of(text, mark), rule) in found(text, SETTINGS)
+
+
+def test_a_class_that_the_file_leaves_out_is_held_to_its_rules() -> None:
+    """credit is in the settings alone; the defaults must not reach it."""
+    text = spoilt(
+        ("[defaults]", "[defaults]\nattempts = 2"),
+        (GOOD[GOOD.index("[class.credit]") : GOOD.index("[class.topup]")], ""),
+        ('window = "5s"', 'window = "5s"\nattempts = 1'),
+    )
+    assert (line_of(text, "attempts = 2"), "never-attempts") in found(text, SETTINGS)
+
+
+def test_check_prints_every_fault_and_tells_by_its_status(tmp_path: Path) -> None:
+    bad, good = tmp_path / "bad.toml", tmp_path / "good.toml"
+    bad.write_text(spoilt(("attempts = 3", "atempts = 3"), ('"800ms"', '"800"')))
+    good.write_text(GOOD)
+    out = io.StringIO()
+    assert main([str(bad), str(good), "--explain"], out) == 2
+    lines = out.getvalue().splitlines()
+    assert lines[0].startswith(f"{bad}:15: [bad-unit] ")
+    assert lines[1].startswith(f"{bad}:18: [unknown-key] ")
+    assert "did you mean 'attempts'?" in lines[1]
+    assert any("attempt_timeout" in x and "(class balance, line 17)" in x for x in lines)
+    assert lines[-1] == f"{good}: good, 3 routes"
+    assert main([str(good)], io.StringIO()) == 0
+    assert main([str(tmp_path / "none.toml")], out) == 2
+
+
+def test_the_example_that_is_delivered_is_good() -> None:
+    result = check_file(str(ROOT / "deploy" / "routes.toml"), None)
+    assert not result.faults and not result.warnings
+
+
+def test_lines_are_kept_through_every_way_of_writing_a_key() -> None:
+    text = b'a."b c".d = 1\n[[t]]\nx = [\n 1,\n 2]\n[[t]]\n[t.u]\ny = { z = 1 }\n'
+    values, lines = parse(text)
+    assert values == {
+        "a": {"b c": {"d": 1}},
+        "t": [{"x": [1, 2]}, {"u": {"y": {"z": 1}}}],
+    }
+    assert lines["a", "b c", "d"] == 1
+    assert lines["t", 0] == 2 and lines["t", 1] == 6
+    assert lines["t", 0, "x", 1] == 5
+    assert lines["t", 1, "u", "y", "z"] == 8
+
+
+@pytest.mark.parametrize("text", [b"\xff = 1", b"a = [", b"=", b"a = '''x", b"[" * 5000])
+def test_what_is_no_toml_is_refused_at_a_line_that_exists(text: bytes) -> None:
+    with pytest.raises(FileError) as caught:
+        parse(text)
+    assert 1 <= caught.value.line <= text.count(b"\n") + 1
--- a/windrelay/__main__.py
+++ b/windrelay/__main__.py
@@ -6,6 +6,12 @@
 import sys
 from types import FrameType
 
+if __name__ == "__main__" and len(sys.argv) > 1:
+    # Another command than the node: it has signals and imports of its own.
+    from windrelay.operator.cli import main as command
+
+    sys.exit(command(sys.argv[1:]))
+
 STOPS = (signal.SIGTERM, signal.SIGINT)
 _early_signals: set[int] = set()
 
@@ -27,6 +33,7 @@
 
 from windrelay.config import Config, ConfigError, load, reload  # noqa: E402
 from windrelay.discovery import ListError  # noqa: E402
+from windrelay.errors import RoutesError  # noqa: E402
 from windrelay.node import Node  # noqa: E402
 from windrelay.server import SWEEP_S, Server  # noqa: E402
 
@@ -50,6 +57,7 @@
         self.give_up_at = 0.0
 
     async def run(self) -> None:
+        self.node.route(self.config.routes)
         self.node.start()
         for number in STOPS:
             self.loop.add_signal_handler(number, self.stop)
@@ -74,8 +82,13 @@
         except ConfigError as err:
             self.node.log(f"reload: {err}; going on as before")
             return
-        self.node.log("reloaded the configuration")
         self.node.discovery.move(self.config.discovery)
+        try:
+            self.node.route(self.config.routes)
+        except RoutesError as err:
+            self.node.log(f"reload: {err}; going on with the routes as before")
+            return
+        self.node.log("reloaded the configuration")
 
     def sweep(self) -> None:
         self.server.sweep()
@@ -87,6 +100,9 @@
             return  # a second signal changes nothing
         self.server.stopping = True
         self.node.log("stopping")
+        if self.node.routing is not None:
+            for reason, count in sorted(self.node.routing.refused.items()):
+                self.node.log(f"refused by the routes: {reason} {count}")
         longest = max(c.deadline for c in self.config.settings.classes) / 1e9
         self.give_up_at = self.loop.time() + longest + KILL_S - LAST_CALL_S
         self.loop.call_later(ACCEPT_S, self.close)
@@ -124,7 +140,7 @@
     try:
         run = Run(config, loop)
         loop.run_until_complete(run.run())
-    except (ListError, OSError) as err:
+    except (ListError, RoutesError, OSError) as err:
         print(f"windrelay: {err}", file=sys.stderr)
         return 2
     # Not through the interpreter's own end: it would take the loop and each
--- a/windrelay/config.py
+++ b/windrelay/config.py
@@ -44,6 +44,7 @@
     idle_close: int
     max_open: int
     reports: bool
+    routes: str  # the routes file's path, empty where there is none
 
 
 def parse_address(text: object) -> Address:
@@ -68,7 +69,7 @@
         raise ConfigError(f"{path} is not JSON: {err}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"{path} is not a JSON object")
-    for key in ("name", "listen", "discovery"):
+    for key in ("name", "listen", "discovery", "routes"):
         raw[key] = environ.get(f"PROXY_{key.upper()}") or raw.get(key)
     try:
         return _config(raw)
@@ -83,11 +84,13 @@
 def reload(environ: Mapping[str, str], old: Config) -> Config:
     """Read a replaced file: the old configuration with what may change in flight.
 
-    That is where discovery is, and here the file goes before the variable, which
-    still says what held at the start. ConfigError where the file can't be used.
+    That is where discovery and the routes are. For discovery the file goes before
+    the variable, which still says what held at the start. ConfigError where the
+    file can't be used.
     """
     at_start = {name: value for name, value in environ.items() if name != "PROXY_DISCOVERY"}
-    return replace(old, discovery=load(at_start).discovery)
+    new = load(at_start)
+    return replace(old, discovery=new.discovery, routes=new.routes)
 
 
 def _config(raw: dict[str, Any]) -> Config:
@@ -116,4 +119,5 @@
         idle_close=int(settings.get("limits", {}).get("idle_close", 15_000_000_000)),
         max_open=int(settings.get("limits", {}).get("open_cap", 20_000)),
         reports=settings.get("load_info", {}).get("how", "off") != "off",
+        routes=str(raw["routes"] or ""),
     )
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -23,6 +23,7 @@
 from windrelay.upstream import Upstream
 
 if TYPE_CHECKING:
+    from windrelay.routing import Routing
     from windrelay.server import ClientConnection, Incoming
     from windrelay.upstream import BackendConnection
 
@@ -110,7 +111,9 @@
 class Attempt:
     """One send, or a probe where `request` is None. It has exactly one outcome."""
 
-    __slots__ = ("backend", "closed", "connection", "limit", "number", "request", "sent")
+    __slots__ = (
+        "backend", "closed", "connected", "connection", "limit", "number", "request", "sent",
+    )  # fmt: skip
 
     def __init__(self, request: Request | None, number: int, backend: int, sent: int) -> None:
         self.request = request
@@ -119,6 +122,7 @@
         self.sent = sent
         self.limit = 0
         self.closed = False
+        self.connected = False  # whether its connection has ever been up
         self.connection: BackendConnection | None = None
 
 
@@ -148,6 +152,7 @@
         self.log_second = 0
         self.log_lines = 0
         self.balancer = Balancer(config.settings, config.seed, self)
+        self.routing: Routing | None = None
 
     def start(self) -> None:
         """Begin from the list in the configuration; ListError if it is malformed."""
@@ -157,6 +162,29 @@
         self.balancer.on_members(self.now, Update.CACHED, rows)
         self.leave()
 
+    def route(self, path: str) -> None:
+        """Take over the routes file at `path`, or none; RoutesError changes nothing."""
+        if not path:
+            # Those under way keep their policies, and the budgets these count in.
+            self.routing = None
+            return
+        # Here and not above: without a file the node is as small as ever.
+        from flinthatch.attempts import Attempts
+        from windrelay.routing import Routing
+
+        if self.routing is None:
+            self.routing = Routing(path, self.config.settings)
+        else:
+            self.routing.reload(path)
+        table = self.routing.table
+        policies = self.balancer.policies
+        if policies is None:
+            now = time.monotonic_ns()
+            seed = self.config.seed
+            self.balancer.policies = Attempts(self.balancer, seed, table.node_budget, now)
+        else:
+            policies.replace(table.node_budget, table.names())
+
     # ---- events: each enters, tells the Balancer, and leaves -----------
 
     def enter(self) -> int:
@@ -197,6 +225,7 @@
                 incoming.key,
                 incoming.hint,
                 incoming.retried,
+                incoming.policy,
             )
         except Exception:
             self.broken()
@@ -249,7 +278,9 @@
                 self.balancer.on_probe(self.now, a.backend, outcome, taken, load)
                 return
             r.live -= 1
-            self.balancer.on_outcome(self.now, r.id, a.number, outcome, taken, r.ended, load)
+            self.balancer.on_outcome(
+                self.now, r.id, a.number, outcome, taken, r.ended, load, a.connected
+            )
         except Exception:
             self.broken()
             if r is not None and not r.live and not r.ended:
--- /dev/null
+++ b/windrelay/operator/__init__.py
@@ -0,0 +1,1 @@
+"""What an operator runs beside the node: check, demo and their like."""
--- /dev/null
+++ b/windrelay/operator/cli.py
@@ -0,0 +1,25 @@
+"""Commands beside the node; each imports what it needs only when called."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Sequence
+
+USAGE = """usage: python -m windrelay                the node, configured by PROXY_CONFIG
+       python -m windrelay check FILE...  check files under deploy/ (--help for more)
+       python -m windrelay demo           a node, stand-ins and a short load, no set-up"""
+
+
+def main(words: Sequence[str]) -> int:
+    """Run a command; its exit status, 2 for an unknown one."""
+    name, *rest = words
+    if name == "check":
+        from windrelay.operator.check import main as check
+
+        return check(rest)
+    if name == "demo":
+        from windrelay.operator.demo import main as demo
+
+        return demo(rest)
+    print(USAGE, file=sys.stdout if name in ("-h", "--help") else sys.stderr)
+    return 0 if name in ("-h", "--help") else 2
--- /dev/null
+++ b/windrelay/routing.py
@@ -0,0 +1,124 @@
+"""The routes file in force at one node, and the place of each request in it.
+
+Imported only where a file is set. Matching and rules are flinthatch's; here the
+file is read, taken over whole or not at all, and what falls under no route is
+refused and counted by reason.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Protocol
+
+from flinthatch import Settings
+from flinthatch.canonical import FormError, canonical_host, target
+from flinthatch.routes import Policy, Service, Table
+from windrelay.errors import BadRequest, RoutesError
+from windrelay.operator.check import check_file
+
+MAX_HOSTS = 1024  # spellings of Host remembered; clients choose them
+
+UNKNOWN_HOST = "unknown-host"
+UNKNOWN_PATH = "unknown-path"
+DENIED = "denied"
+BAD_TARGET = "bad-target"
+BAD_HOST = "bad-host"
+OTHER_CLASS = "other-class"
+TEXTS = {
+    UNKNOWN_HOST: (404, b"no service here has this host\n"),
+    UNKNOWN_PATH: (404, b"no route of this service takes this request\n"),
+    DENIED: (403, b"this request is not allowed here\n"),
+    BAD_TARGET: (400, b"the request target has no canonical form\n"),
+    BAD_HOST: (400, b"the host is not valid\n"),
+    OTHER_CLASS: (400, b"the request names another class than its route\n"),
+}
+
+
+class Head(Protocol):
+    """What routing reads of a request, and writes: `url` and the Host line in canonical form."""
+
+    url: bytes
+    method: bytes
+    lines: list[bytes]
+    fields: dict[bytes, bytes]
+    path: bytes
+
+
+class Routing:
+    """Replaced tables are kept by no one: requests hold on to their policy alone."""
+
+    def __init__(self, path: str, settings: Settings) -> None:
+        self.path = path
+        self.refused: Counter[str] = Counter()
+        self._settings = settings
+        self._hosts: dict[bytes, tuple[Service | None, bytes]] = {}
+        self.table = self._load(path)
+
+    def _load(self, path: str) -> Table:
+        result = check_file(path, self._settings)
+        if result.table is None:
+            faults = result.faults
+            raise RoutesError(f"{path}:{faults[0]} (faults: {len(faults)})")
+        return result.table
+
+    def reload(self, path: str) -> None:
+        """Take a replaced file over whole; RoutesError where it can't be, with nothing changed."""
+        self.table = self._load(path)
+        self.path = path
+        self._hosts.clear()
+
+    def place(self, head: Head) -> Policy:
+        """The policy a request falls under; BadRequest where there is none."""
+        raw = head.url
+        try:
+            path, query, authority = target(raw)
+        except FormError:
+            raise self._refuse(BAD_TARGET) from None
+        head.path = path
+        head.url = path + query if query else path
+        host = head.fields.get(b"host", b"") if authority is None else authority
+        known = self._hosts.get(host)
+        if known is None:
+            known = self._learn(host)
+        service, canonical = known
+        if canonical != head.fields.get(b"host"):
+            _rewrite_host(head, canonical)
+        if service is None:
+            raise self._refuse(UNKNOWN_HOST)
+        first = path[1:].partition(b"/")[0]
+        declared = head.fields.get(b"x-priority-class")
+        route = service.match(path, head.method, first if declared is None else declared)
+        if route is None:
+            raise self._refuse(UNKNOWN_PATH)
+        if route.deny:
+            raise self._refuse(DENIED)
+        # A class is assigned by its route, or stands in the path: never chosen by a
+        # header alone, which would let a client pick the policy it is treated by.
+        name = first if route.assigned is None else route.assigned.encode()
+        policy = route.policies.get(name)
+        if policy is None:
+            raise self._refuse(UNKNOWN_PATH)
+        if declared is not None and declared != name:
+            raise self._refuse(OTHER_CLASS)
+        return policy
+
+    def _learn(self, raw: bytes) -> tuple[Service | None, bytes]:
+        try:
+            host, port = canonical_host(raw)
+        except FormError:
+            raise self._refuse(BAD_HOST) from None
+        if len(self._hosts) >= MAX_HOSTS:
+            self._hosts.clear()
+        known = (self.table.service(host), host + b":" + port if port else host)
+        self._hosts[raw] = known
+        return known
+
+    def _refuse(self, reason: str) -> BadRequest:
+        self.refused[reason] += 1
+        return BadRequest(*TEXTS[reason])
+
+
+def _rewrite_host(head: Head, host: bytes) -> None:
+    head.fields[b"host"] = host
+    head.lines = [line for line in head.lines if line[:5].lower() != b"host:"]
+    head.lines.insert(0, b"Host: %s\r\n" % host)
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -14,8 +14,10 @@
 import httptools
 
 from flinthatch import Effect
+from windrelay.errors import BadRequest
 
 if TYPE_CHECKING:
+    from flinthatch.routes import Policy
     from windrelay.config import Address
     from windrelay.node import Node, Request
 
@@ -43,6 +45,7 @@
 
 REASONS = {
     400: b"Bad Request",
+    403: b"Forbidden",
     404: b"Not Found",
     405: b"Method Not Allowed",
     408: b"Request Timeout",
@@ -57,6 +60,7 @@
     status: b"HTTP/1.1 %d %s\r\nContent-Length: 0\r\n" % (status, reason)
     for status, reason in REASONS.items()
 }
+TEXT = b"HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n"
 READY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
 
 # Of one hop only, or written anew for each attempt.
@@ -74,20 +78,13 @@
 )  # fmt: skip
 
 
-class BadRequest(Exception):
-    """The request gets this status and its connection is closed."""
-
-    def __init__(self, status: int) -> None:
-        self.status = status
-
-
 class Incoming:
     """A request as it is read; `head` is what each attempt starts with."""
 
     __slots__ = (
         "body", "chunked", "cls", "fields", "head", "hint", "keep_alive", "key", "label",
-        "length", "lines", "method", "probe", "received", "retried", "size", "tenant", "timeout",
-        "url",
+        "length", "lines", "method", "path", "policy", "probe", "received", "retried", "size",
+        "tenant", "timeout", "url",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -100,6 +97,8 @@
         self.length = 0
         self.chunked = False
         self.head = b""
+        self.path = b""  # without its query
+        self.policy: Policy | None = None  # its route's, where there is a routes file
         self.label = b""  # the id the client gave it
         self.keep_alive = True
         self.probe = False
@@ -166,7 +165,8 @@
             cause = err.__context__
             if not isinstance(cause, BadRequest):
                 self._server.node.log(f"reading a request: {cause!r}")
-            self._reject(cause.status if isinstance(cause, BadRequest) else 400)
+            bad = cause if isinstance(cause, BadRequest) else BadRequest(400)
+            self._reject(bad.status, bad.text)
             return
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._reject(400)
@@ -332,7 +332,7 @@
             self._since = self._server.sweeps
             self._server.idle[self] = None
 
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, text: bytes = b"") -> None:
         """Answer what can't be read as a request, and close."""
         self._parser = None
         request, self._request = self._request, None
@@ -340,7 +340,8 @@
             self._server.node.client_gone(request)
         transport = self._transport
         if transport is not None and not transport.is_closing():
-            transport.write(EMPTY[status] + b"Connection: close\r\n\r\n")
+            head = TEXT % (status, REASONS[status], len(text)) if text else EMPTY[status]
+            transport.write(head + b"Connection: close\r\n\r\n" + text)
             self._end()
 
     def _end(self) -> None:
@@ -640,28 +641,25 @@
     def read_head(self, incoming: Incoming) -> None:
         """Check a head and fill in what the module wants to know; BadRequest if it is unfit."""
         fields = incoming.fields
-        path = incoming.url.partition(b"?")[0]
+        path = incoming.path = incoming.url.partition(b"?")[0]
         incoming.chunked = b"transfer-encoding" in fields
         if incoming.chunked and b"content-length" in fields:
             raise BadRequest(400)  # one may hide a request from whoever goes by the other
         incoming.length = int(fields.get(b"content-length", b"0"))
-        parts = path.split(b"/")
         if path == b"/health/ready":
             incoming.probe = True
             if incoming.method != b"GET" or incoming.length or incoming.chunked:
                 raise BadRequest(400)
             return
-        cls = self._classes.get(parts[1]) if len(parts) > 1 and not parts[0] else None
-        if cls is None:
-            raise BadRequest(404)
+        if b"host" not in fields:
+            raise BadRequest(400)
+        cls = self._class_of(incoming)
         if incoming.method != self._methods[cls]:
             raise BadRequest(405)
         if incoming.method == b"GET" and (incoming.length or incoming.chunked):
             raise BadRequest(400)
-        if fields.get(b"x-priority-class", parts[1]) != parts[1]:
-            raise BadRequest(400)
         label = fields.get(b"x-request-id", b"")
-        if not 0 < len(label) <= MAX_ID or b"host" not in fields:
+        if not 0 < len(label) <= MAX_ID:
             raise BadRequest(400)
         incoming.label = label
         if self._tenants:
@@ -674,9 +672,24 @@
             raise BadRequest(400)
         incoming.cls = cls
         incoming.timeout = min(int(timeout) * MS, self._deadlines[cls])
+        parts = incoming.path.split(b"/")
         if len(parts) > 2 and parts[-1]:
             incoming.key = crc32(parts[-1]) or 1
         cost = fields.get(b"x-cost", b"")
         if cost.isdigit() and len(cost) <= 12:
             incoming.hint = int(cost) * 1000
         incoming.retried = fields.get(b"x-retried") == b"1"
+
+    def _class_of(self, incoming: Incoming) -> int:
+        """The class that a request falls under, by its route where there are routes."""
+        routing = self.node.routing
+        if routing is not None:
+            incoming.policy = routing.place(incoming)
+            return incoming.policy.number
+        parts = incoming.path.split(b"/", 2)
+        cls = self._classes.get(parts[1]) if len(parts) > 1 and not parts[0] else None
+        if cls is None:
+            raise BadRequest(404)
+        if incoming.fields.get(b"x-priority-class", parts[1]) != parts[1]:
+            raise BadRequest(400)
+        return cls
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -168,6 +168,7 @@
         attempt = self.attempt
         assert attempt is not None
         attempt.connection = self
+        attempt.connected = True
         r = attempt.request
         if r is None:
             head = b"GET /health/live HTTP/1.1\r\nHost: %s\r\n\r\n" % str(self.address).encode()
