Hold a route that is stricter than its class to its own effect, scope and window

Need: a file may say that a class repeats less freely than the settings; the module still went by the settings. Change: a request carries its effect, scope and window, the class's or its route's stricter word. Tests: a never route of a safe class is not repeated after it may have run and not called refused; a keyed one is repeated in its own window and zone only.

--- a/flinthatch/attempts.py
+++ b/flinthatch/attempts.py
@@ -190,6 +190,11 @@
         for budget in state.budgets:
             budget.arrived(now)
         r.ticket = Ticket(policy, state, state.budgets)
+        if policy.effect > r.effect:
+            r.effect = policy.effect
+        if policy.effect == Effect.TOKEN:
+            r.scope = max(r.scope, policy.scope)
+            r.window = min(r.window, policy.window) if r.window else policy.window
         if policy.timeout:
             r.give_up = min(r.give_up, now + policy.timeout)
         if policy.wanted:
@@ -271,7 +276,7 @@
     def _may_copy(self, r: Request) -> bool:
         balancer = self._balancer
         s = balancer.settings
-        granted = s.second_copies and s.can_cancel and r.cls.effect == Effect.PURE
+        granted = s.second_copies and s.can_cancel and r.effect == Effect.PURE
         return granted and not r.streaming and len(r.attempts) < balancer.most(r)
 
     def _copy(self, now: int, r: Request, ticket: Ticket) -> None:
--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -267,8 +267,8 @@
 
 class Request:
     __slots__ = (
-        "aim_at", "arrived", "attempts", "cls", "ended", "give_up", "hint", "id", "live",
-        "over", "queued", "ran", "streaming", "tenant", "ticket", "wait_by",
+        "aim_at", "arrived", "attempts", "cls", "effect", "ended", "give_up", "hint", "id", "live",
+        "over", "queued", "ran", "scope", "streaming", "tenant", "ticket", "wait_by", "window",
     )  # fmt: skip
 
     def __init__(self, rid: int, cls: ClassState, now: int, left: int, tenant: int) -> None:
@@ -288,6 +288,10 @@
         self.streaming = False
         self.hint = 0
         self.ticket: Ticket | None = None  # where a route's policy goes before what is usual
+        # What may be repeated: the class's word, or a route's stricter one.
+        self.effect = cls.effect
+        self.scope = cls.spec.scope
+        self.window = cls.spec.window
 
 
 class ClassState:
@@ -781,7 +785,7 @@
         """A further attempt goes elsewhere than the last where it can."""
         if not r.attempts:
             return backend
-        if r.ran is not None and r.cls.effect == Effect.TOKEN and r.cls.spec.scope != Scope.ALL:
+        if r.ran is not None and r.effect == Effect.TOKEN and r.scope != Scope.ALL:
             return self.in_group(r)
         for _ in range(CANDIDATES):
             if all(a.backend is not backend for a in r.attempts):
@@ -799,7 +803,7 @@
         """
         assert r.ran is not None
         first = r.ran.backend
-        zone = r.cls.spec.scope == Scope.ZONE
+        zone = r.scope == Scope.ZONE
         free = [
             b
             for b in self.backends.values()
@@ -820,7 +824,7 @@
         patient = True
         if r.ticket is not None and self.policies is not None:
             limit, patient = self.policies.sending(now, r, r.ticket, limit)
-        if patient and c.effect == Effect.PURE and len(r.attempts) + 1 < self.most(r):
+        if patient and r.effect == Effect.PURE and len(r.attempts) + 1 < self.most(r):
             patience = int(max(PATIENCE * c.lat, PATIENCE_PART * c.aim))
             if self.retry_credit >= 1.0:
                 limit = min(limit, patience)
@@ -899,23 +903,23 @@
         return 0 if late and not s.marks_retry else s.max_retry_after
 
     def may_refuse(self, r: Request) -> bool:
-        if r.cls.effect == Effect.PURE:
+        if r.effect == Effect.PURE:
             return True
         if r.live:
             return False
         if r.ran is None:
             return True
-        return r.cls.effect == Effect.TOKEN and r.cls.spec.scope == Scope.ALL
+        return r.effect == Effect.TOKEN and r.scope == Scope.ALL
 
     def may_resend(self, now: int, r: Request) -> bool:
         """Whether another attempt is allowed; in_group says where for keyed ones."""
         if r.live or len(r.attempts) >= self.most(r):
             return False
-        if r.ran is None or r.cls.effect == Effect.PURE:
+        if r.ran is None or r.effect == Effect.PURE:
             return True
-        if r.cls.effect == Effect.SIDE_EFFECT:
+        if r.effect == Effect.SIDE_EFFECT:
             return False
-        return now < r.ran.sent + r.cls.spec.window
+        return now < r.ran.sent + r.window
 
     # ---- outcomes -----------------------------------------------------
 
--- a/flinthatch/routefile.py
+++ b/flinthatch/routefile.py
@@ -772,6 +772,7 @@
         base, most = value("backoff", (0, 0))
         return Policy(
             name=name, cls=cls.name, number=cls.number, effect=effect,
+            scope=cls.scope, window=cls.window,
             wanted=value("wanted", 0), timeout=value("timeout", 0),
             attempt_timeout=value("attempt_timeout", 0), attempts=value("attempts", 0),
             retry_on=retry_on, backoff_base=base, backoff_most=most,
--- a/flinthatch/routes.py
+++ b/flinthatch/routes.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from flinthatch.balancer import Effect, Outcome
+from flinthatch.balancer import Effect, Outcome, Scope
 
 
 class Condition(StrEnum):
@@ -87,6 +87,8 @@
     cls: str
     number: int  # the class's place in the settings
     effect: Effect
+    scope: Scope = Scope.ALL  # of a keyed one, with its window
+    window: int = 0
     wanted: int = 0
     timeout: int = 0
     attempt_timeout: int = 0
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from flinthatch import Balancer, Effect, Outcome, RequestClass, Settings, State, Update
+from flinthatch import Balancer, Effect, Outcome, RequestClass, Scope, Settings, State, Update
 from flinthatch.attempts import Attempts, Budget, Latencies
 from flinthatch.balancer import TIMER_WAKE
 from flinthatch.routes import NEVER_RAN, BudgetSpec, Condition, CopySpec, Policy
@@ -136,6 +136,28 @@
     assert fleet.sends(1)[0][3] < fleet.sends(2)[0][3]
 
 
+def test_a_route_stricter_than_its_class_holds() -> None:
+    fleet = Fleet()
+    never = replace(SAFE, effect=Effect.SIDE_EFFECT, copy=COPY.copy)
+    fleet.ask(0, 1, never)
+    fleet.wake(60 * MS)
+    fleet.end(70 * MS, 1, 0, Outcome.RESET)
+    assert len(fleet.sends(1)) == 1
+    assert fleet.host.named("fail") == [("fail", 1)]  # it may have run: no refusal
+
+
+@pytest.mark.parametrize(("taken", "sends"), [(5 * MS, 2), (40 * MS, 1)])
+def test_a_keyed_route_is_repeated_within_its_own_window_and_zone(taken: int, sends: int) -> None:
+    settings = replace(SETTINGS, zones=2)
+    fleet = Fleet(0, settings=settings)
+    fleet.balancer.on_members(0, Update.FULL, [*rows(2, zone=0), *rows(6, zone=1, first=200)])
+    keyed = replace(SAFE, effect=Effect.TOKEN, scope=Scope.ZONE, window=30 * MS)
+    fleet.ask(0, 1, keyed)
+    fleet.end(taken, 1, 0, Outcome.RESET, taken)
+    assert len(fleet.sends(1)) == sends
+    assert len({send[2] // 100 for send in fleet.sends(1)}) == 1
+
+
 # ---- back-off ----------------------------------------------------------
 
 
