Serve decisions over xDS to Envoy-like proxies and gRPC's client, first part

Need: networks that keep their own proxies want our choices of servers, weights, bounds and routes. What a kind can't carry out withholds the service and is logged; with no server known nothing is sent.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -141,6 +141,18 @@
     rating: float = 1.0
 
 
+class ServerView(NamedTuple):
+    """What the Balancer holds of one backend, for whoever passes its decisions on."""
+
+    backend: int
+    zone: int
+    state: State
+    cap: int  # requests in flight that this node allows
+    warmth: float  # part of its capacity, 1.0 once warm
+    latency: float  # against the fleet's
+    down: bool  # left alone as silent or unreachable
+
+
 @dataclass(frozen=True, slots=True)
 class RequestClass:
     name: str
@@ -1135,6 +1147,18 @@
     ) -> None:
         self.now = now
 
+    def view(self, now: int) -> list[ServerView]:
+        """All listed backends in the order of their ids: a reading, it changes nothing."""
+        self.now = now
+        return [
+            ServerView(
+                b.id, b.zone, b.state, b.cap,
+                self.warmth(b) if b.cold_until > now else 1.0, b.lat, b.down_until > now,
+            )
+            for b in sorted(self.backends.values(), key=lambda b: b.id)
+            if b.state != State.GONE
+        ]  # fmt: skip
+
     # ---- time ---------------------------------------------------------
 
     def on_timer(self, now: int, token: int) -> None:
--- a/flinthatch/picture.py
+++ b/flinthatch/picture.py
@@ -191,15 +191,26 @@
 class Session:
     """One stream of one proxy: at most one message of a kind is under way."""
 
-    __slots__ = ("_count", "_history", "_incremental", "_picture", "_resumed", "_subs", "refusals")
+    __slots__ = (
+        "_count",
+        "_history",
+        "_incremental",
+        "_known",
+        "_picture",
+        "_resumed",
+        "_subs",
+        "refusals",
+    )
 
     def __init__(
-        self, incremental: bool, now: Picture = EMPTY, history: History | None = None
+        self, incremental: bool, now: Picture | None = None, history: History | None = None
     ) -> None:
+        # None: nothing is known yet. An empty picture would take away what the proxy has.
+        self._known = now is not None
         self._incremental = incremental
         self._history = history or History()
         self._resumed = False  # it held clusters before, and has not told of its routes yet
-        self._picture = now
+        self._picture = now or EMPTY
         self._subs: dict[Kind, _Subscription] = {}
         self._count = 0
         self.refusals: dict[Kind, Refusal] = {}
@@ -209,6 +220,7 @@
     def update(self, newer: Picture) -> list[Reply]:
         """A newer picture replaces whatever was still to be sent of an older one."""
         self._picture = newer
+        self._known = True
         return self._due()
 
     def request(self, r: Request) -> list[Reply]:
@@ -317,7 +329,7 @@
 
     def _due(self) -> list[Reply]:
         out = []
-        for kind in Kind:
+        for kind in Kind if self._known else ():
             sub = self._subs.get(kind)
             if sub is not None and sub.sent is None:
                 reply = self._next(kind, sub)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -53,6 +53,13 @@
             connection.close()
         return json.loads(answer) if answer else None
 
+    def say(self, line: str) -> str:
+        """A line to its standard input; the line it answers with."""
+        assert self.popen.stdin is not None and self.popen.stdout is not None
+        self.popen.stdin.write(line + "\n")
+        self.popen.stdin.flush()
+        return self.popen.stdout.readline()
+
     def cpu(self) -> float:
         """CPU seconds that all its threads have run so far, to the nanosecond."""
         tasks = Path(f"/proc/{self.popen.pid}/task").glob("*/schedstat")
@@ -66,6 +73,7 @@
         [sys.executable, "-B", *words],
         cwd=ROOT,
         env=os.environ | (environ or {}),
+        stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
         text=True,
--- a/tests/test_routefile.py
+++ b/tests/test_routefile.py
@@ -331,9 +331,11 @@
     assert main([str(tmp_path / "none.toml")], out) == 2
 
 
-def test_the_example_that_is_delivered_is_good() -> None:
-    result = check_file(str(ROOT / "deploy" / "routes.toml"), None)
+@pytest.mark.parametrize("name", ["routes.toml", "control.toml"])
+def test_the_examples_that_are_delivered_are_good(name: str) -> None:
+    result = check_file(str(ROOT / "deploy" / name), None)
     assert not result.faults and not result.warnings
+    assert main([str(ROOT / "deploy" / name)], io.StringIO()) == 0
 
 
 def test_lines_are_kept_through_every_way_of_writing_a_key() -> None:
--- a/windrelay/operator/check.py
+++ b/windrelay/operator/check.py
@@ -23,6 +23,10 @@
         raw, lines = read(path)
     except FileError as err:
         return Result(None, [Fault(err.line, err.rule, err.wrong, err.right)], [])
+    if "service" not in raw and "listen" in raw:
+        from windrelay.xds.file import decode as decode_control
+
+        return Result(None, decode_control(raw, lines)[1], [])
     return decode(raw, lines, settings)
 
 
@@ -98,6 +102,7 @@
             for one in result.explained:
                 print(explain(one), file=out)
         if not result.faults:
-            routes = sum(len(s.routes) for s in result.table.services) if result.table else 0
-            print(f"{path}: good, {routes} routes", file=out)
+            table = result.table
+            routes = f", {sum(len(s.routes) for s in table.services)} routes" if table else ""
+            print(f"{path}: good{routes}", file=out)
     return 2 if faults else 0
--- a/windrelay/operator/cli.py
+++ b/windrelay/operator/cli.py
@@ -7,6 +7,7 @@
 
 USAGE = """usage: python -m windrelay                the node, configured by PROXY_CONFIG
        python -m windrelay check FILE...  check files under deploy/ (--help for more)
+       python -m windrelay control FILE   hand the decisions to other proxies over xDS
        python -m windrelay demo           a node, stand-ins and a short load, no set-up"""
 
 
@@ -21,5 +22,9 @@
         from windrelay.operator.demo import main as demo
 
         return demo(rest)
+    if name == "control" and len(rest) == 1:
+        from windrelay.xds.control import main as control
+
+        return control(rest[0])
     print(USAGE, file=sys.stdout if name in ("-h", "--help") else sys.stderr)
     return 0 if name in ("-h", "--help") else 2
--- /dev/null
+++ b/windrelay/xds/server.py
@@ -0,0 +1,199 @@
+"""The aggregated discovery service over grpc.aio: sessions to streams and back."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Mapping
+from typing import Any
+
+import grpc
+from envoy.service.discovery.v3 import discovery_pb2
+
+from flinthatch.picture import History, Picture, Reply, Request, Session, SubscriptionError
+from flinthatch.snapshot import ProxyKind
+from windrelay.xds.encode import KINDS, TYPES
+
+SERVICE = "envoy.service.discovery.v3.AggregatedDiscoveryService"
+MAX_STREAMS = 2000
+MAX_REQUEST = 4 << 20  # bytes
+REQUESTS = 200  # a second and stream; a proxy that asks for everything sends some ten
+PAST_S = 5.0  # for a proxy that comes back to tell of its routes
+
+Group = tuple[ProxyKind, str]  # kind and zone
+
+
+class Stream:
+    """One proxy's stream: its session and what is still to be written."""
+
+    def __init__(self, node: str, group: Group, session: Session) -> None:
+        self.node = node
+        self.group = group
+        self.session = session
+        # At most one message of a kind: a newer one waits for the older's answer.
+        self.unsent: list[Reply] = []
+        self.ready = asyncio.Event()
+
+    def put(self, replies: list[Reply]) -> None:
+        if replies:
+            self.unsent += replies
+            self.ready.set()
+
+
+class Streams:
+    """All streams, and the picture that each group of proxies is to hold."""
+
+    def __init__(
+        self,
+        log: Callable[[str], None],
+        changed: Callable[[], None],
+        build: Callable[[Group], Picture | None],
+    ) -> None:
+        self.streams: set[Stream] = set()
+        self._build = build  # for a group that has no picture yet; None while nothing is known
+        self.pictures: dict[Group, Picture] = {}
+        self._histories: dict[Group, History] = {}
+        self._log = log
+        self._changed = changed  # a proxy has come or gone
+
+    def publish(self, pictures: Mapping[Group, Picture]) -> None:
+        """Hand out new pictures; a proxy whose resources are the same is sent nothing."""
+        self.pictures = dict(pictures)
+        for stream in self.streams:
+            if stream.group in self.pictures:
+                stream.put(stream.session.update(self.pictures[stream.group]))
+
+    def groups(self) -> dict[Group, int]:
+        """How many proxies are present, by group."""
+        out: dict[Group, int] = {}
+        for stream in self.streams:
+            out[stream.group] = out.get(stream.group, 0) + 1
+        return out
+
+    def handlers(self) -> Any:
+        """The two methods, for grpc.aio's server."""
+
+        async def whole(requests: AsyncIterator[Any], context: Any) -> None:
+            await self._serve(requests, context, False)
+
+        async def incremental(requests: AsyncIterator[Any], context: Any) -> None:
+            await self._serve(requests, context, True)
+
+        methods = {
+            "StreamAggregatedResources": grpc.stream_stream_rpc_method_handler(
+                whole,
+                discovery_pb2.DiscoveryRequest.FromString,
+                discovery_pb2.DiscoveryResponse.SerializeToString,
+            ),
+            "DeltaAggregatedResources": grpc.stream_stream_rpc_method_handler(
+                incremental,
+                discovery_pb2.DeltaDiscoveryRequest.FromString,
+                discovery_pb2.DeltaDiscoveryResponse.SerializeToString,
+            ),
+        }
+        return grpc.method_handlers_generic_handler(SERVICE, methods)
+
+    async def _serve(self, requests: AsyncIterator[Any], context: Any, delta: bool) -> None:
+        if len(self.streams) >= MAX_STREAMS:
+            await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, "too many streams")
+        first = await anext(aiter(requests), None)
+        if first is None:
+            return
+        group = _group(first.node)
+        if group is None:
+            text = "the node's user_agent_name is neither envoy nor gRPC's"
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, text)
+            return
+        history = self._histories.setdefault(group, History())
+        picture = self.pictures.get(group) or self._build(group)
+        session = Session(delta, picture, history)
+        stream = Stream(first.node.id, group, session)
+        self.streams.add(stream)
+        self._log(f"proxy {stream.node}: connected, {group[0]} in zone {group[1] or '-'}")
+        self._changed()
+        writer = asyncio.create_task(self._write(stream, context, delta))
+        loop = asyncio.get_running_loop()
+        past = loop.call_later(PAST_S, lambda: stream.put(session.forget_past()))
+        try:
+            await self._read(stream, first, requests, context, delta)
+        finally:
+            past.cancel()
+            writer.cancel()
+            self.streams.discard(stream)
+            self._log(f"proxy {stream.node}: gone")
+            self._changed()
+
+    async def _read(
+        self, stream: Stream, first: Any, requests: AsyncIterator[Any], context: Any, delta: bool
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        second, count = int(loop.time()), 0
+        message = first
+        while message is not None:
+            now = int(loop.time())
+            second, count = (second, count + 1) if now == second else (now, 1)
+            if count > REQUESTS:
+                text = f"over {REQUESTS} requests a second"
+                await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, text)
+            kind = KINDS.get(message.type_url)
+            if kind is None:
+                text = f"no resources of type {message.type_url[:200]!r} here"
+                await context.abort(grpc.StatusCode.INVALID_ARGUMENT, text)
+                return
+            request = _read_delta(kind, message) if delta else _read_whole(kind, message)
+            try:
+                stream.put(stream.session.request(request))
+            except SubscriptionError as err:
+                await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(err))
+            if request.error:
+                words = request.error[:500]
+                self._log(f"proxy {stream.node}: refused {kind.name.lower()}: {words}")
+            message = await anext(aiter(requests), None)
+
+    async def _write(self, stream: Stream, context: Any, delta: bool) -> None:
+        while True:
+            await stream.ready.wait()
+            stream.ready.clear()
+            while stream.unsent:
+                reply = stream.unsent.pop(0)
+                await context.write(_delta(reply) if delta else _whole(reply))
+
+
+def _group(node: Any) -> Group | None:
+    agent = node.user_agent_name.lower()
+    kind = ProxyKind.GRPC if agent.startswith("grpc") else ProxyKind.ENVOY
+    if kind is ProxyKind.ENVOY and not agent.startswith("envoy"):
+        return None
+    return kind, node.locality.zone
+
+
+def _read_whole(kind: Any, m: Any) -> Request:
+    error = m.error_detail.message or "refused" if m.HasField("error_detail") else ""
+    return Request(kind, tuple(m.resource_names), (), m.response_nonce, error, m.version_info)
+
+
+def _read_delta(kind: Any, m: Any) -> Request:
+    error = m.error_detail.message or "refused" if m.HasField("error_detail") else ""
+    return Request(
+        kind, tuple(m.resource_names_subscribe), tuple(m.resource_names_unsubscribe),
+        m.response_nonce, error, held=dict(m.initial_resource_versions),
+    )  # fmt: skip
+
+
+def _whole(reply: Reply) -> Any:
+    out = discovery_pb2.DiscoveryResponse(
+        version_info=reply.version, type_url=TYPES[reply.kind], nonce=reply.nonce
+    )
+    for r in reply.resources:
+        out.resources.add().MergeFromString(r.body)
+    return out
+
+
+def _delta(reply: Reply) -> Any:
+    out = discovery_pb2.DeltaDiscoveryResponse(
+        system_version_info=reply.version, type_url=TYPES[reply.kind], nonce=reply.nonce,
+        removed_resources=reply.removed,
+    )  # fmt: skip
+    for r in reply.resources:
+        row = out.resources.add(name=r.name, version=r.version)
+        row.resource.MergeFromString(r.body)
+    return out
