Trim what a policy costs a request; client status and streams by type over xDS

Change: budgets count arrivals and fill when asked, a route's patience is worked out once, attempts of routes without copies skip the copies' part, a target is seen to be canonical by one expression. The control service answers CSDS and serves each type on a stream of its own where a proxy asks so.

--- a/flinthatch/attempts.py
+++ b/flinthatch/attempts.py
@@ -42,24 +42,18 @@
     saved up in good times is no burst of retries in bad ones.
     """
 
-    __slots__ = ("active", "at", "spec", "tokens")
+    __slots__ = ("active", "arrivals", "at", "spec", "tokens")
 
     def __init__(self, spec: BudgetSpec, now: int) -> None:
         self.spec = spec
-        self.active = 0
+        self.active = 0  # counted by the host of the budget, up and down
+        self.arrivals = 0  # since the last look: what comes is only counted, for speed
         self.at = now
         self.tokens = spec.floor
 
-    def arrived(self, now: int) -> None:
-        self.active += 1
-        self._fill(now, self.spec.part)
-
-    def ended(self) -> None:
-        self.active -= 1
-
     def take(self, now: int) -> bool:
         """Whether one further attempt may go; if so it is paid for."""
-        self._fill(now, 0.0)
+        self._fill(now)
         if self.tokens < 1.0:
             return False
         self.tokens -= 1.0
@@ -68,14 +62,11 @@
     def give_back(self) -> None:
         self.tokens += 1.0
 
-    def _fill(self, now: int, more: float) -> None:
-        # Once a request for every budget it counts in: written for speed.
+    def _fill(self, now: int) -> None:
         part, floor = self.spec.part, self.spec.floor
-        most = floor + part * self.active
-        grown = self.tokens + more + floor * (now - self.at) / SECOND
-        if grown > most:
-            grown = most if most > 1.0 else min(grown, 1.0)
-        self.tokens = grown
+        grown = self.tokens + part * self.arrivals + floor * (now - self.at) / SECOND
+        self.tokens = min(grown, max(floor + part * self.active, 1.0))
+        self.arrivals = 0
         self.at = now
 
 
@@ -119,7 +110,7 @@
 class RouteState:
     """What is counted for one route and class, however often its policy is replaced."""
 
-    __slots__ = ("budget", "budgets", "copies", "latencies", "node", "policy")
+    __slots__ = ("budget", "budgets", "copies", "latencies", "node", "patient", "policy")
 
     def __init__(self, policy: Policy, node: Budget, now: int) -> None:
         self.node = node
@@ -131,6 +122,9 @@
     def follow(self, policy: Policy, now: int) -> None:
         """Take a policy's figures over; what is counted stays."""
         self.policy = policy
+        # Ended early, a request whose time-outs are not tried again would only be lost.
+        retried = policy.retry_on is None or Condition.TIMEOUT in policy.retry_on
+        self.patient = retried and not policy.attempt_timeout
         if policy.budget is None:
             self.budget = None
         elif self.budget is None:
@@ -188,7 +182,8 @@
             most = max(COPY_BURST, policy.copy.most * self.node.active)
             state.copies = min(state.copies + policy.copy.most, most)
         for budget in state.budgets:
-            budget.arrived(now)
+            budget.active += 1
+            budget.arrivals += 1
         r.ticket = Ticket(policy, state, state.budgets)
         if policy.effect > r.effect:
             r.effect = policy.effect
@@ -204,18 +199,17 @@
         """An attempt goes out: its time, and whether the usual patience holds for it.
 
         Patience does not where the route says how long an attempt may take, nor
-        where time-outs are not tried again: ended early, such a request would
-        only be lost.
+        where time-outs are not tried again.
         """
         policy = ticket.policy
-        limit = min(limit, policy.attempt_timeout or limit)
+        if policy.attempt_timeout and policy.attempt_timeout < limit:
+            limit = policy.attempt_timeout
         if policy.copy is not None and not r.attempts and self._may_copy(r):
             after = policy.copy.after or ticket.state.latencies.at(policy.copy.percentile)
             if 0 < after < limit:
                 ticket.due = now + after
                 self._balancer.remind(ticket.due, r)
-        patient = policy.retry_on is None or Condition.TIMEOUT in policy.retry_on
-        return limit, patient and not policy.attempt_timeout
+        return limit, ticket.state.patient
 
     def attempt_ended(
         self, now: int, r: Request, ticket: Ticket, number: int, outcome: int, taken: int
@@ -269,7 +263,7 @@
     def ended(self, ticket: Ticket) -> None:
         """Its final answer is given, or its client gone; once a request."""
         for budget in ticket.budgets:
-            budget.ended()
+            budget.active -= 1
 
     # ---- parts ---------------------------------------------------------
 
--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -972,7 +972,7 @@
             r.ran = a
         if done or outcome == OK:
             self.end(r)
-        if r.ticket is not None and self.policies is not None:
+        if r.ticket is not None and r.ticket.policy.copy and self.policies is not None:
             self.policies.attempt_ended(now, r, r.ticket, attempt, outcome, taken)
         if r.ended:
             if not r.live:
--- a/flinthatch/picture.py
+++ b/flinthatch/picture.py
@@ -132,6 +132,26 @@
 Held = dict[str, Resource | None]  # None: known not to be there
 
 
+class Standing(IntEnum):
+    """How one resource stands at one proxy."""
+
+    ABSENT = 0  # asked for and not there
+    SENT = 1  # on its way, or waiting for what it depends on
+    ACCEPTED = 2
+    REFUSED = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Status:
+    """One resource at one proxy: the version in question, and the proxy's words if refused."""
+
+    kind: Kind
+    name: str
+    version: str
+    standing: Standing
+    words: str = ""
+
+
 class _Subscription:
     """One kind on one stream."""
 
@@ -263,6 +283,27 @@
         sub = self._subs.get(kind)
         return {} if sub is None else {n: r.version for n, r in sub.held.items() if r is not None}
 
+    def status(self) -> list[Status]:
+        """Every resource that concerns this proxy, by kind and name."""
+        out = []
+        for kind, sub in sorted(self._subs.items()):
+            rows = self._picture.of(kind)
+            for name in sorted({*sub.asked, *sub.held, *(rows if sub.wildcard else ())}):
+                out.append(self._status(kind, sub, name, rows.get(name)))
+        return out
+
+    def _status(self, kind: Kind, sub: _Subscription, name: str, r: Resource | None) -> Status:
+        held = sub.held.get(name)
+        if r is None:
+            standing = Standing.ABSENT if held is None else Standing.SENT
+            return Status(kind, name, held.version if held is not None else "", standing)
+        if held == r:
+            return Status(kind, name, r.version, Standing.ACCEPTED)
+        refusal = self.refusals.get(kind)
+        if refusal is not None and sub.refused.get(name) == r.version:
+            return Status(kind, name, r.version, Standing.REFUSED, refusal.words)
+        return Status(kind, name, r.version, Standing.SENT)
+
     def _before(self, r: Request) -> Held:
         """What a proxy that comes back holds, by the one version it tells.
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -259,13 +259,11 @@
 
 def test_a_budget_never_holds_more_than_its_part_of_the_active_and_the_floor() -> None:
     budget = Budget(BudgetSpec(0.5, 2.0), 0)
-    for _ in range(100):
-        budget.arrived(0)
-        budget.ended()
+    budget.arrivals += 100  # come and gone
     assert [budget.take(0) for _ in range(3)] == [True, True, False]
     assert budget.take(SECOND) and budget.take(SECOND) and not budget.take(SECOND)
-    for _ in range(10):
-        budget.arrived(SECOND)
+    budget.active += 10
+    budget.arrivals += 10
     assert sum(budget.take(SECOND) for _ in range(20)) == 5
 
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -14,13 +14,15 @@
 
 import grpc
 import pytest
+from envoy.admin.v3.config_dump_shared_pb2 import ClientResourceStatus
 from envoy.service.discovery.v3 import discovery_pb2
+from envoy.service.status.v3 import csds_pb2
 
 from flinthatch.picture import Kind
 from standins.fleet import Process, started
 from windrelay.xds.encode import TYPES
 from windrelay.xds.file import ControlError, read_file
-from windrelay.xds.server import SERVICE
+from windrelay.xds.server import SEPARATE, SERVICE, STATUS_SERVICE
 
 from .harness import LIMIT, ROOT, SETTINGS, roster, target, until
 
@@ -173,11 +175,13 @@
 class Raw:
     """A stream driven by hand, of either variant."""
 
-    def __init__(self, address: str, incremental: bool, agent: str = "envoy") -> None:
+    def __init__(
+        self, address: str, incremental: bool, agent: str = "envoy", method: str = ""
+    ) -> None:
         self.channel = grpc.insecure_channel(address)
         name = "DeltaAggregatedResources" if incremental else "StreamAggregatedResources"
-        method = self.channel.stream_stream(
-            f"/{SERVICE}/{name}",
+        stream = self.channel.stream_stream(
+            f"/{method or f'{SERVICE}/{name}'}",
             lambda m: m.SerializeToString(),
             (discovery_pb2.DeltaDiscoveryResponse if incremental
              else discovery_pb2.DiscoveryResponse).FromString,
@@ -188,7 +192,7 @@
         self.agent = agent
         self.first = True
         self._more: Queue[Any] = Queue()
-        self.answers = method(iter(self._more.get, None), timeout=LIMIT)
+        self.answers = stream(iter(self._more.get, None), timeout=LIMIT)
 
     def ask(self, type_url: str, **fields: Any) -> None:
         message = self.kind(type_url=type_url, **fields)
@@ -298,6 +302,71 @@
             assert answer.resources[0].value.count(b"127.0.0.1") == 1
 
 
+def status(process: Process) -> dict[tuple[str, str], Any]:
+    """What CSDS says, by proxy and resource."""
+    with grpc.insecure_channel(process.address) as channel:
+        fetch = channel.unary_unary(
+            f"/{STATUS_SERVICE}/FetchClientStatus",
+            csds_pb2.ClientStatusRequest.SerializeToString,
+            csds_pb2.ClientStatusResponse.FromString,
+        )
+        answer = fetch(csds_pb2.ClientStatusRequest(), timeout=LIMIT)
+    return {
+        (config.node.id, row.type_url): row
+        for config in answer.config
+        for row in config.generic_xds_configs
+    }
+
+
+@pytest.mark.parametrize("incremental", [False, True])
+def test_client_status_tells_what_was_refused_in_the_proxys_own_words(
+    tmp_path: Path, incremental: bool
+) -> None:
+    known = roster(target("s-1", 9001))
+    with control(tmp_path, known) as service, raw(service, incremental) as stream:
+        stream.ask(TYPES[Kind.CLUSTER])
+        cluster = stream.next()
+        row = status(service)["p1", TYPES[Kind.CLUSTER]]
+        assert (row.name, row.client_status) == ("topup", ClientResourceStatus.REQUESTED)
+        stream.ask(TYPES[Kind.CLUSTER], response_nonce=cluster.nonce)
+        stream.ask(TYPES[Kind.LISTENER])
+        listener = stream.next()
+        stream.ask(
+            TYPES[Kind.LISTENER], response_nonce=listener.nonce,
+            error_detail={"code": 3, "message": "port taken"},
+        )  # fmt: skip
+
+        def refused() -> bool:
+            row = status(service)["p1", TYPES[Kind.LISTENER]]
+            return bool(row.client_status == ClientResourceStatus.NACKED)
+
+        until(refused)
+        rows = status(service)
+        assert rows["p1", TYPES[Kind.LISTENER]].error_state.details == "port taken"
+        assert rows["p1", TYPES[Kind.CLUSTER]].client_status == ClientResourceStatus.ACKED
+
+
+@pytest.mark.parametrize("kind", list(Kind))
+@pytest.mark.parametrize("incremental", [False, True])
+def test_a_type_has_a_stream_of_its_own_where_a_proxy_asks_so(
+    tmp_path: Path, kind: Kind, incremental: bool
+) -> None:
+    names = {Kind.ENDPOINTS: ["topup"], Kind.ROUTES: ["wharfspread"]}.get(kind, [])
+    key = "resource_names_subscribe" if incremental else "resource_names"
+    service_name, plural = SEPARATE[kind]
+    with control(tmp_path, roster(target("s-1", 9001))) as service:
+        method = f"envoy.service.{service_name}/{'Delta' if incremental else 'Stream'}{plural}"
+        stream = Raw(service.address, incremental, method=method)
+        try:
+            stream.ask("", **{key: names})
+            answer = stream.next()
+            assert answer.type_url == TYPES[kind] and len(answer.resources) == 1
+            stream.ask(TYPES[Kind((kind + 1) % 4)])
+            assert stream.ends() is grpc.StatusCode.INVALID_ARGUMENT
+        finally:
+            stream.close()
+
+
 # ---- the file ----------------------------------------------------------
 
 
--- a/tests/test_picture.py
+++ b/tests/test_picture.py
@@ -16,6 +16,7 @@
     Reply,
     Request,
     Session,
+    Standing,
     SubscriptionError,
     picture,
     resource,
@@ -212,6 +213,27 @@
     assert "r" in proxy.has[Kind.ROUTES] and not proxy.session.refusals
 
 
+def test_each_resource_stands_as_the_proxy_last_said() -> None:
+    proxy = Proxy(True, True, shape({"a": 1, "b": 1}))
+    assert {s.standing for s in proxy.session.status()} == {Standing.SENT}
+    while proxy.queue:
+        proxy.take()
+    assert {s.standing for s in proxy.session.status()} == {Standing.ACCEPTED}
+    now = shape({"a": 1, "b": 2})
+    proxy.queue += proxy.session.update(now)
+    while proxy.queue:
+        proxy.take(refuse=proxy.queue[0].kind is Kind.CLUSTER)
+    rows = {(s.kind, s.name): s for s in proxy.session.status()}
+    bad = rows.pop((Kind.CLUSTER, "c-b"))
+    assert (bad.standing, bad.words) == (Standing.REFUSED, "not to my taste")
+    assert bad.version == now.of(Kind.CLUSTER)["c-b"].version
+    assert {s.standing for s in rows.values()} == {Standing.ACCEPTED}
+    proxy.ask(Kind.ENDPOINTS, {*proxy.asked[Kind.ENDPOINTS], "e-x"})
+    assert proxy.queue[0].removed == ("e-x",)
+    row = next(s for s in proxy.session.status() if s.name == "e-x")
+    assert row.standing is Standing.ABSENT
+
+
 def test_of_three_changed_resources_only_the_bad_one_is_left_out() -> None:
     proxy = Proxy(True, True, shape({"a": 1, "b": 1, "c": 1}))
     while proxy.queue:
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -672,9 +672,9 @@
             raise BadRequest(400)
         incoming.cls = cls
         incoming.timeout = min(int(timeout) * MS, self._deadlines[cls])
-        parts = incoming.path.split(b"/")
-        if len(parts) > 2 and parts[-1]:
-            incoming.key = crc32(parts[-1]) or 1
+        head, _, last = incoming.path.rpartition(b"/")
+        if head and last:
+            incoming.key = crc32(last) or 1
         cost = fields.get(b"x-cost", b"")
         if cost.isdigit() and len(cost) <= 12:
             incoming.hint = int(cost) * 1000
--- a/windrelay/xds/control.py
+++ b/windrelay/xds/control.py
@@ -134,7 +134,7 @@
             ("grpc.so_reuseport", 0),
         ]
     )
-    server.add_generic_rpc_handlers((control.streams.handlers(),))
+    server.add_generic_rpc_handlers(control.streams.handlers())
     port = server.add_insecure_port(str(control.file.listen))
     control.start()
     await server.start()
--- a/windrelay/xds/server.py
+++ b/windrelay/xds/server.py
@@ -8,12 +8,36 @@
 
 import grpc
 from envoy.service.discovery.v3 import discovery_pb2
-
-from flinthatch.picture import History, Picture, Reply, Request, Session, SubscriptionError
+from envoy.service.status.v3 import csds_pb2
+
+from flinthatch.picture import (
+    History,
+    Kind,
+    Picture,
+    Reply,
+    Request,
+    Session,
+    Standing,
+    SubscriptionError,
+)
 from flinthatch.snapshot import ProxyKind
 from windrelay.xds.encode import KINDS, TYPES
 
 SERVICE = "envoy.service.discovery.v3.AggregatedDiscoveryService"
+STATUS_SERVICE = "envoy.service.status.v3.ClientStatusDiscoveryService"
+SEPARATE = {
+    Kind.CLUSTER: ("cluster.v3.ClusterDiscoveryService", "Clusters"),
+    Kind.ENDPOINTS: ("endpoint.v3.EndpointDiscoveryService", "Endpoints"),
+    Kind.LISTENER: ("listener.v3.ListenerDiscoveryService", "Listeners"),
+    Kind.ROUTES: ("route.v3.RouteDiscoveryService", "Routes"),
+}
+STANDINGS = {
+    Standing.ABSENT: "DOES_NOT_EXIST",
+    Standing.SENT: "REQUESTED",
+    Standing.ACCEPTED: "ACKED",
+    Standing.REFUSED: "NACKED",
+}
+MAX_WORDS = 500  # of a refusal, kept for the operator
 MAX_STREAMS = 2000
 MAX_REQUEST = 4 << 20  # bytes
 REQUESTS = 200  # a second and stream; a proxy that asks for everything sends some ten
@@ -69,30 +93,68 @@
             out[stream.group] = out.get(stream.group, 0) + 1
         return out
 
-    def handlers(self) -> Any:
-        """The two methods, for grpc.aio's server."""
+    def handlers(self) -> tuple[Any, ...]:
+        """For grpc.aio's server: the aggregated service, one for each type, and client status."""
+        by_type = (
+            self._discovery(f"envoy.service.{name}", plural, kind)
+            for kind, (name, plural) in SEPARATE.items()
+        )
+        status = grpc.unary_unary_rpc_method_handler(
+            self._fetch_status,
+            csds_pb2.ClientStatusRequest.FromString,
+            csds_pb2.ClientStatusResponse.SerializeToString,
+        )
+        return (
+            self._discovery(SERVICE, "AggregatedResources", None),
+            *by_type,
+            grpc.method_handlers_generic_handler(STATUS_SERVICE, {"FetchClientStatus": status}),
+        )
+
+    def _discovery(self, service: str, plural: str, only: Kind | None) -> Any:
+        """Both variants of a discovery service, for one type of resource or for all."""
 
         async def whole(requests: AsyncIterator[Any], context: Any) -> None:
-            await self._serve(requests, context, False)
+            await self._serve(requests, context, False, only)
 
         async def incremental(requests: AsyncIterator[Any], context: Any) -> None:
-            await self._serve(requests, context, True)
+            await self._serve(requests, context, True, only)
 
         methods = {
-            "StreamAggregatedResources": grpc.stream_stream_rpc_method_handler(
+            f"Stream{plural}": grpc.stream_stream_rpc_method_handler(
                 whole,
                 discovery_pb2.DiscoveryRequest.FromString,
                 discovery_pb2.DiscoveryResponse.SerializeToString,
             ),
-            "DeltaAggregatedResources": grpc.stream_stream_rpc_method_handler(
+            f"Delta{plural}": grpc.stream_stream_rpc_method_handler(
                 incremental,
                 discovery_pb2.DeltaDiscoveryRequest.FromString,
                 discovery_pb2.DeltaDiscoveryResponse.SerializeToString,
             ),
         }
-        return grpc.method_handlers_generic_handler(SERVICE, methods)
+        return grpc.method_handlers_generic_handler(service, methods)
+
+    async def _fetch_status(self, _request: Any, _context: Any) -> Any:
+        """Each proxy's resources: sent, accepted, or refused in its own words."""
+        out = csds_pb2.ClientStatusResponse()
+        for stream in sorted(self.streams, key=lambda s: s.node):
+            config = out.config.add()
+            config.node.id = stream.node
+            config.node.locality.zone = stream.group[1]
+            for s in stream.session.status():
+                row = config.generic_xds_configs.add(
+                    type_url=TYPES[s.kind],
+                    name=s.name,
+                    version_info=s.version,
+                    client_status=STANDINGS[s.standing],
+                )
+                if s.words:
+                    row.error_state.details = s.words[:MAX_WORDS]
+                    row.error_state.version_info = s.version
+        return out
 
-    async def _serve(self, requests: AsyncIterator[Any], context: Any, delta: bool) -> None:
+    async def _serve(
+        self, requests: AsyncIterator[Any], context: Any, delta: bool, only: Kind | None
+    ) -> None:
         if len(self.streams) >= MAX_STREAMS:
             await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, "too many streams")
         first = await anext(aiter(requests), None)
@@ -114,7 +176,7 @@
         loop = asyncio.get_running_loop()
         past = loop.call_later(PAST_S, lambda: stream.put(session.forget_past()))
         try:
-            await self._read(stream, first, requests, context, delta)
+            await self._read(stream, first, requests, context, delta, only)
         finally:
             past.cancel()
             writer.cancel()
@@ -123,7 +185,13 @@
             self._changed()
 
     async def _read(
-        self, stream: Stream, first: Any, requests: AsyncIterator[Any], context: Any, delta: bool
+        self,
+        stream: Stream,
+        first: Any,
+        requests: AsyncIterator[Any],
+        context: Any,
+        delta: bool,
+        only: Kind | None,
     ) -> None:
         loop = asyncio.get_running_loop()
         second, count = int(loop.time()), 0
@@ -134,8 +202,9 @@
             if count > REQUESTS:
                 text = f"over {REQUESTS} requests a second"
                 await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, text)
-            kind = KINDS.get(message.type_url)
-            if kind is None:
+            # A stream for one type need not name it.
+            kind = KINDS.get(message.type_url) if message.type_url or only is None else only
+            if kind is None or only not in (None, kind):
                 text = f"no resources of type {message.type_url[:200]!r} here"
                 await context.abort(grpc.StatusCode.INVALID_ARGUMENT, text)
                 return
@@ -145,7 +214,7 @@
             except SubscriptionError as err:
                 await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(err))
             if request.error:
-                words = request.error[:500]
+                words = request.error[:MAX_WORDS]
                 self._log(f"proxy {stream.node}: refused {kind.name.lower()}: {words}")
             message = await anext(aiter(requests), None)
 
