Drop a check that could not fail, and test a request that names another class

Whoever waits has been offered every free slot before a second copy looks for one, so asking for waiters again could not matter: removed. A GET under balance's path that names credit had no test of its own: added, seen to fail without its code.

--- a/flinthatch/attempts.py
+++ b/flinthatch/attempts.py
@@ -274,10 +274,13 @@
         return granted and not r.streaming and len(r.attempts) < balancer.most(r)
 
     def _copy(self, now: int, r: Request, ticket: Ticket) -> None:
-        """To another backend that has a free slot nobody waits for, within the route's part."""
+        """To another backend with a free slot, within the route's part.
+
+        Whoever waits has been offered every free slot before: a copy takes none from them.
+        """
         balancer = self._balancer
         state = ticket.state
-        if state.copies < 1.0 or balancer.waiting or balancer.running >= balancer.total:
+        if state.copies < 1.0 or balancer.running >= balancer.total:
             return
         backend = balancer.pick(now)
         if backend is not None:
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -288,6 +288,9 @@
         assert ask(n, "balance", Host="")[0].startswith("HTTP/1.1 400")
         line, _ = ask(n, "credit", path="/balance/x")
         assert line.startswith("HTTP/1.1 40")
+        client = n.connect()
+        client.send(request("/balance/x", X_Priority_Class="credit"))
+        assert client.ends().startswith(b"HTTP/1.1 400")
         assert not backend.received
 
 
