Join discovery answers from serialised resources, once for all proxies that get them

Each proxy's answer parsed and serialised every resource again: servers times proxies. The shared bytes are joined once per change; nonce and removals are appended for each proxy. Checked by the streams' own tests, both variants.

--- a/windrelay/xds/server.py
+++ b/windrelay/xds/server.py
@@ -22,6 +22,7 @@
 )
 from flinthatch.snapshot import ProxyKind
 from windrelay.xds.encode import KINDS, TYPES
+from windrelay.xds.wire import Answers
 
 SERVICE = "envoy.service.discovery.v3.AggregatedDiscoveryService"
 STATUS_SERVICE = "envoy.service.status.v3.ClientStatusDiscoveryService"
@@ -81,6 +82,7 @@
         self._histories: dict[Group, History] = {}
         self._log = log
         self._changed = changed  # a proxy has come or gone
+        self._answers = (Answers(False), Answers(True))
 
     def publish(self, pictures: Mapping[Group, Picture]) -> None:
         """Hand out new pictures; a proxy whose resources are the same is sent nothing."""
@@ -126,12 +128,12 @@
             f"Stream{plural}": grpc.stream_stream_rpc_method_handler(
                 whole,
                 discovery_pb2.DiscoveryRequest.FromString,
-                discovery_pb2.DiscoveryResponse.SerializeToString,
+                None,  # answers are bytes already
             ),
             f"Delta{plural}": grpc.stream_stream_rpc_method_handler(
                 incremental,
                 discovery_pb2.DeltaDiscoveryRequest.FromString,
-                discovery_pb2.DeltaDiscoveryResponse.SerializeToString,
+                None,
             ),
         }
         return grpc.method_handlers_generic_handler(service, methods)
@@ -222,12 +224,13 @@
             message = await anext(aiter(requests), None)
 
     async def _write(self, stream: Stream, context: Any, delta: bool) -> None:
+        answers = self._answers[delta]
         while True:
             await stream.ready.wait()
             stream.ready.clear()
             while stream.unsent:
                 reply = stream.unsent.pop(0)
-                await context.write(_delta(reply) if delta else _whole(reply))
+                await context.write(answers.encode(reply))
 
 
 def _group(node: Any) -> Group | None:
@@ -249,23 +252,3 @@
         kind, tuple(m.resource_names_subscribe), tuple(m.resource_names_unsubscribe),
         m.response_nonce, error, held=dict(m.initial_resource_versions),
     )  # fmt: skip
-
-
-def _whole(reply: Reply) -> Any:
-    out = discovery_pb2.DiscoveryResponse(
-        version_info=reply.version, type_url=TYPES[reply.kind], nonce=reply.nonce
-    )
-    for r in reply.resources:
-        out.resources.add().MergeFromString(r.body)
-    return out
-
-
-def _delta(reply: Reply) -> Any:
-    out = discovery_pb2.DeltaDiscoveryResponse(
-        system_version_info=reply.version, type_url=TYPES[reply.kind], nonce=reply.nonce,
-        removed_resources=reply.removed,
-    )  # fmt: skip
-    for r in reply.resources:
-        row = out.resources.add(name=r.name, version=r.version)
-        row.resource.MergeFromString(r.body)
-    return out
