--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -61,6 +61,7 @@
 PATIENCE_PART = 1.0  # ... and at least this part of its aim
 RETRY_PART = 0.1  # retries after time-outs allowed per first attempt
 RETRY_BURST = 10.0
+REPORT_GAIN = 0.3  # of others' word on a backend's latency, each time it is told
 # Health.
 FULL_REST_MAX = 2 * SECOND  # longest rest of a backend that turned an attempt away
 STALL = 6.0  # silence, in mean latencies, after which a backend in use is passed over
@@ -1147,6 +1148,20 @@
     ) -> None:
         self.now = now
 
+    def on_reported(self, now: int, backend: int, ratio: float, failing: bool) -> None:
+        """What others saw of a backend over seconds: sums, which end no attempt.
+
+        `ratio` is its time taken against the fleet's. Failing, it is left alone as one
+        that is lost, within the same bound of half of all.
+        """
+        self.now = now
+        b = self.backends.get(backend)
+        if b is None:
+            return
+        b.lat += REPORT_GAIN * (min(max(ratio, 0.1), 10.0) - b.lat)
+        if failing:
+            self.suspend(now, b, True, False)
+
     def view(self, now: int) -> list[ServerView]:
         """All listed backends in the order of their ids, as of now; decides nothing."""
         self.now = now
--- a/flinthatch/picture.py
+++ b/flinthatch/picture.py
@@ -21,6 +21,7 @@
 
 MAX_NAMES = 10_000  # names one stream may subscribe to, of one kind
 MAX_NAME = 512  # bytes
+MAX_PASSED = 16  # unanswered versions of one name; beyond, what is held is unknown
 MAX_HISTORY = 256  # sets of one kind, over all proxies that a history serves
 
 
@@ -155,7 +156,9 @@
 class _Subscription:
     """One kind on one stream."""
 
-    __slots__ = ("asked", "doubted", "first", "held", "nonce", "refused", "sent", "wildcard")
+    __slots__ = (
+        "asked", "doubted", "first", "held", "nonce", "passed", "refused", "sent", "wildcard",
+    )  # fmt: skip
 
     def __init__(self, held: Mapping[str, str]) -> None:
         self.asked: set[str] = set()
@@ -164,6 +167,7 @@
         self.held: Held = {name: Resource(name, version, b"") for name, version in held.items()}
         self.sent: Held | None = None  # under way: what is held once it is acknowledged
         self.nonce = ""
+        self.passed: dict[str, set[str]] = {}  # versions sent and overtaken, never answered
         self.refused: dict[str, str] = {}  # versions that are not sent again
         self.doubted: set[str] = set()  # in a refused message with others: sent one by one
         self.first = True  # nothing answered yet
@@ -274,6 +278,26 @@
         self._resumed = False
         return self._due()
 
+    def press(self) -> list[Reply]:
+        """Send the newest endpoints without waiting for the answer to those under way.
+
+        For a drain that must not wait behind a proxy's silence. What was under way may
+        hold or not: what the proxy had of these names counts as unknown and is sent
+        whole. Endpoints alone: nothing depends on which of two sets of them it holds.
+        """
+        sub = self._subs.get(Kind.ENDPOINTS)
+        if sub is None or sub.sent is None:
+            return []
+        for name, r in sub.sent.items():
+            old = sub.held.get(name)
+            passed = {x.version for x in (old, r) if x is not None}
+            passed |= sub.passed.get(name, set())
+            sub.passed[name] = passed if len(passed) <= MAX_PASSED else {""}
+            if old is not None and r != old:
+                sub.held[name] = Resource(name, "", b"")
+        sub.sent = None
+        return self._due()
+
     def settled(self) -> bool:
         """Whether nothing is under way and nothing is left to send."""
         return not any(sub.sent is not None for sub in self._subs.values()) and not self._due()
@@ -283,6 +307,18 @@
         sub = self._subs.get(kind)
         return {} if sub is None else {n: r.version for n, r in sub.held.items() if r is not None}
 
+    def may_hold(self, kind: Kind) -> dict[str, set[str]]:
+        """All versions by name that the proxy may be acting on, "" for one not known."""
+        sub = self._subs.get(kind)
+        if sub is None:
+            return {}
+        out = {name: set(versions) for name, versions in sub.passed.items()}
+        for rows in (sub.held, sub.sent or {}):
+            for name, r in rows.items():
+                if r is not None:
+                    out.setdefault(name, set()).add(r.version)
+        return out
+
     def status(self) -> list[Status]:
         """Every resource that concerns this proxy, by kind and name."""
         out = []
@@ -324,6 +360,7 @@
         fresh = {n: v for n, v in sent.items() if v is not None and v != sub.held.get(n)}
         if not r.error:
             sub.held = sent
+            sub.passed.clear()
             for name in fresh:
                 sub.refused.pop(name, None)
                 sub.doubted.discard(name)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from http.client import HTTPConnection
@@ -44,6 +45,19 @@
     popen: subprocess.Popen[str]
     address: str
     log: str = ""
+    heard: str = ""  # what of it was read before its end
+    reader: threading.Thread | None = None
+
+    def read_on(self) -> None:
+        """Read its log from now on, so that a full pipe never holds it up."""
+
+        def read() -> None:
+            assert self.popen.stdout is not None
+            for line in self.popen.stdout:
+                self.heard += line
+
+        self.reader = threading.Thread(target=read, daemon=True)
+        self.reader.start()
 
     def call(self, method: str, path: str, body: object = None) -> Any:
         """A control call to a stand-in; its JSON answer, or None where there is none."""
@@ -88,7 +102,11 @@
         process = Process(popen, line.strip().rpartition(" ")[2])
         yield process
         popen.terminate()
-        process.log = popen.communicate(timeout=10)[0]
+        if process.reader is None:
+            process.log = process.heard + popen.communicate(timeout=10)[0]
+        else:
+            process.reader.join(timeout=10)
+            process.log = process.heard
     finally:
         popen.kill()
         popen.wait()
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -23,7 +23,9 @@
 from standins.fleet import Process, started
 from windrelay.xds.encode import TYPES
 from windrelay.xds.file import ControlError, read_file
-from windrelay.xds.server import SEPARATE, SERVICE, STATUS_SERVICE, Stream
+from windrelay.xds.peers import Group, Peer
+from windrelay.xds.server import SEPARATE, SERVICE, Stream
+from windrelay.xds.status import SERVICE as STATUS_SERVICE
 
 from .harness import LIMIT, ROOT, SETTINGS, roster, target, until
 
@@ -64,7 +66,7 @@
     path = tmp_path / "control.toml"
     path.write_text(
         f'version = 1\nlisten = "127.0.0.1:{port}"\n'
-        'config = "config.json"\nroutes = "routes.toml"\n'
+        'config = "config.json"\nroutes = "routes.toml"\nreport_every = "1s"\n'
     )
     return path
 
@@ -369,7 +371,7 @@
 
 
 def test_a_proxy_that_guesses_nonces_and_reads_nothing_fills_no_queue() -> None:
-    stream = Stream("p1", (ProxyKind.ENVOY, ""), Session(False))
+    stream = Stream(Peer("p1", Group(ProxyKind.ENVOY, "")), Session(False))
     for i in range(100):
         stream.put([Reply(kind, str(i), str(i), ()) for kind in Kind])
     assert [(r.kind, r.nonce) for r in stream.unsent] == [(kind, "99") for kind in Kind]
--- /dev/null
+++ b/tests/test_snapshot.py
@@ -0,0 +1,261 @@
+"""Plans: the Balancer's figures, in the form that each kind of proxy carries out."""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+import pytest
+from envoy.config.cluster.v3 import cluster_pb2
+from envoy.config.route.v3 import route_pb2
+from google.protobuf import any_pb2
+
+from flinthatch import Effect, RequestClass, Settings, State
+from flinthatch.balancer import ServerView
+from flinthatch.picture import Kind, Picture
+from flinthatch.routefile import decode
+from flinthatch.routes import Condition, Table
+from flinthatch.snapshot import Audience, Plan, ProxyKind, kind_of, plan, weight
+from windrelay.operator.tomlfile import parse
+from windrelay.xds.encode import Encoder
+
+from .routefiles import GOOD, spoilt
+
+SECOND = 1_000_000_000
+SETTINGS = Settings(
+    classes=(
+        RequestClass("balance", 800_000_000, 2 * SECOND),
+        RequestClass("credit", 750_000_000, 3 * SECOND, Effect.SIDE_EFFECT),
+        RequestClass("topup", 750_000_000, 3 * SECOND, Effect.TOKEN),
+    ),
+    cold_from=0.3,
+)
+ENVOY = Audience(ProxyKind.ENVOY, 0, ("east", "west"), 1)
+GRPC = replace(ENVOY, kind=ProxyKind.GRPC)
+LISTEN = ("127.0.0.1", 10000)
+
+
+def table(text: str = GOOD) -> Table:
+    found = decode(*parse(text.encode())).table
+    assert found is not None
+    return found
+
+
+def server(backend: int, **more: Any) -> ServerView:
+    base = ServerView(backend, 0, State.READY, 4, 1.0, 1.0, False)
+    return base._replace(**more)
+
+
+def planned(*view: ServerView, to: Audience = ENVOY, text: str = GOOD) -> Plan:
+    addresses = {v.backend: ("127.0.0.1", 9000 + v.backend) for v in view}
+    found = table(text)
+    return plan(found.services[0], SETTINGS, found.node_budget, view, addresses, to)
+
+
+def unpacked(picture: Picture, kind: Kind, name: str, into: Any) -> Any:
+    wrapped = any_pb2.Any.FromString(picture.of(kind)[name].body)
+    assert wrapped.Unpack(into)
+    return into
+
+
+def cluster(p: Plan, kind: ProxyKind = ProxyKind.ENVOY) -> Any:
+    picture = Encoder(kind, LISTEN).build([p])
+    return unpacked(picture, Kind.CLUSTER, "topup", cluster_pb2.Cluster())
+
+
+def routes(p: Plan, kind: ProxyKind = ProxyKind.ENVOY) -> dict[str, Any]:
+    name = "topup" if kind.proxyless else "wharfspread"
+    picture = Encoder(kind, LISTEN).build([p])
+    found = unpacked(picture, Kind.ROUTES, name, route_pb2.RouteConfiguration())
+    return {r.name.removeprefix("topup/"): r for r in found.virtual_hosts[0].routes}
+
+
+def test_the_bound_in_flight_is_divided_among_the_proxies_present() -> None:
+    view = [server(i) for i in range(1, 101)]
+    bounds = {n: planned(*view, to=replace(ENVOY, proxies=n)).most_requests for n in (1, 21, 200)}
+    assert bounds == {1: 384, 21: 384 // 32, 200: 384 // 256}
+    assert all(n * bound <= 400 for n, bound in bounds.items())
+
+
+def test_more_proxies_than_slots_hold_one_each() -> None:
+    assert planned(server(1), to=replace(ENVOY, proxies=1000)).most_requests == 1
+
+
+def test_a_cold_servers_weight_goes_up_in_steps_and_never_to_nothing() -> None:
+    seen = [weight(server(1, warmth=i / 1000)) for i in range(1001)]
+    assert seen == sorted(seen) and seen[0] == 1 and seen[-1] == 400
+    assert len(set(seen)) < 50
+    assert all(w <= max(400 * i / 1000, 1) for i, w in enumerate(seen))
+
+
+def test_where_proxies_ramp_themselves_the_weight_does_not_ramp_as_well() -> None:
+    cold = server(1, warmth=0.3)
+    own = replace(ENVOY, own_ramp=True)
+    ramped = planned(cold, to=own)
+    assert ramped.localities[0].servers[0].weight == 400
+    out = cluster(ramped).round_robin_lb_config.slow_start_config
+    assert out.slow_start_window.seconds == 10 and out.min_weight_percent.value == 30
+    assert planned(cold).localities[0].servers[0].weight == 120
+    assert not cluster(planned(cold)).HasField("round_robin_lb_config")
+    # gRPC's client has no ramp of its own: the weight carries it whatever is set.
+    assert planned(cold, to=replace(own, kind=ProxyKind.GRPC)).localities[0].weight == 120
+
+
+def test_envoy_is_told_the_modules_own_rule_for_errors_in_a_row() -> None:
+    out = cluster(planned(server(1))).outlier_detection
+    assert (out.consecutive_5xx.value, out.max_ejection_percent.value) == (3, 50)
+    assert (out.base_ejection_time.seconds, out.max_ejection_time.seconds) == (1, 8)
+    assert out.enforcing_success_rate.value == 0 and out.HasField("enforcing_success_rate")
+
+
+def test_a_retry_budget_is_the_narrowest_of_the_services() -> None:
+    budget = cluster(planned(server(1))).circuit_breakers.thresholds[0].retry_budget
+    assert budget.budget_percent.value == pytest.approx(5.0)  # of second copies
+    assert budget.min_retry_concurrency.value == 3
+    no_copy = spoilt(('second_copy = { after = "80ms", most = 0.05 }\n', ""))
+    budget = cluster(planned(server(1), text=no_copy)).circuit_breakers.thresholds[0].retry_budget
+    assert budget.budget_percent.value == pytest.approx(20.0)
+
+
+def test_a_second_copy_is_a_hedge_of_one_and_only_what_is_safe_has_one() -> None:
+    found = routes(planned(server(1)))
+    balance = found["balance"].route
+    assert balance.hedge_policy.hedge_on_per_try_timeout
+    assert balance.retry_policy.per_try_timeout.nanos == 80_000_000
+    assert balance.retry_policy.num_retries.value == 1
+    assert not found["credit"].route.HasField("hedge_policy")
+    told = planned(server(1), to=GRPC)
+    assert not routes(told, ProxyKind.GRPC)["balance"].route.HasField("hedge_policy")
+    assert told.notes == ("topup/balance: gRPC's client sends no second copies",)
+
+
+@pytest.mark.parametrize("kind", [ProxyKind.ENVOY, ProxyKind.GRPC])
+def test_credits_routes_hold_no_retry_condition_that_may_have_run(kind: ProxyKind) -> None:
+    p = planned(server(1), to=replace(ENVOY, kind=kind))
+    (credit,) = (r for r in p.routes if r.policy is not None and r.policy.cls == "credit")
+    never_ran = {Condition.CONNECT_FAILURE, Condition.REFUSED, Condition.RESET_BEFORE_SENT}
+    assert set(credit.retry_on) <= never_ran
+    retry = routes(p, kind)["credit"].route.retry_policy
+    words: set[str] = set(filter(None, retry.retry_on.split(",")))
+    safe = {"connect-failure", "refused-stream", "reset-before-request"}
+    assert words == (set() if kind.proxyless else safe)
+
+
+def test_a_route_that_takes_its_class_from_the_path_is_a_path_for_each_class() -> None:
+    text = spoilt(('prefix = "/"\ndeny = true', 'prefix = "/"'))
+    p = planned(server(1), text=text)
+    assert not p.refused
+    rest = {str(r.pattern): r.policy.cls for r in p.routes if r.name == "topup/rest" and r.policy}
+    assert rest == {f"/{c} and below": c for c in ("balance", "credit", "topup")}
+
+
+def test_grpcs_calls_are_all_post() -> None:
+    text = spoilt(
+        ('prefix = "/balance"', 'prefix = "/balance"\nmethods = ["GET"]'),
+        ('prefix = "/credit"', 'prefix = "/credit"\nmethods = ["POST", "GET"]'),
+    )
+    p = planned(server(1), to=GRPC, text=text)
+    assert [r.name for r in p.routes] == ["topup/credit", "topup/rest"] and not p.refused
+    envoy = routes(planned(server(1), text=text))["credit"]
+    (header,) = envoy.match.headers
+    assert (header.name, header.string_match.safe_regex.regex) == (":method", "GET|POST")
+
+
+@pytest.mark.parametrize(
+    ("agent", "version", "kind"),
+    [
+        ("envoy", "1.30.1", ProxyKind.ENVOY),
+        ("gRPC C-core linux", "C-core 1.85.3", ProxyKind.GRPC),
+        ("gRPC Go", "1.36.0", ProxyKind.GRPC_UNBOUNDED),
+        ("gRPC Java", "1.37.1", ProxyKind.GRPC),
+        ("gRPC Node Pure JS", "1.8.0", ProxyKind.GRPC),
+        ("gRPC Node Pure JS", "1.2.9", ProxyKind.GRPC_UNBOUNDED),
+        ("gRPC Go", "", ProxyKind.GRPC_UNBOUNDED),
+        ("squid", "6.1", None),
+        ("", "", None),
+    ],
+)
+def test_a_proxys_kind_is_what_its_node_message_says_it_honours(
+    agent: str, version: str, kind: ProxyKind | None
+) -> None:
+    assert kind_of(agent, version) is kind
+
+
+def test_a_proxy_that_bounds_nothing_is_not_served_and_told_why() -> None:
+    p = planned(server(1), to=replace(ENVOY, kind=ProxyKind.GRPC_UNBOUNDED))
+    assert p.refused == ("bounds nothing in flight, or tells no version",)
+    wild = spoilt(('hosts = ["topup.example.org", "*.example.org"]', 'hosts = ["*.example.org"]'))
+    assert "exact host" in planned(server(1), to=GRPC, text=wild).refused[0]
+    assert not planned(server(1), text=wild).refused
+
+
+def test_what_has_not_changed_is_not_serialised_again() -> None:
+    view = [server(i) for i in range(1, 271)]
+    encoder = Encoder(ProxyKind.ENVOY, LISTEN)
+    first = encoder.build([planned(*view)])
+    assert encoder.build([planned(*view)]) is first
+    before = encoder.serialised
+    second = encoder.build([planned(*view[:-1], server(270, state=State.DRAINING))])
+    (endpoints,) = second.of(Kind.ENDPOINTS).values()
+    assert encoder.serialised - before == len(endpoints.body)
+
+
+# ---- a cold server before many proxies ---------------------------------
+
+
+class Wheel:
+    """A proxy's weighted round robin, earliest deadline first, as Envoy's: built anew
+    with every new set of weights, its first turns the heaviest servers'."""
+
+    def __init__(self, random: Random) -> None:
+        self.random = random
+        self.heap: list[tuple[float, float, int, int]] = []
+        self.at = 0.0
+
+    def load(self, weights: dict[int, int]) -> None:
+        self.at = 0.0
+        self.heap = [(1.0 / w, self.random.random(), b, w) for b, w in weights.items()]
+        heapq.heapify(self.heap)
+
+    def pick(self) -> int:
+        due, _, backend, w = self.heap[0]
+        self.at = due
+        heapq.heapreplace(self.heap, (due + 1.0 / w, self.random.random(), backend, w))
+        return backend
+
+
+@pytest.mark.parametrize("proxyless", [False, True])
+@pytest.mark.parametrize("servers", [3, 11, 270])
+def test_a_cold_server_stays_under_the_multiple_of_its_present_capacity(
+    servers: int, proxyless: bool
+) -> None:
+    """21 proxies, each with its own rounding, from cold to warm; windows of one second.
+
+    The multiple is of what a warm server gets, times how warm this one is.
+    """
+    random = Random(7)
+    proxies = [Wheel(random) for _ in range(21)]
+    to = replace(GRPC if proxyless else ENVOY, proxies=21)
+    per_second = 60 * servers  # all proxies together
+    worst = 0.0
+    told: dict[int, int] = {}
+    for second in range(1, 11):
+        warmth = 0.3 + 0.07 * (second - 1)
+        view = [server(1, warmth=warmth, cap=2), *(server(i) for i in range(2, servers + 1))]
+        rows = planned(*view, to=to).localities
+        weights = (
+            {int(x.part): x.weight for x in rows} if proxyless
+            else {s.port - 9000: s.weight for x in rows for s in x.servers}
+        )  # fmt: skip
+        if weights != told:
+            for wheel in proxies:
+                wheel.load(weights)
+            told = weights
+        got = [0] * (servers + 1)
+        for i in range(per_second):
+            got[proxies[i % 21].pick()] += 1
+        warm = (per_second - got[1]) / (servers - 1)
+        worst = max(worst, got[1] / (warm * warmth))
+    assert 0 < worst <= SETTINGS.fall_multiple / 2, worst  # half of it is kept for heavy ones
--- a/windrelay/xds/control.py
+++ b/windrelay/xds/control.py
@@ -1,9 +1,10 @@
-"""The control service: one Balancer's decisions, handed to other proxies.
+"""The control service: the decisions of one Balancer a pool, handed to other proxies.
 
     python -m windrelay control deploy/control.toml
 
-The list of servers comes by the node's own discovery, routes and classes from the
-routes file. The process is asyncio's and grpc.aio's own; the node imports none of it.
+The list of servers comes by the node's own discovery or from a file, routes and
+classes from the routes file. SIGHUP reads the routes, and where discovery is, anew.
+The process is asyncio's and grpc.aio's own; the node imports none of it.
 """
 
 from __future__ import annotations
@@ -12,46 +13,63 @@
 import signal
 import sys
 import time
+from collections.abc import Mapping
+from dataclasses import replace
+from pathlib import Path
 
 import grpc
 
-from flinthatch import Balancer, Listing, Update
-from flinthatch.picture import Picture
+from flinthatch.picture import Kind, Picture
 from flinthatch.routes import Table
-from flinthatch.snapshot import plan
+from flinthatch.snapshot import Audience, Plan
 from windrelay.config import Config, ConfigError, load
 from windrelay.discovery import Discovery, ListError
 from windrelay.operator.check import check_file
-from windrelay.xds.encode import build
-from windrelay.xds.file import ControlError, ControlFile, read_file
-from windrelay.xds.server import MAX_REQUEST, MAX_STREAMS, Group, Streams
+from windrelay.xds.encode import Encoder
+from windrelay.xds.file import ControlError, ControlFile, PoolFile, TlsFile, read_file
+from windrelay.xds.load import LoadReports
+from windrelay.xds.peers import Group
+from windrelay.xds.pool import Pool
+from windrelay.xds.server import MAX_REQUEST, MAX_STREAMS, Streams
+from windrelay.xds.status import ClientStatus
 
 GATHER_S = 0.05  # changes within this go out together
+LEARN_S = 1.0  # how often load reports are turned into what the pools learn
+PRESS_PART = 0.4  # of a drain's grace; then answers are not waited for any more
+SPOKEN_FOR = 10  # names of proxies in one log line
+
+Inputs = list[tuple[PoolFile, Config, Table]]
 
 
 class Control:
-    """The host of one Balancer that sends nothing itself."""
+    """All pools, and what they hand out together."""
 
-    def __init__(self, file: ControlFile, config: Config, table: Table) -> None:
+    def __init__(self, path: str, file: ControlFile, inputs: Inputs) -> None:
+        self.path = path
         self.file = file
-        self.config = config
-        self.table = table
-        self.streams = Streams(self.log, self.later, self.picture)
+        self.streams = Streams(self.log, self.later, self.picture, file.tls)
+        self.pools = [
+            Pool(*row, file.report_every, self.later, self.drain, self.log) for row in inputs
+        ]
+        by_name = {pool.name: pool for pool in self.pools}
+        self.reports = LoadReports(lambda: by_name, file.report_every, file.tls, self.log)
+        self.status = ClientStatus(
+            lambda: [(s.peer, s.session) for s in self.streams.streams],
+            self.withheld,
+            self.old,
+            self.report_counts,
+        )
+        self._encoders: dict[Group, Encoder] = {}
+        self._withheld: dict[Group, dict[str, str]] = {}
         self._told: set[str] = set()  # what was said to be not carried out
-        self.discovery = Discovery(config, self.members_told, self.log)
-        self.balancer = Balancer(config.settings, config.seed, self)
         self._due: asyncio.TimerHandle | None = None
+        self._held_back = False
+        self._was_old = ""
 
     def start(self) -> None:
-        rows = self.discovery.known(self.config.known)
-        now = time.monotonic_ns()
-        self.balancer.start(now)
-        self.balancer.on_members(now, Update.CACHED, rows)
-        self.publish()
-
-    def members_told(self, update: Update, rows: list[Listing], _stale: list[int]) -> None:
-        self.balancer.on_members(time.monotonic_ns(), update, rows)
-        self.later()
+        for pool in self.pools:
+            pool.start()
+        asyncio.get_running_loop().call_later(LEARN_S, self._learn)
 
     def later(self) -> None:
         """Publish soon: changes that come together go out together."""
@@ -60,69 +78,184 @@
 
     def publish(self) -> None:
         """Hand out what holds now; an empty list takes nothing from proxies that have one."""
-        self._due = None
-        pictures = {group: self.picture(group) for group in self.streams.groups()}
-        known = {group: p for group, p in pictures.items() if p is not None}
+        if self._due is not None:
+            self._due.cancel()
+            self._due = None
+        known = {}
+        for group in self.streams.groups():
+            picture = self.picture(group)
+            if picture is not None:
+                known[group] = picture
         if known:
             self.streams.publish(known)
-        elif pictures:
-            self.log("no server is known: proxies keep what they have")
 
     def picture(self, group: Group) -> Picture | None:
-        """What a group of proxies is to hold; None while no server is known."""
-        view = self.balancer.view(time.monotonic_ns())
-        addresses = {b: (a.host, a.port) for b, a in self.discovery.roster.endpoints.items()}
-        if not view:
+        """What a group of proxies is to hold; None while some pool knows no server.
+
+        Without that pool's services the picture would take them from proxies that
+        still live on them, after a restart.
+        """
+        unknown = [pool.name for pool in self.pools if not pool.known()]
+        if unknown:
+            if not self._held_back:
+                self.log(f"no server is known of {', '.join(unknown)}: proxies keep what they have")
+            self._held_back = True
             return None
-        kind, name = group
-        zones = self.config.zones
-        zone = zones.index(name) if name in zones else self.config.settings.zone
-        present = max(sum(self.streams.groups().values()), 1)
-        plans = [
-            plan(service, view, addresses, kind, zone, zones, present)
-            for service in self.table.services
-        ]
-        for text in sorted({f"{kind}: {text}" for p in plans for text in p.refused}):
-            if text not in self._told:
-                self._told.add(text)
-                self.log(f"not carried out, and its service not served: {text}")
-        whole = [p for p in plans if not p.refused]
-        return build(whole, kind, self.file.envoy_listener)
+        self._held_back = False
+        present = max(self.streams.proxies(), 1)
+        whole: list[Plan] = []
+        withheld: dict[str, str] = {}
+        for pool in self.pools:
+            for p in pool.plans(self._audience(pool, group, present)):
+                if p.refused:
+                    withheld[p.service] = "; ".join(p.refused)
+                else:
+                    whole.append(p)
+                self._say(group, p)
+        self._withheld[group] = withheld
+        encoder = self._encoders.get(group)
+        if encoder is None:
+            encoder = self._encoders[group] = Encoder(group.kind, self.file.envoy_listener)
+        picture = encoder.build(whole)
+        self._remember(group, picture)
+        return picture
+
+    def _audience(self, pool: Pool, group: Group, present: int) -> Audience:
+        zones = pool.config.zones
+        zone = zones.index(group.zone) if group.zone in zones else pool.config.settings.zone
+        return Audience(group.kind, zone, zones, present, self.file.own_ramp)
+
+    def _remember(self, group: Group, picture: Picture) -> None:
+        """Who takes new work in each set of endpoints that is handed out."""
+        endpoints = picture.of(Kind.ENDPOINTS)
+        for pool in self.pools:
+            usable = pool.usable()
+            for service, drains in pool.drains.items():
+                if service in endpoints:
+                    key = (group.kind.value, group.zone)
+                    drains.published(key, endpoints[service].version, usable)
 
-    # ---- Actions ------------------------------------------------------
+    def _say(self, group: Group, p: Plan) -> None:
+        """What is not carried out, once for each kind of proxy."""
+        rows = [(f"{p.service} is not served", text) for text in p.refused]
+        rows += [("not carried out", text) for text in p.notes]
+        for what, text in rows:
+            line = f"{group.kind}: {what}: {text}"
+            if line not in self._told:
+                self._told.add(line)
+                self.log(line)
 
-    def send(self, request: int, backend: int, timeout: int) -> None:
-        raise AssertionError("the control service has no requests")
+    def withheld(self, group: Group) -> Mapping[str, str]:
+        return self._withheld.get(group, {})
 
-    def refuse(self, request: int, retry_after: int) -> None:
-        raise AssertionError("the control service has no requests")
+    def old(self) -> str:
+        return "; ".join(filter(None, (pool.old() for pool in self.pools)))
 
-    def fail(self, request: int) -> None:
-        raise AssertionError("the control service has no requests")
+    def report_counts(self, node: str) -> tuple[int, int]:
+        counts = [pool.ledger.counts(node) for pool in self.pools]
+        return sum(c for c, _ in counts), sum(r for _, r in counts)
+
+    # ---- drains -------------------------------------------------------
+
+    def drain(self, pool: Pool) -> None:
+        """A drain goes out at once; who has not answered is told again without waiting."""
+        self.publish()
+        loop = asyncio.get_running_loop()
+        grace = pool.config.settings.drain_grace / 1e9
+        loop.call_later(grace * PRESS_PART, self._press, pool)
+        due = max(d.next_due() for d in pool.drains.values())
+        loop.call_later(max(due - time.monotonic_ns(), 0) / 1e9, self._report, pool)
 
-    def cancel(self, request: int, attempt: int) -> None:
-        raise AssertionError("the control service has no requests")
+    def _press(self, pool: Pool) -> None:
+        for service in pool.drains:
+            self.streams.press(pool.late(service, self.streams.holdings(service)))
 
-    def probe(self, backend: int) -> None:
-        raise AssertionError("the control service probes nothing")
+    def _report(self, pool: Pool) -> None:
+        now = time.monotonic_ns()
+        for service, drains in pool.drains.items():
+            for r in drains.over(now, self.streams.holdings(service)):
+                server = pool.address(r.backend)
+                text = f"{service}: drain of {server} told in time to {r.told} proxies"
+                if r.late:
+                    names = ", ".join(r.late[:SPOKEN_FOR])
+                    more = f" and {len(r.late) - SPOKEN_FOR} more" if r.late[SPOKEN_FOR:] else ""
+                    text += f", NOT to {len(r.late)}: {names}{more}"
+                self.log(text)
 
-    def set_timer(self, token: int, due: int) -> None:
-        delay = max(due - time.monotonic_ns(), 0) / 1e9
-        asyncio.get_running_loop().call_later(delay, self._timer, token)
+    # ---- time, reload -------------------------------------------------
 
-    def _timer(self, token: int) -> None:
-        self.balancer.on_timer(time.monotonic_ns(), token)
-        if any(v.warmth < 1.0 for v in self.balancer.view(time.monotonic_ns())):
-            self.later()
+    def _learn(self) -> None:
+        for pool in self.pools:
+            pool.learn()
+        old = self.old()
+        if bool(old) != bool(self._was_old):
+            self.log(f"list is old, proxies keep it: {old}" if old else "list is fresh again")
+        self._was_old = old
+        asyncio.get_running_loop().call_later(LEARN_S, self._learn)
 
-    def watch(self) -> None:
-        self.discovery.watch()
+    def reload(self) -> None:
+        """Read the files again: routes and discovery's address may change, all at once or none."""
+        try:
+            file = read_file(self.path)
+            if replace(file, pools=()) != replace(self.file, pools=()):
+                raise ControlError("only routes, and where discovery is, change without a restart")
+            if [p.name for p in file.pools] != [p.name for p in self.file.pools]:
+                raise ControlError("pools come and go with a restart only")
+            inputs = read_inputs(file)
+        except (ControlError, ConfigError) as err:
+            self.log(f"reload: nothing changed: {err}")
+            return
+        self.file = file
+        for pool, (_, config, table) in zip(self.pools, inputs, strict=True):
+            pool.follow(table)
+            if isinstance(pool.members, Discovery):
+                pool.members.move(config.discovery)
+        self.log("reload: taken over")
+        self.publish()
 
-    def fetch(self) -> None:
-        self.discovery.fetch()
+    def close(self) -> None:
+        for pool in self.pools:
+            pool.members.close()
 
     def log(self, text: str) -> None:
-        print(f"{self.config.name}: {text}", file=sys.stderr, flush=True)
+        print(f"control: {text}", file=sys.stderr, flush=True)
+
+
+def read_inputs(file: ControlFile) -> Inputs:
+    """Every pool's configuration and routes; ControlError or ConfigError with what is wrong."""
+    out: Inputs = []
+    seen: dict[str, str] = {}
+    for pool in file.pools:
+        config = load({"PROXY_CONFIG": str(pool.config), "PROXY_LISTEN": str(file.listen)})
+        result = check_file(str(pool.routes), config.settings)
+        if result.table is None:
+            raise ControlError("\n".join(f"{pool.routes}:{f}" for f in result.faults))
+        for service in result.table.services:
+            for name in (f"service {service.name}", *(f"host {h}" for h in service.hosts)):
+                if seen.setdefault(name, pool.name) != pool.name:
+                    raise ControlError(
+                        f"{pool.routes}: [twice] {name} is pool {seen[name]}'s already; "
+                        "a proxy tells services apart by name and host"
+                    )
+        out.append((pool, config, result.table))
+    return out
+
+
+def _credentials(tls: TlsFile) -> grpc.ServerCredentials:
+    """Both sides show a certificate; the files are read again at each handshake."""
+
+    def read() -> grpc.ServerCertificateConfiguration:
+        pair = (Path(tls.key).read_bytes(), Path(tls.certificate).read_bytes())
+        clients = Path(tls.clients).read_bytes()
+        return grpc.ssl_server_certificate_configuration([pair], clients)
+
+    def again() -> grpc.ServerCertificateConfiguration | None:
+        try:
+            return read()
+        except (OSError, ValueError):
+            return None  # half replaced: what held goes on to hold
+
+    return grpc.dynamic_ssl_server_credentials(read(), again, True)
 
 
 async def run(control: Control) -> None:
@@ -134,16 +267,23 @@
             ("grpc.so_reuseport", 0),
         ]
     )
-    server.add_generic_rpc_handlers(control.streams.handlers())
-    port = server.add_insecure_port(str(control.file.listen))
+    handlers = (*control.streams.handlers(), control.status.handler(), control.reports.handler())
+    server.add_generic_rpc_handlers(handlers)
+    listen = control.file.listen
+    if control.file.tls is None:
+        port = server.add_insecure_port(str(listen))
+    else:
+        port = server.add_secure_port(str(listen), _credentials(control.file.tls))
     control.start()
     await server.start()
-    control.log(f"listening on {control.file.listen.host}:{port}")
+    control.log(f"listening on {listen.host}:{port}")
     stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+        loop.add_signal_handler(number, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, control.reload)
     await stopped.wait()
-    control.discovery.close()
+    control.close()
     await server.stop(0.2)
 
 
@@ -151,11 +291,7 @@
     """Run the control service by its file; 2 where it can't be used."""
     try:
         file = read_file(path)
-        config = load({"PROXY_CONFIG": str(file.config), "PROXY_LISTEN": str(file.listen)})
-        result = check_file(str(file.routes), config.settings)
-        if result.table is None:
-            raise ControlError("\n".join(f"{file.routes}:{f}" for f in result.faults))
-        asyncio.run(run(Control(file, config, result.table)))
+        asyncio.run(run(Control(path, file, read_inputs(file))))
     except (ControlError, ConfigError, ListError, OSError, RuntimeError) as err:
         print(f"control: {err}", file=sys.stderr)
         return 2
--- a/windrelay/xds/encode.py
+++ b/windrelay/xds/encode.py
@@ -4,11 +4,12 @@
 
 import re
 from collections.abc import Sequence
+from dataclasses import replace
 
-from envoy.config.cluster.v3 import circuit_breaker_pb2, cluster_pb2
+from envoy.config.cluster.v3 import circuit_breaker_pb2, cluster_pb2, outlier_detection_pb2
 from envoy.config.core.v3 import config_source_pb2
 from envoy.config.endpoint.v3 import endpoint_pb2
-from envoy.config.listener.v3 import api_listener_pb2, listener_pb2
+from envoy.config.listener.v3 import listener_pb2
 from envoy.config.route.v3 import route_components_pb2 as route_pb2
 from envoy.config.route.v3 import route_pb2 as configuration_pb2
 from envoy.extensions.filters.http.router.v3 import router_pb2
@@ -18,8 +19,8 @@
 from google.protobuf import any_pb2, duration_pb2, message
 
 from flinthatch.picture import Kind, Picture, Resource, picture, resource
-from flinthatch.routes import Condition, Pattern
-from flinthatch.snapshot import Plan, ProxyKind, RoutePlan, Server
+from flinthatch.routes import Condition, Pattern, Policy
+from flinthatch.snapshot import Locality, Outliers, Plan, ProxyKind, RoutePlan, Server
 
 SECOND = 1_000_000_000
 PREFIX = "type.googleapis.com/"
@@ -51,41 +52,84 @@
     return bytes(wrapped.SerializeToString(deterministic=True))
 
 
-def build(plans: Sequence[Plan], kind: ProxyKind, listen: tuple[str, int]) -> Picture:
-    """The picture of one kind of proxy in one zone; `listen` is where an Envoy listens."""
-    clusters = [resource(p.service, packed(_cluster(p)), [p.service]) for p in plans]
-    endpoints = [resource(p.service, packed(_endpoints(p))) for p in plans]
-    if kind is ProxyKind.GRPC:
-        routes, listeners = _by_host(plans)
-    else:
-        names = [p.service for p in plans]
-        hosts = [_virtual_host(p, kind) for p in plans]
-        config = configuration_pb2.RouteConfiguration(name=ROUTES, virtual_hosts=hosts)
-        routes = [resource(ROUTES, packed(config), names)]
-        listeners = [resource("main", packed(_listener(listen)), [ROUTES])]
-    return picture(
-        {Kind.CLUSTER: clusters, Kind.ENDPOINTS: endpoints, Kind.ROUTES: routes,
-         Kind.LISTENER: listeners}
-    )  # fmt: skip
-
+class Encoder:
+    """Pictures of one group of proxies; what has not changed is not serialised again.
+
+    `listen` is where an Envoy-like proxy is told to listen; `serialised` counts the
+    bytes of all resources that were built anew.
+    """
+
+    __slots__ = ("_endpoints", "_kind", "_listen", "_others", "_picture", "serialised")
+
+    def __init__(self, kind: ProxyKind, listen: tuple[str, int]) -> None:
+        self._kind = kind
+        self._listen = listen
+        self._endpoints: dict[str, tuple[tuple[Locality, ...], Resource]] = {}
+        self._others: tuple[Plan, ...] = ()
+        self._picture: Picture | None = None
+        self.serialised = 0
+
+    def build(self, plans: Sequence[Plan]) -> Picture:
+        """The picture of these plans; the same object where nothing has changed."""
+        endpoints = [self._of(p) for p in plans]
+        self._endpoints = {p.service: self._endpoints[p.service] for p in plans}
+        # All else, without what changes with every server.
+        others = tuple(replace(p, localities=()) for p in plans)
+        old = self._picture
+        if old is not None and others == self._others:
+            if all(old.of(Kind.ENDPOINTS).get(r.name) is r for r in endpoints):
+                return old
+            rows: dict[Kind, Sequence[Resource]] = {
+                kind: tuple(old.of(kind).values()) for kind in Kind
+            }
+        else:
+            rows = self._rest(plans)
+        self._others = others
+        self._picture = picture(rows | {Kind.ENDPOINTS: endpoints})
+        return self._picture
+
+    def _of(self, p: Plan) -> Resource:
+        old = self._endpoints.get(p.service)
+        if old is not None and old[0] == p.localities:
+            return old[1]
+        made = self._made(p.service, _endpoints(p))
+        if old is not None and old[1] == made:
+            made = old[1]
+        self._endpoints[p.service] = (p.localities, made)
+        return made
+
+    def _made(self, name: str, body: message.Message, names: Sequence[str] = ()) -> Resource:
+        out = resource(name, packed(body), names)
+        self.serialised += len(out.body)
+        return out
 
-def _by_host(plans: Sequence[Plan]) -> tuple[list[Resource], list[Resource]]:
-    """An API listener for every host by its name, as `xds:///HOST` asks for it."""
-    routes, listeners = [], []
-    for p in plans:
-        config = configuration_pb2.RouteConfiguration(
-            name=p.service, virtual_hosts=[_virtual_host(p, ProxyKind.GRPC, ["*"])]
-        )
-        routes.append(resource(p.service, packed(config), [p.service]))
-        for host in p.hosts:
-            if "*" not in host:
-                api = any_pb2.Any()
-                api.Pack(_manager(p.service), deterministic=True)
-                body = listener_pb2.Listener(
-                    name=host, api_listener=api_listener_pb2.ApiListener(api_listener=api)
-                )
-                listeners.append(resource(host, packed(body), [p.service]))
-    return routes, listeners
+    def _rest(self, plans: Sequence[Plan]) -> dict[Kind, Sequence[Resource]]:
+        clusters = [
+            self._made(p.service, _cluster(p, self._kind.proxyless), [p.service]) for p in plans
+        ]
+        if self._kind.proxyless:
+            routes, listeners = self._by_host(plans)
+        else:
+            hosts = [_virtual_host(p, self._kind) for p in plans]
+            config = configuration_pb2.RouteConfiguration(name=ROUTES, virtual_hosts=hosts)
+            routes = [self._made(ROUTES, config, [p.service for p in plans])]
+            listeners = [self._made("main", _listener(self._listen), [ROUTES])]
+        return {Kind.CLUSTER: clusters, Kind.ROUTES: routes, Kind.LISTENER: listeners}
+
+    def _by_host(self, plans: Sequence[Plan]) -> tuple[list[Resource], list[Resource]]:
+        """An API listener for every host by its name, as `xds:///HOST` asks for it."""
+        routes, listeners = [], []
+        for p in plans:
+            config = configuration_pb2.RouteConfiguration(
+                name=p.service, virtual_hosts=[_virtual_host(p, self._kind, ["*"])]
+            )
+            routes.append(self._made(p.service, config, [p.service]))
+            for host in p.hosts:
+                if "*" not in host:
+                    body = listener_pb2.Listener(name=host)
+                    body.api_listener.api_listener.Pack(_manager(p.service), deterministic=True)
+                    listeners.append(self._made(host, body, [p.service]))
+        return routes, listeners
 
 
 def _duration(ns: int) -> duration_pb2.Duration:
@@ -98,10 +142,15 @@
     )
 
 
-def _cluster(p: Plan) -> cluster_pb2.Cluster:
+def _cluster(p: Plan, proxyless: bool) -> cluster_pb2.Cluster:
     thresholds = circuit_breaker_pb2.CircuitBreakers.Thresholds()
     thresholds.max_requests.value = p.most_requests
-    return cluster_pb2.Cluster(
+    if p.budget is not None:
+        # A part of what is active, and a count: of a rate it knows nothing. One is the
+        # least that lets a thin service's request be tried again at all.
+        thresholds.retry_budget.budget_percent.value = 100.0 * p.budget.part
+        thresholds.retry_budget.min_retry_concurrency.value = max(int(p.budget.floor), 1)
+    out = cluster_pb2.Cluster(
         name=p.service,
         type="EDS",
         eds_cluster_config=cluster_pb2.Cluster.EdsClusterConfig(
@@ -110,6 +159,27 @@
         lb_policy="ROUND_ROBIN",
         circuit_breakers=circuit_breaker_pb2.CircuitBreakers(thresholds=[thresholds]),
     )
+    if proxyless:
+        # Without it gRPC's client reports no load; an Envoy's own file says where to.
+        out.lrs_server.self.SetInParent()
+        return out
+    if p.outliers is not None:
+        _outliers(out.outlier_detection, p.outliers)
+    if p.slow_start is not None:
+        ramp = out.round_robin_lb_config.slow_start_config
+        ramp.slow_start_window.CopyFrom(_duration(p.slow_start.window))
+        ramp.min_weight_percent.value = p.slow_start.least
+    return out
+
+
+def _outliers(out: outlier_detection_pb2.OutlierDetection, o: Outliers) -> None:
+    """Errors in a row alone: success rates of a proxy's own are not the module's rule."""
+    out.consecutive_5xx.value = o.errors
+    out.base_ejection_time.CopyFrom(_duration(o.rest))
+    out.max_ejection_time.CopyFrom(_duration(o.longest))
+    out.max_ejection_percent.value = o.most
+    out.enforcing_success_rate.value = 0
+    out.enforcing_failure_percentage.value = 0
 
 
 def _endpoints(p: Plan) -> endpoint_pb2.ClusterLoadAssignment:
@@ -155,21 +225,20 @@
 def _virtual_host(
     p: Plan, kind: ProxyKind, domains: Sequence[str] | None = None
 ) -> route_pb2.VirtualHost:
-    """Routes in the order in which they are tried: proxies take the first that fits."""
-    rows = sorted(p.routes, key=lambda r: (r.route.pattern.rank(), -r.route.conditions()))
     return route_pb2.VirtualHost(
         name=p.service, domains=domains or p.hosts,
-        routes=[_route(r, p.service, kind) for r in rows],
+        routes=[_route(r, p.service, kind) for r in p.routes],
     )  # fmt: skip
 
 
 def _route(r: RoutePlan, cluster: str, kind: ProxyKind) -> route_pb2.Route:
-    out = route_pb2.Route(name=r.route.name, match=_match(r.route.pattern))
-    for method in sorted(r.route.methods):
-        header = out.match.headers.add(name=":method")
-        header.string_match.exact = method.decode()
+    out = route_pb2.Route(name=r.name, match=_match(r.pattern))
+    if r.methods:
+        # One header with all of them: several matchers would have to hold at once.
+        methods = "|".join(re.escape(m.decode()) for m in sorted(r.methods))
+        out.match.headers.add(name=":method").string_match.safe_regex.regex = methods
     if r.policy is None:
-        if kind is ProxyKind.GRPC:
+        if kind.proxyless:
             out.non_forwarding_action.SetInParent()
         else:
             out.direct_response.status = 403
@@ -178,19 +247,27 @@
     if r.policy.timeout:
         out.route.timeout.CopyFrom(_duration(r.policy.timeout))
         out.route.max_stream_duration.max_stream_duration.CopyFrom(_duration(r.policy.timeout))
-    if r.retry_on:
-        retry = out.route.retry_policy
-        words = [ENVOY_RETRY[c] for c in r.retry_on]
-        retry.retry_on = "unavailable" if kind is ProxyKind.GRPC else ",".join(words)
-        retry.num_retries.value = r.retries
-        if r.policy.attempt_timeout and kind is ProxyKind.ENVOY:
-            retry.per_try_timeout.CopyFrom(_duration(r.policy.attempt_timeout))
-        if r.policy.backoff_base:
-            retry.retry_back_off.base_interval.CopyFrom(_duration(r.policy.backoff_base))
-            retry.retry_back_off.max_interval.CopyFrom(_duration(r.policy.backoff_most))
+    if r.retry_on or r.copy_after:
+        _retry(out.route, r, r.policy, kind)
     return out
 
 
+def _retry(out: route_pb2.RouteAction, r: RoutePlan, policy: Policy, kind: ProxyKind) -> None:
+    retry = out.retry_policy
+    words = [ENVOY_RETRY[c] for c in r.retry_on]
+    retry.retry_on = "unavailable" if kind.proxyless else ",".join(words)
+    retry.num_retries.value = r.retries
+    if policy.attempt_timeout and not kind.proxyless:
+        retry.per_try_timeout.CopyFrom(_duration(policy.attempt_timeout))
+    if r.copy_after:
+        # Hedging: at its time-out a try goes on beside the next, the first answer wins.
+        retry.per_try_timeout.CopyFrom(_duration(r.copy_after))
+        out.hedge_policy.hedge_on_per_try_timeout = True
+    if policy.backoff_base:
+        retry.retry_back_off.base_interval.CopyFrom(_duration(policy.backoff_base))
+        retry.retry_back_off.max_interval.CopyFrom(_duration(policy.backoff_most))
+
+
 def _match(pattern: Pattern) -> route_pb2.RouteMatch:
     if pattern.prefix and not pattern.segments:
         return route_pb2.RouteMatch(prefix="/")
--- a/windrelay/xds/file.py
+++ b/windrelay/xds/file.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
+from fnmatch import fnmatchcase
 from ipaddress import ip_address
 from pathlib import Path
 from typing import Any
@@ -12,17 +14,50 @@
 from windrelay.config import Address, parse_address
 from windrelay.operator.tomlfile import FileError, Key, read
 
-KEYS = ("version", "listen", "config", "routes", "envoy_listener")
+SECTIONS: Mapping[str, tuple[str, ...]] = {
+    "": ("version", "listen", "envoy_listener", "slow_start", "report_every", "config", "routes",
+         "members", "pool", "tls"),
+    "pool": ("name", "config", "routes", "members"),
+    "tls": ("certificate", "key", "clients", "nodes"),
+}  # fmt: skip
+MAX_POOLS = 64
+_SECONDS = re.compile(r"(\d{1,4})s")
 
 
 @dataclass(frozen=True, slots=True)
-class ControlFile:
-    """`config` and `routes` are paths, from the file's own folder on."""
+class PoolFile:
+    """One Balancer: a node's JSON configuration, its routes, and its list if not discovery's."""
 
-    listen: Address
+    name: str
     config: Path
     routes: Path
+    members: Path | None
+
+
+@dataclass(frozen=True, slots=True)
+class TlsFile:
+    """Both sides show a certificate; `nodes` are patterns of node ids by certificate name."""
+
+    certificate: Path
+    key: Path
+    clients: Path  # who signs the proxies' certificates
+    nodes: Mapping[str, tuple[str, ...]]
+
+    def allows(self, names: list[str], node: str) -> bool:
+        """Whether a certificate of these names may speak for this node id."""
+        return any(fnmatchcase(node, p) for name in names for p in self.nodes.get(name, ()))
+
+
+@dataclass(frozen=True, slots=True)
+class ControlFile:
+    """Paths are told from the file's own folder on; `report_every` in seconds, 0 for never."""
+
+    listen: Address
     envoy_listener: Address
+    own_ramp: bool
+    report_every: int
+    pools: tuple[PoolFile, ...]
+    tls: TlsFile | None
 
 
 class ControlError(Exception):
@@ -35,37 +70,132 @@
         raw, lines = read(path)
     except FileError as err:
         raise ControlError(f"{path}:{err.line}: [{err.rule}] {err.wrong}; {err.right}") from None
-    found, faults = decode(raw, lines)
+    found, faults = decode(raw, lines, Path(path).resolve().parent)
     if found is None:
         raise ControlError("\n".join(f"{path}:{fault}" for fault in faults))
-    folder = Path(path).resolve().parent
-    return replace(found, config=folder / found.config, routes=folder / found.routes)
+    return found
 
 
-def decode(raw: dict[str, Any], lines: Mapping[Key, int]) -> tuple[ControlFile | None, list[Fault]]:
+def decode(
+    raw: dict[str, Any], lines: Mapping[Key, int], folder: Path = Path()
+) -> tuple[ControlFile | None, list[Fault]]:
     """The decoded file, or its faults in the file's order."""
-    faults = [
-        Fault(lines.get((key,), 1), "unknown-key", f"no key {key!r}", f"known are {KEYS}")
-        for key in raw
-        if key not in KEYS
-    ]
+    top = _Section(raw, (), lines, folder, [])
+    top.known(SECTIONS[""])
     if raw.get("version") != 1:
-        faults.append(Fault(lines.get(("version",), 1), "version", "not 1", "write version = 1"))
-    found: dict[str, Any] = {}
-    for key in KEYS[1:]:
-        line = lines.get((key,), 1)
-        value = raw.get(key, "127.0.0.1:10000" if key == "envoy_listener" else None)
-        if not isinstance(value, str):
-            faults.append(Fault(line, "missing-key", f"{key} is no string", "write one"))
-            continue
+        top.fault("version", "version", "not 1", "write version = 1")
+    listen = top.address("listen")
+    envoy = top.address("envoy_listener", "127.0.0.1:10000")
+    ramp = top.text("slow_start", "weights")
+    if ramp not in ("weights", "proxy"):
+        top.fault("slow_start", "bad-value", f"slow_start is {ramp!r}", "weights or proxy")
+    every = _SECONDS.fullmatch(top.text("report_every", "10s"))
+    if every is None:
+        top.fault("report_every", "bad-value", "no whole seconds", 'write "10s", "0s" for never')
+    pools = _pools(top)
+    tls = _tls(top) if "tls" in raw else None
+    if listen is not None and tls is None and not ip_address(listen.host).is_loopback:
+        right = "listen on 127.0.0.1 or set [tls]: without it anybody could read and take streams"
+        top.fault("listen", "wide-listener", f"{listen} is no loopback", right)
+    if top.faults or listen is None or envoy is None or every is None:
+        return None, sorted(top.faults)
+    return ControlFile(listen, envoy, ramp == "proxy", int(every[1]), pools, tls), []
+
+
+@dataclass(slots=True)
+class _Section:
+    """One table of the file, and the faults found so far in all of them."""
+
+    raw: dict[str, Any]
+    at: Key
+    lines: Mapping[Key, int]
+    folder: Path
+    faults: list[Fault] = field(default_factory=list)
+
+    def sub(self, raw: dict[str, Any], *at: str | int) -> _Section:
+        return replace(self, raw=raw, at=(*self.at, *at))
+
+    def fault(self, key: str, rule: str, wrong: str, right: str) -> None:
+        line = self.lines.get((*self.at, key), self.lines.get(self.at, 1))
+        self.faults.append(Fault(line, rule, wrong, right))
+
+    def known(self, keys: tuple[str, ...]) -> None:
+        for key in self.raw:
+            if key not in keys:
+                self.fault(key, "unknown-key", f"no key {key!r}", f"known are {', '.join(keys)}")
+
+    def text(self, key: str, default: str | None = None) -> str:
+        value = self.raw.get(key, default)
+        if isinstance(value, str) and value:
+            return value
+        self.fault(key, "missing-key", f"{key} is no string", "write one")
+        return ""
+
+    def path(self, key: str) -> Path:
+        return self.folder / self.text(key)
+
+    def address(self, key: str, default: str | None = None) -> Address | None:
+        value = self.text(key, default)
+        if not value:
+            return None
         try:
-            found[key] = parse_address(value) if key in ("listen", "envoy_listener") else value
-            if key == "listen" and not ip_address(found[key].host).is_loopback:
-                right = "listen on 127.0.0.1: without TLS anybody could read and take streams"
-                faults.append(Fault(line, "wide-listener", f"{value} is no loopback", right))
+            found = parse_address(value)
+            ip_address(found.host)
         except ValueError as err:
-            faults.append(Fault(line, "bad-value", str(err), 'write "127.0.0.1:18000"'))
-    if faults:
-        return None, sorted(faults)
-    paths = (Path(found["config"]), Path(found["routes"]))
-    return ControlFile(found["listen"], *paths, found["envoy_listener"]), []
+            self.fault(key, "bad-value", str(err), 'write "127.0.0.1:18000"')
+            return None
+        return found
+
+
+def _pools(top: _Section) -> tuple[PoolFile, ...]:
+    """The unnamed pool of the file's head, or those of its [[pool]] tables."""
+    rows = top.raw.get("pool", [])
+    if not isinstance(rows, list) or not all(isinstance(row, dict) for row in rows):
+        top.fault("pool", "bad-value", "pool is no array of tables", "write [[pool]]")
+        return ()
+    if not rows:
+        return (_pool(top, "main"),)
+    for key in ("config", "routes", "members"):
+        if key in top.raw:
+            top.fault(key, "twice", f"{key} beside [[pool]]", "write it in the pool it is for")
+    if len(rows) > MAX_POOLS:
+        top.fault("pool", "too-many", f"over {MAX_POOLS} pools", "start another control service")
+    out = []
+    names: set[str] = set()
+    for i, row in enumerate(rows):
+        one = top.sub(row, "pool", i)
+        one.known(SECTIONS["pool"])
+        name = one.text("name")
+        if name in names:
+            one.fault("name", "twice", f"a second pool {name!r}", "give each its own name")
+        names.add(name)
+        out.append(_pool(one, name))
+    return tuple(out)
+
+
+def _pool(one: _Section, name: str) -> PoolFile:
+    members = one.path("members") if "members" in one.raw else None
+    return PoolFile(name, one.path("config"), one.path("routes"), members)
+
+
+def _tls(top: _Section) -> TlsFile | None:
+    raw = top.raw["tls"]
+    if not isinstance(raw, dict):
+        top.fault("tls", "bad-value", "tls is no table", "write [tls]")
+        return None
+    one = top.sub(raw, "tls")
+    one.known(SECTIONS["tls"])
+    nodes = raw.get("nodes")
+    if not isinstance(nodes, dict) or not nodes:
+        right = 'write nodes = { "proxy.example" = ["p-*"] }: who may speak for which proxy'
+        one.fault("nodes", "missing-key", "no certificate is bound to node ids", right)
+        return None
+    bound: dict[str, tuple[str, ...]] = {}
+    for name, patterns in nodes.items():
+        good = isinstance(patterns, list) and all(isinstance(p, str) and p for p in patterns)
+        if not good or not patterns:
+            wrong = f"{name!r} has no list of node ids"
+            one.sub(nodes, "nodes").fault(name, "bad-value", wrong, 'write ["p-*"]')
+            continue
+        bound[name] = tuple(patterns)
+    return TlsFile(one.path("certificate"), one.path("key"), one.path("clients"), bound)
--- /dev/null
+++ b/windrelay/xds/peers.py
@@ -0,0 +1,62 @@
+"""Who is at the other end of a stream: its node message and its certificate."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import grpc
+
+from flinthatch.snapshot import ProxyKind, kind_of
+from windrelay.xds.file import TlsFile
+
+MAX_ID = 256  # bytes of a node's id
+
+
+class PeerError(ValueError):
+    """A proxy that is not served; the text goes to it and to the log."""
+
+    def __init__(self, text: str, code: grpc.StatusCode = grpc.StatusCode.INVALID_ARGUMENT) -> None:
+        super().__init__(text)
+        self.code = code
+
+
+@dataclass(frozen=True, slots=True)
+class Group:
+    """Proxies that are handed the same: a kind, in a zone by its name."""
+
+    kind: ProxyKind
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    node: str
+    group: Group
+
+
+def identify(node: Any, context: Any, tls: TlsFile | None) -> Peer:
+    """The peer by its first message; PeerError where it can't be served."""
+    if not node.id or len(node.id) > MAX_ID:
+        raise PeerError(f"the node's id is empty or over {MAX_ID} bytes")
+    if tls is not None:
+        names = certificate_names(context)
+        if not tls.allows(names, node.id):
+            text = f"certificate {', '.join(names)!r} may not speak for {node.id!r}"
+            raise PeerError(text, grpc.StatusCode.PERMISSION_DENIED)
+    version = node.user_agent_version
+    if node.HasField("user_agent_build_version"):
+        number = node.user_agent_build_version.version
+        version = f"{number.major_number}.{number.minor_number}"
+    kind = kind_of(node.user_agent_name, version)
+    if kind is None:
+        raise PeerError("the node's user_agent_name is neither envoy nor gRPC's")
+    return Peer(node.id, Group(kind, node.locality.zone[:MAX_ID]))
+
+
+def certificate_names(context: Any) -> list[str]:
+    """The names a client's certificate holds: those of its subject's alternatives first."""
+    found = context.auth_context()
+    keys = ("x509_subject_alternative_name", "x509_common_name")
+    names = [n.decode(errors="replace") for key in keys for n in found.get(key, ())]
+    return list(dict.fromkeys(names))
--- /dev/null
+++ b/windrelay/xds/pool.py
@@ -0,0 +1,191 @@
+"""One pool: a Balancer that sends nothing itself, its list of servers and its routes."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+
+from flinthatch import Balancer, Listing, State, Update
+from flinthatch.balancer import ServerView
+from flinthatch.drains import Drains, Holding
+from flinthatch.reports import Ledger
+from flinthatch.routes import Table
+from flinthatch.snapshot import Audience, Plan, plan
+from windrelay.config import Config
+from windrelay.discovery import Discovery
+from windrelay.xds.file import PoolFile
+from windrelay.xds.members import FileMembers
+
+SECOND = 1_000_000_000
+OLD = 30 * SECOND  # without a word from discovery, whose watch answers within 20 s
+
+
+class Pool:
+    """`changed` is called when what proxies hold may have to change, `urgent` for a drain."""
+
+    def __init__(
+        self,
+        file: PoolFile,
+        config: Config,
+        table: Table,
+        every: int,
+        changed: Callable[[], None],
+        urgent: Callable[[Pool], None],
+        log: Callable[[str], None],
+    ) -> None:
+        self.name = file.name
+        self.config = config
+        self.table = table
+        self.ledger = Ledger(max(every, 1) * SECOND)
+        self.drains: dict[str, Drains] = {s.name: Drains() for s in table.services}
+        self._changed = changed
+        self._urgent = urgent
+        self._log = log
+        self.members: FileMembers | Discovery
+        if file.members is not None:
+            self.members = FileMembers(file.members, config, self._told, self.log)
+        else:
+            self.members = Discovery(config, self._told, self.log)
+        self.balancer = Balancer(config.settings, config.seed, self)
+        self._heard = 0  # when the list was last known to be right
+        self._known: list[ServerView] = []
+        self._addresses: dict[int, tuple[str, int]] = {}
+        self._backends: dict[tuple[str, int], int] = {}
+
+    def start(self) -> None:
+        """Take the list to begin with over; ListError or OSError where it can't be used."""
+        rows = self.members.known(self.config.known)
+        now = time.monotonic_ns()
+        self._heard = now
+        self.balancer.start(now)
+        self.balancer.on_members(now, Update.CACHED, rows)
+        if isinstance(self.members, FileMembers):
+            self.members.watch()
+        self.refresh()
+
+    def follow(self, table: Table) -> None:
+        """Hand out other routes from now on."""
+        self.table = table
+        self.drains = {s.name: self.drains.get(s.name, Drains()) for s in table.services}
+
+    def _told(self, update: Update, rows: list[Listing], _stale: list[int]) -> None:
+        now = time.monotonic_ns()
+        if update != Update.FAILED:
+            self._heard = now
+        self.balancer.on_members(now, update, rows)
+        self.refresh()
+        leaving = [v.backend for v in self._known if v.state == State.DRAINING]
+        grace = self.config.settings.drain_grace
+        begun = [self.drains[s].listed(now, leaving, grace) for s in self.drains]
+        if any(begun):
+            self._urgent(self)
+        else:
+            self._changed()
+
+    # ---- what is handed out -------------------------------------------
+
+    def refresh(self) -> None:
+        """Look at the Balancer once for all that is handed out; an empty list changes nothing."""
+        view = self.balancer.view(time.monotonic_ns())
+        if view:
+            self._known = view
+            self._addresses = {
+                b: (a.host, a.port) for b, a in self.members.roster.endpoints.items()
+            }
+            self._backends = {address: b for b, address in self._addresses.items()}
+
+    def known(self) -> bool:
+        """Whether any server was ever known."""
+        return bool(self._known)
+
+    def old(self) -> str:
+        """How long nothing was heard of the list, "" where it is not old."""
+        now = time.monotonic_ns()
+        age = now - self._heard
+        if not self.balancer.view(now):
+            return f"{self.name}: list is empty"
+        if age >= OLD and isinstance(self.members, Discovery):
+            return f"{self.name}: not heard of for {age // SECOND} s"
+        return ""
+
+    def plans(self, to: Audience) -> list[Plan]:
+        """Every service's plan for one group of proxies."""
+        return [
+            plan(s, self.config.settings, self.table.node_budget, self._known, self._addresses, to)
+            for s in self.table.services
+        ]
+
+    def usable(self) -> frozenset[int]:
+        """Servers that a set of endpoints handed out now lets take new work."""
+        return frozenset(v.backend for v in self._known if v.state == State.READY)
+
+    def late(self, service: str, holdings: Iterable[Holding]) -> set[str]:
+        """Proxies that may still send to a server that drains."""
+        drains = self.drains[service]
+        rows = list(holdings)
+        leaving = [v.backend for v in self._known if v.state == State.DRAINING]
+        return {name for b in leaving for name in drains.late(b, rows)}
+
+    # ---- load reports -------------------------------------------------
+
+    def services(self) -> frozenset[str]:
+        return frozenset(self.drains)
+
+    def address(self, backend: int) -> str:
+        """Where a server is, for the log."""
+        host, port = self._addresses.get(backend, ("?", 0))
+        return f"{host}:{port}"
+
+    def size(self) -> int:
+        return len(self._known)
+
+    def at(self, host: str, port: int) -> int | None:
+        return self._backends.get((host, port))
+
+    def listed(self, backend: int) -> bool:
+        return backend in self._addresses
+
+    def learn(self) -> None:
+        """Tell the Balancer what all proxies' reports say together."""
+        now = time.monotonic_ns()
+        self.ledger.forget(now, self._addresses)
+        for v in self.ledger.verdicts():
+            self.balancer.on_reported(now, v.backend, v.ratio, v.failing)
+
+    # ---- Actions ------------------------------------------------------
+
+    def send(self, request: int, backend: int, timeout: int) -> None:
+        raise AssertionError("the control service has no requests")
+
+    def refuse(self, request: int, retry_after: int) -> None:
+        raise AssertionError("the control service has no requests")
+
+    def fail(self, request: int) -> None:
+        raise AssertionError("the control service has no requests")
+
+    def cancel(self, request: int, attempt: int) -> None:
+        raise AssertionError("the control service has no requests")
+
+    def probe(self, backend: int) -> None:
+        raise AssertionError("the control service probes nothing")
+
+    def set_timer(self, token: int, due: int) -> None:
+        delay = max(due - time.monotonic_ns(), 0) / 1e9
+        asyncio.get_running_loop().call_later(delay, self._timer, token)
+
+    def _timer(self, token: int) -> None:
+        before = self._known
+        self.balancer.on_timer(time.monotonic_ns(), token)
+        self.refresh()
+        if before != self._known:
+            self._changed()
+
+    def watch(self) -> None:
+        self.members.watch()
+
+    def fetch(self) -> None:
+        self.members.fetch()
+
+    def log(self, text: str) -> None:
+        self._log(f"pool {self.name}: {text}")
--- a/windrelay/xds/server.py
+++ b/windrelay/xds/server.py
@@ -1,15 +1,18 @@
-"""The aggregated discovery service over grpc.aio: sessions to streams and back."""
+"""The discovery services over grpc.aio: sessions to streams and back."""
 
 from __future__ import annotations
 
 import asyncio
+import time
+from collections import Counter
 from collections.abc import AsyncIterator, Callable, Mapping
 from typing import Any
 
 import grpc
 from envoy.service.discovery.v3 import discovery_pb2
-from envoy.service.status.v3 import csds_pb2
 
+from flinthatch.drains import Holding
+from flinthatch.pacing import Pacing
 from flinthatch.picture import (
     History,
     Kind,
@@ -17,46 +20,44 @@
     Reply,
     Request,
     Session,
-    Standing,
     SubscriptionError,
 )
-from flinthatch.snapshot import ProxyKind
-from windrelay.xds.encode import KINDS, TYPES
+from windrelay.xds.encode import KINDS
+from windrelay.xds.file import TlsFile
+from windrelay.xds.peers import Group, Peer, PeerError, identify
+from windrelay.xds.status import MAX_WORDS
 from windrelay.xds.wire import Answers
 
 SERVICE = "envoy.service.discovery.v3.AggregatedDiscoveryService"
-STATUS_SERVICE = "envoy.service.status.v3.ClientStatusDiscoveryService"
 SEPARATE = {
     Kind.CLUSTER: ("cluster.v3.ClusterDiscoveryService", "Clusters"),
     Kind.ENDPOINTS: ("endpoint.v3.EndpointDiscoveryService", "Endpoints"),
     Kind.LISTENER: ("listener.v3.ListenerDiscoveryService", "Listeners"),
     Kind.ROUTES: ("route.v3.RouteDiscoveryService", "Routes"),
 }
-STANDINGS = {
-    Standing.ABSENT: "DOES_NOT_EXIST",
-    Standing.SENT: "REQUESTED",
-    Standing.ACCEPTED: "ACKED",
-    Standing.REFUSED: "NACKED",
-}
-MAX_WORDS = 500  # of a refusal, kept for the operator
 MAX_STREAMS = 2000
+MAX_GROUPS = 64  # kinds times zones; each holds a picture of its own
 MAX_REQUEST = 4 << 20  # bytes
 REQUESTS = 200  # a second and stream; a proxy that asks for everything sends some ten
+FIRST_S = 10.0  # for a stream's first request
+CLOSE_S = 1.0  # for a message that is being written when the stream is to be ended
 PAST_S = 5.0  # for a proxy that comes back to tell of its routes
-
-Group = tuple[ProxyKind, str]  # kind and zone
+COMERS = 500  # new streams a second ...
+AT_ONCE = 100  # ... after so many at once
+LONGEST_WAIT = 10_000_000_000
 
 
 class Stream:
     """One proxy's stream: its session and what is still to be written."""
 
-    def __init__(self, node: str, group: Group, session: Session) -> None:
-        self.node = node
-        self.group = group
+    def __init__(self, peer: Peer, session: Session, only: Kind | None = None) -> None:
+        self.peer = peer
         self.session = session
+        self.only = only
         # At most one message of a kind: a newer one waits for the older's answer.
         self.unsent: list[Reply] = []
         self.ready = asyncio.Event()
+        self.closing = False
 
     def put(self, replies: list[Reply]) -> None:
         if replies:
@@ -66,6 +67,19 @@
             self.unsent = [reply for reply in self.unsent if reply.kind not in newer] + replies
             self.ready.set()
 
+    def close(self) -> None:
+        """Write nothing after what is being written now."""
+        self.closing = True
+        self.ready.set()
+
+    def press(self) -> None:
+        """Tell the newest endpoints now, whatever was not answered or not even written.
+
+        What still waits here to be written the proxy has never seen: it is dropped,
+        so that a slow reader gets the newest behind what is in its buffers already.
+        """
+        self.put(self.session.press())
+
 
 class Streams:
     """All streams, and the picture that each group of proxies is to hold."""
@@ -75,6 +89,7 @@
         log: Callable[[str], None],
         changed: Callable[[], None],
         build: Callable[[Group], Picture | None],
+        tls: TlsFile | None = None,
     ) -> None:
         self.streams: set[Stream] = set()
         self._build = build  # for a group that has no picture yet; None while nothing is known
@@ -82,38 +97,60 @@
         self._histories: dict[Group, History] = {}
         self._log = log
         self._changed = changed  # a proxy has come or gone
+        self._tls = tls
         self._answers = (Answers(False), Answers(True))
+        self._pacing = Pacing(COMERS, AT_ONCE, LONGEST_WAIT)
+        self._open = 0  # streams that have begun, also those that said nothing yet
 
     def publish(self, pictures: Mapping[Group, Picture]) -> None:
         """Hand out new pictures; a proxy whose resources are the same is sent nothing."""
+        changed = {g for g, p in pictures.items() if self.pictures.get(g) is not p}
         self.pictures = dict(pictures)
         for stream in self.streams:
-            if stream.group in self.pictures:
-                stream.put(stream.session.update(self.pictures[stream.group]))
+            if stream.peer.group in changed:
+                stream.put(stream.session.update(self.pictures[stream.peer.group]))
+
+    def groups(self) -> set[Group]:
+        """The groups that have proxies present."""
+        return {stream.peer.group for stream in self.streams}
 
-    def groups(self) -> dict[Group, int]:
-        """How many proxies are present, by group."""
-        out: dict[Group, int] = {}
+    def proxies(self) -> int:
+        """How many proxies are present.
+
+        One that has a stream for each type is one; two aggregated streams of one id
+        are two proxies, or one that has come back before its old connection ended:
+        counted twice each gets a smaller part of what all may have in flight.
+        """
+        counts: dict[str, Counter[Kind | None]] = {}
         for stream in self.streams:
-            out[stream.group] = out.get(stream.group, 0) + 1
+            counts.setdefault(stream.peer.node, Counter())[stream.only] += 1
+        return sum(
+            count[None] + max((n for kind, n in count.items() if kind is not None), default=0)
+            for count in counts.values()
+        )
+
+    def holdings(self, service: str) -> list[Holding]:
+        """Every set of a service's endpoints that some proxy may be acting on."""
+        out = []
+        for stream in self.streams:
+            group = (stream.peer.group.kind.value, stream.peer.group.zone)
+            for version in stream.session.may_hold(Kind.ENDPOINTS).get(service, ()):
+                out.append(Holding(stream.peer.node, group, version))
         return out
 
+    def press(self, nodes: set[str]) -> None:
+        """Tell these proxies the newest endpoints without waiting for their answers."""
+        for stream in self.streams:
+            if stream.peer.node in nodes:
+                stream.press()
+
     def handlers(self) -> tuple[Any, ...]:
-        """For grpc.aio's server: the aggregated service, one for each type, and client status."""
+        """For grpc.aio's server: the aggregated service, and one for each type."""
         by_type = (
             self._discovery(f"envoy.service.{name}", plural, kind)
             for kind, (name, plural) in SEPARATE.items()
         )
-        status = grpc.unary_unary_rpc_method_handler(
-            self._fetch_status,
-            csds_pb2.ClientStatusRequest.FromString,
-            csds_pb2.ClientStatusResponse.SerializeToString,
-        )
-        return (
-            self._discovery(SERVICE, "AggregatedResources", None),
-            *by_type,
-            grpc.method_handlers_generic_handler(STATUS_SERVICE, {"FetchClientStatus": status}),
-        )
+        return (self._discovery(SERVICE, "AggregatedResources", None), *by_type)
 
     def _discovery(self, service: str, plural: str, only: Kind | None) -> Any:
         """Both variants of a discovery service, for one type of resource or for all."""
@@ -124,121 +161,132 @@
         async def incremental(requests: AsyncIterator[Any], context: Any) -> None:
             await self._serve(requests, context, True, only)
 
+        # Answers are bytes already: no serialiser.
         methods = {
             f"Stream{plural}": grpc.stream_stream_rpc_method_handler(
-                whole,
-                discovery_pb2.DiscoveryRequest.FromString,
-                None,  # answers are bytes already
+                whole, discovery_pb2.DiscoveryRequest.FromString, None
             ),
             f"Delta{plural}": grpc.stream_stream_rpc_method_handler(
-                incremental,
-                discovery_pb2.DeltaDiscoveryRequest.FromString,
-                None,
+                incremental, discovery_pb2.DeltaDiscoveryRequest.FromString, None
             ),
         }
         return grpc.method_handlers_generic_handler(service, methods)
 
-    async def _fetch_status(self, _request: Any, _context: Any) -> Any:
-        """Each proxy's resources: sent, accepted, or refused in its own words."""
-        out = csds_pb2.ClientStatusResponse()
-        for stream in sorted(self.streams, key=lambda s: s.node):
-            config = out.config.add()
-            config.node.id = stream.node
-            config.node.locality.zone = stream.group[1]
-            for s in stream.session.status():
-                row = config.generic_xds_configs.add(
-                    type_url=TYPES[s.kind],
-                    name=s.name,
-                    version_info=s.version,
-                    client_status=STANDINGS[s.standing],
-                )
-                if s.words:
-                    row.error_state.details = s.words[:MAX_WORDS]
-                    row.error_state.version_info = s.version
-        return out
-
     async def _serve(
         self, requests: AsyncIterator[Any], context: Any, delta: bool, only: Kind | None
     ) -> None:
-        if len(self.streams) >= MAX_STREAMS:
+        if self._open >= MAX_STREAMS:
             await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, "too many streams")
-        first = await anext(aiter(requests), None)
-        if first is None:
-            return
-        group = _group(first.node)
-        if group is None:
-            text = "the node's user_agent_name is neither envoy nor gRPC's"
-            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, text)
-            return
-        history = self._histories.setdefault(group, History())
-        picture = self.pictures.get(group) or self._build(group)
+        self._open += 1
+        try:
+            first = await self._first(requests, context)
+            if first is not None:
+                peer = await self._admit(first, context)
+                await self._run(peer, first, requests, context, delta, only)
+        finally:
+            self._open -= 1
+
+    async def _first(self, requests: AsyncIterator[Any], context: Any) -> Any:
+        """The first request; a stream that says nothing holds its place only so long."""
+        try:
+            return await asyncio.wait_for(anext(aiter(requests), None), FIRST_S)
+        except TimeoutError:
+            text = f"no request within {FIRST_S:g} s"
+            await context.abort(grpc.StatusCode.DEADLINE_EXCEEDED, text)
+
+    async def _admit(self, first: Any, context: Any) -> Peer:
+        """Who it is, once it is its turn."""
+        try:
+            peer = identify(first.node, context, self._tls)
+        except PeerError as err:
+            self._log(f"proxy {first.node.id[:100]!r}: not served: {err}")
+            await context.abort(err.code, str(err))
+            raise
+        if peer.group not in self._histories and len(self._histories) >= MAX_GROUPS:
+            text = f"over {MAX_GROUPS} kinds and zones"
+            await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, text)
+        wait = self._pacing.wait(time.monotonic_ns())
+        if wait is None:
+            await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, "too many come at once")
+        if wait:
+            await asyncio.sleep(wait / 1e9)
+        return peer
+
+    async def _run(
+        self,
+        peer: Peer,
+        first: Any,
+        requests: AsyncIterator[Any],
+        context: Any,
+        delta: bool,
+        only: Kind | None,
+    ) -> None:
+        history = self._histories.setdefault(peer.group, History())
+        picture = self.pictures.get(peer.group)
+        if picture is None:
+            picture = self._build(peer.group)
+            if picture is not None:
+                self.pictures[peer.group] = picture
         session = Session(delta, picture, history)
-        stream = Stream(first.node.id, group, session)
+        stream = Stream(peer, session, only)
         self.streams.add(stream)
-        self._log(f"proxy {stream.node}: connected, {group[0]} in zone {group[1] or '-'}")
+        group = peer.group
+        self._log(f"proxy {peer.node}: connected, {group.kind} in zone {group.zone or '-'}")
         self._changed()
         writer = asyncio.create_task(self._write(stream, context, delta))
         loop = asyncio.get_running_loop()
         past = loop.call_later(PAST_S, lambda: stream.put(session.forget_past()))
         try:
-            await self._read(stream, first, requests, context, delta, only)
+            wrong = await self._read(stream, first, requests, delta)
+            if wrong is not None:
+                # A status beside a message that is being written would be garbled.
+                stream.close()
+                await asyncio.wait((writer,), timeout=CLOSE_S)
+                await context.abort(*wrong)
         finally:
             past.cancel()
             writer.cancel()
             self.streams.discard(stream)
-            self._log(f"proxy {stream.node}: gone")
+            self._log(f"proxy {peer.node}: gone")
             self._changed()
 
     async def _read(
-        self,
-        stream: Stream,
-        first: Any,
-        requests: AsyncIterator[Any],
-        context: Any,
-        delta: bool,
-        only: Kind | None,
-    ) -> None:
+        self, stream: Stream, first: Any, requests: AsyncIterator[Any], delta: bool
+    ) -> tuple[grpc.StatusCode, str] | None:
+        """Take requests to the stream's end; what is wrong if it is to be ended from here."""
         loop = asyncio.get_running_loop()
         second, count = int(loop.time()), 0
         message = first
+        only = stream.only
         while message is not None:
             now = int(loop.time())
             second, count = (second, count + 1) if now == second else (now, 1)
             if count > REQUESTS:
                 text = f"over {REQUESTS} requests a second"
-                await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, text)
+                return grpc.StatusCode.RESOURCE_EXHAUSTED, text
             # A stream for one type need not name it.
             kind = KINDS.get(message.type_url) if message.type_url or only is None else only
             if kind is None or only not in (None, kind):
                 text = f"no resources of type {message.type_url[:200]!r} here"
-                await context.abort(grpc.StatusCode.INVALID_ARGUMENT, text)
-                return
+                return grpc.StatusCode.INVALID_ARGUMENT, text
             request = _read_delta(kind, message) if delta else _read_whole(kind, message)
             try:
                 stream.put(stream.session.request(request))
             except SubscriptionError as err:
-                await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(err))
+                return grpc.StatusCode.INVALID_ARGUMENT, str(err)
             if request.error:
                 words = request.error[:MAX_WORDS]
-                self._log(f"proxy {stream.node}: refused {kind.name.lower()}: {words}")
+                self._log(f"proxy {stream.peer.node}: refused {kind.name.lower()}: {words}")
             message = await anext(aiter(requests), None)
+        return None
 
     async def _write(self, stream: Stream, context: Any, delta: bool) -> None:
         answers = self._answers[delta]
-        while True:
+        while not stream.closing:
             await stream.ready.wait()
             stream.ready.clear()
-            while stream.unsent:
-                reply = stream.unsent.pop(0)
-                await context.write(answers.encode(reply))
-
-
-def _group(node: Any) -> Group | None:
-    agent = node.user_agent_name.lower()
-    kind = ProxyKind.GRPC if agent.startswith("grpc") else ProxyKind.ENVOY
-    if kind is ProxyKind.ENVOY and not agent.startswith("envoy"):
-        return None
-    return kind, node.locality.zone
+            while stream.unsent and not stream.closing:
+                await context.write(answers.encode(stream.unsent.pop(0)))
 
 
 def _read_whole(kind: Any, m: Any) -> Request:
