Bound load-reporting streams, and never miss a drain's report

A load-reporting stream that said nothing held its place for ever, and one could flood: both now have the discovery streams' bounds. A drain's report could come some nanoseconds before its time and then never.

--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import json
 import signal
@@ -24,9 +25,11 @@
 
 from flinthatch.picture import Kind
 from standins.fleet import Process, started
+from windrelay.xds.control import read_inputs
 from windrelay.xds.encode import TYPES
 from windrelay.xds.file import ControlError, read_file
 from windrelay.xds.load import SERVICE as LOAD_SERVICE
+from windrelay.xds.pool import OLD, Pool
 from windrelay.xds.server import SERVICE
 from windrelay.xds.status import SERVICE as STATUS
 
@@ -326,6 +329,39 @@
     assert process.log.count("load report not counted: more than 1000000 a second") == 1
 
 
+def test_a_flood_of_reports_ends_its_stream_alone(tmp_path: Path) -> None:
+    with control(tmp_path, roster(target("s-1", 9001))) as process:
+        flood, good = Reporter(process, "r1"), Reporter(process, "r2")
+        for _ in range(1000):
+            flood.report({9001: (1, 0)}, ms=0)
+        with pytest.raises(grpc.RpcError) as caught:
+            next(flood.answers)
+        assert caught.value.code() is grpc.StatusCode.RESOURCE_EXHAUSTED
+        good.report({9001: (1, 0)})
+        with raw(process, False) as stream:
+            stream.ask(TYPES[Kind.CLUSTER])
+            assert len(stream.next().resources) == 1
+        good.close()
+        flood.close()
+
+
+def test_a_list_not_heard_of_is_old_and_stands(tmp_path: Path) -> None:
+    """Thirty seconds of silence, told by the time of the last word and not waited for."""
+    file = read_file(str(write_two(tmp_path, TWO)))
+
+    async def play() -> None:
+        inputs = read_inputs(file)
+        said: list[str] = []
+        pool = Pool(*inputs[0], 0, lambda: None, lambda _pool: None, said.append)
+        pool.start()
+        assert pool.old() == ""
+        pool.heard -= OLD
+        assert pool.old() == "topup: not heard of for 30 s"
+        assert pool.known() and len(pool.usable()) == 1
+
+    asyncio.run(play())
+
+
 def test_grpcs_own_client_reports_its_load(tmp_path: Path) -> None:
     with (
         servers("s-1", "s-2") as up,
--- a/windrelay/xds/control.py
+++ b/windrelay/xds/control.py
@@ -171,7 +171,8 @@
         grace = pool.config.settings.drain_grace / 1e9
         loop.call_later(grace * PRESS_PART, self._press, pool)
         due = max(d.next_due() for d in pool.drains.values())
-        loop.call_later(max(due - time.monotonic_ns(), 0) / 1e9, self._report, pool)
+        # A little after: a timer may come some nanoseconds before its time.
+        loop.call_later(max(due - time.monotonic_ns(), 0) / 1e9 + 0.002, self._report, pool)
 
     def _press(self, pool: Pool) -> None:
         for service in pool.drains:
--- a/windrelay/xds/load.py
+++ b/windrelay/xds/load.py
@@ -11,7 +11,7 @@
 
 from flinthatch.reports import Ledger, Row
 from windrelay.xds.file import TlsFile
-from windrelay.xds.peers import PeerError, identify
+from windrelay.xds.peers import REQUESTS, PeerError, Rate, first_request, identify
 
 SERVICE = "envoy.service.load_stats.v3.LoadReportingService"
 ROWS_PER_S = 5_000  # of all reports together; with more proxies each reports more rarely
@@ -65,7 +65,7 @@
             await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, "no more load reports")
         self._streams += 1
         try:
-            first = await anext(aiter(requests), None)
+            first = await first_request(requests, context)
             if first is not None:
                 await self._reports(first, requests, context)
         finally:
@@ -87,8 +87,12 @@
             pool.ledger.every = seconds * SECOND
             streams[name] = pool.ledger.opened(now, peer.node)
         await context.write(answer)
+        rate = Rate()
         message: Any = first
         while message is not None:
+            if rate.exceeded():
+                text = f"over {REQUESTS} reports a second"
+                await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, text)
             for name, pool in pools.items():
                 why = self._count(pool, peer.node, streams[name], message)
                 if why:
--- a/windrelay/xds/peers.py
+++ b/windrelay/xds/peers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -11,6 +13,8 @@
 from windrelay.xds.file import TlsFile
 
 MAX_ID = 256  # bytes of a node's id
+FIRST_S = 10.0  # for a stream's first request
+REQUESTS = 200  # a second and stream; a proxy that asks for everything sends some ten
 
 
 class PeerError(ValueError):
@@ -35,6 +39,31 @@
     group: Group
 
 
+class Rate:
+    """Counts a stream's requests by the second."""
+
+    __slots__ = ("_count", "_second")
+
+    def __init__(self) -> None:
+        self._second = 0
+        self._count = 0
+
+    def exceeded(self) -> bool:
+        """Count one more; whether it is beyond the bound."""
+        now = int(asyncio.get_running_loop().time())
+        self._second, self._count = now, self._count + 1 if now == self._second else 1
+        return self._count > REQUESTS
+
+
+async def first_request(requests: AsyncIterator[Any], context: Any) -> Any:
+    """The first request; a stream that says nothing holds its place only so long."""
+    try:
+        return await asyncio.wait_for(anext(aiter(requests), None), FIRST_S)
+    except TimeoutError:
+        text = f"no request within {FIRST_S:g} s"
+        await context.abort(grpc.StatusCode.DEADLINE_EXCEEDED, text)
+
+
 def identify(node: Any, context: Any, tls: TlsFile | None) -> Peer:
     """The peer by its first message; PeerError where it can't be served."""
     if not node.id or len(node.id) > MAX_ID:
--- a/windrelay/xds/pool.py
+++ b/windrelay/xds/pool.py
@@ -50,7 +50,7 @@
             self.members = Discovery(config, self._told, self.log)
         # Whatever the node's way, nobody pushes a list to the control service: it asks.
         self.balancer = Balancer(replace(config.settings, ask=True), config.seed, self)
-        self._heard = 0  # when the list was last known to be right
+        self.heard = 0  # when the list was last known to be right
         self._known: list[ServerView] = []
         self._addresses: dict[int, tuple[str, int]] = {}
         self._backends: dict[tuple[str, int], int] = {}
@@ -59,7 +59,7 @@
         """Take the list to begin with over; ListError or OSError where it can't be used."""
         rows = self.members.known(self.config.known)
         now = time.monotonic_ns()
-        self._heard = now
+        self.heard = now
         self.balancer.start(now)
         self.balancer.on_members(now, Update.CACHED, rows)
         if isinstance(self.members, FileMembers):
@@ -74,7 +74,7 @@
     def _told(self, update: Update, rows: list[Listing], _stale: list[int]) -> None:
         now = time.monotonic_ns()
         if update != Update.FAILED:
-            self._heard = now
+            self.heard = now
         self.balancer.on_members(now, update, rows)
         self.refresh()
         leaving = [v.backend for v in self._known if v.state == State.DRAINING]
@@ -104,7 +104,7 @@
     def old(self) -> str:
         """How long nothing was heard of the list, "" where it is not old."""
         now = time.monotonic_ns()
-        age = now - self._heard
+        age = now - self.heard
         if not self.balancer.view(now):
             return f"{self.name}: list is empty"
         if age >= OLD and isinstance(self.members, Discovery):
--- a/windrelay/xds/server.py
+++ b/windrelay/xds/server.py
@@ -24,7 +24,7 @@
 )
 from windrelay.xds.encode import KINDS, stub_cluster
 from windrelay.xds.file import TlsFile
-from windrelay.xds.peers import Group, Peer, PeerError, identify
+from windrelay.xds.peers import REQUESTS, Group, Peer, PeerError, Rate, first_request, identify
 from windrelay.xds.status import MAX_WORDS
 from windrelay.xds.wire import Answers
 
@@ -38,8 +38,6 @@
 MAX_STREAMS = 2000
 MAX_GROUPS = 64  # kinds times zones; each holds a picture of its own
 MAX_REQUEST = 4 << 20  # bytes
-REQUESTS = 200  # a second and stream; a proxy that asks for everything sends some ten
-FIRST_S = 10.0  # for a stream's first request
 CLOSE_S = 1.0  # for a message that is being written when the stream is to be ended
 PAST_S = 5.0  # for a proxy that comes back to tell of its routes
 COMERS = 500  # new streams a second ...
@@ -179,21 +177,13 @@
             await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, "too many streams")
         self._open += 1
         try:
-            first = await self._first(requests, context)
+            first = await first_request(requests, context)
             if first is not None:
                 peer = await self._admit(first, context)
                 await self._run(peer, first, requests, context, delta, only)
         finally:
             self._open -= 1
 
-    async def _first(self, requests: AsyncIterator[Any], context: Any) -> Any:
-        """The first request; a stream that says nothing holds its place only so long."""
-        try:
-            return await asyncio.wait_for(anext(aiter(requests), None), FIRST_S)
-        except TimeoutError:
-            text = f"no request within {FIRST_S:g} s"
-            await context.abort(grpc.StatusCode.DEADLINE_EXCEEDED, text)
-
     async def _admit(self, first: Any, context: Any) -> Peer:
         """Who it is, once it is its turn."""
         try:
@@ -254,14 +244,11 @@
         self, stream: Stream, first: Any, requests: AsyncIterator[Any], delta: bool
     ) -> tuple[grpc.StatusCode, str] | None:
         """Take requests to the stream's end; what is wrong if it is to be ended from here."""
-        loop = asyncio.get_running_loop()
-        second, count = int(loop.time()), 0
+        rate = Rate()
         message = first
         only = stream.only
         while message is not None:
-            now = int(loop.time())
-            second, count = (second, count + 1) if now == second else (now, 1)
-            if count > REQUESTS:
+            if rate.exceeded():
                 text = f"over {REQUESTS} requests a second"
                 return grpc.StatusCode.RESOURCE_EXHAUSTED, text
             # A stream for one type need not name it.
