--- a/standins/web.py
+++ b/standins/web.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import re
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 
@@ -23,13 +24,20 @@
 
 @dataclass(slots=True)
 class Reply:
-    """An answer. `reset` ends the connection with a reset in its place, `silent` never answers."""
+    """An answer. `reset` ends the connection with a reset in its place, `silent` never answers.
+
+    `cut`: the connection ends after so many bytes of the body; `rate`: bytes a second;
+    `endless`: the body goes on for ever.
+    """
 
     status: int = 200
     body: bytes = b""
     headers: dict[str, str] = field(default_factory=dict)
     reset: bool = False
     silent: bool = False
+    cut: int | None = None
+    rate: int = 0
+    endless: bool = False
 
 
 Handler = Callable[[Asked], Awaitable[Reply]]
@@ -50,6 +58,26 @@
     return Asked(method, path, query, headers, body)
 
 
+async def _spoilt(writer: asyncio.StreamWriter, head: str, reply: Reply) -> None:
+    """An answer that is cut, slow or without an end; the connection is over with it."""
+    if reply.endless:
+        head = re.sub(r"Content-Length: \d+", "Transfer-Encoding: chunked", head)
+        writer.write(head.encode())
+        while True:
+            writer.write(b"1000\r\n" + b" " * 0x1000 + b"\r\n")
+            await writer.drain()
+    writer.write(head.encode())
+    body = reply.body if reply.cut is None else reply.body[: reply.cut]
+    step = reply.rate or len(body) or 1
+    for at in range(0, len(body), step):
+        writer.write(body[at : at + step])
+        await writer.drain()
+        if reply.rate:
+            await asyncio.sleep(1.0)
+    if reply.cut is not None:
+        writer.transport.abort()
+
+
 async def _serve(
     handler: Handler, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
@@ -65,6 +93,9 @@
                 return
             extra = "".join(f"{k}: {v}\r\n" for k, v in reply.headers.items())
             head = f"HTTP/1.1 {reply.status} -\r\nContent-Length: {len(reply.body)}\r\n{extra}\r\n"
+            if reply.cut is not None or reply.rate or reply.endless:
+                await _spoilt(writer, head, reply)
+                return
             writer.write(head.encode() + reply.body)
             await writer.drain()
             if asked.headers.get("connection", "").lower() == "close":
