Take a pool's servers from Consul, in shards within a share of lines a second

Consul's checks say more than a running process, but a whole answer about 270 servers is over the 200 lines a second that all readers share. A watch under a filter that nothing passes costs no line; questions by the end of ids reserve what they may return before they are sent. Several agents in turn with back-off; what can't be used leaves the list as it was: 11 faults in the tests.

--- a/flinthatch/members.py
+++ b/flinthatch/members.py
@@ -51,7 +51,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Word:
-    """One server as one source tells it. `boot` 0: not told."""
+    """One server as one source tells it, `weight` as it stands now. `boot` 0: not told."""
 
     uid: str
     host: str
@@ -84,7 +84,6 @@
     doubted: float = 0.25  # of the pool, out for its checks' word alone at any time
     empty_after: int = 60 * SECOND
     drain: int = 2 * SECOND  # from a deregistration until it is told as gone
-    warning_weight: float = 0.5
     flaps: float = 4.0  # changes, half of them forgotten after each half-life
     half_life: int = 30 * SECOND
 
@@ -303,8 +302,7 @@
         s.doubted = s.dead = False
         s.address = word.address
         self._places[word.address] = s.uid
-        factor = self._rules.warning_weight if word.health == Health.WARNING else 1.0
-        self._tell(now, s, State.READY, word.weight * factor, word.health.name.lower())
+        self._tell(now, s, State.READY, word.weight, word.health.name.lower())
 
     def _rebooted(self, told: int, known: int) -> int:
         if told in (0, known):
--- /dev/null
+++ b/tests/test_consul.py
@@ -0,0 +1,269 @@
+"""Servers from Consul: the reader, its file and the control service, before the stand-in."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from flinthatch.members import Health
+from flinthatch.picture import Kind
+from standins.fleet import Process, started
+from windrelay.consul.file import ConsulError, read_consul, read_token
+from windrelay.consul.rows import RowError, words
+
+from .harness import ROOT, SETTINGS, roster, target
+from .test_control import ROUTES, raw
+from .test_hostile import until_said
+from .test_pools import Envoy
+
+FILE = """\
+version = 1
+agents = ["{agent}"]
+service = "topup"
+datacentres = {{ dc1 = "east" }}
+fresh = "5s"
+"""
+
+
+def service(i: int, **more: Any) -> dict[str, Any]:
+    row = {"ID": f"t-{i}", "Service": "topup", "Address": "127.0.0.1", "Port": 9000 + i}
+    return row | more
+
+
+def listed(agent: Process, *numbers: int) -> None:
+    agent.call("PUT", "/standin/services", [service(i) for i in numbers])
+
+
+def fault(agent: Process, **faults: Any) -> None:
+    agent.call("POST", "/standin/faults", faults)
+
+
+@pytest.fixture
+def agent() -> Iterator[Process]:
+    with started(("-m", "standins.consul")) as process:
+        yield process
+
+
+@contextlib.contextmanager
+def control(tmp_path: Path, *agents: str, **known: Any) -> Iterator[Process]:
+    """A control service that lives on Consul, with nothing known unless told."""
+    text = FILE.format(agent='", "'.join(agents))
+    (tmp_path / "consul.toml").write_text(text)
+    (tmp_path / "routes.toml").write_text(ROUTES)
+    config = {
+        "name": "c1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
+        "known": known or roster(), "settings": SETTINGS,
+    }  # fmt: skip
+    (tmp_path / "config.json").write_text(json.dumps(config))
+    path = tmp_path / "control.toml"
+    path.write_text(
+        'version = 1\nlisten = "127.0.0.1:0"\nreport_every = "0s"\n'
+        'config = "config.json"\nroutes = "routes.toml"\nconsul = "consul.toml"\n'
+    )
+    with started(("-m", "windrelay", "control", str(path))) as process:
+        yield process
+
+
+@contextlib.contextmanager
+def proxy(process: Process) -> Iterator[Envoy]:
+    with raw(process, False) as stream:
+        out = Envoy(stream)
+        out.subscribe(Kind.CLUSTER)
+        out.subscribe(Kind.ENDPOINTS, "topup")
+        while "topup" not in out.loads:
+            out.take()
+        yield out
+
+
+def follow(p: Envoy, *numbers: int) -> None:
+    """Until just these take new work; none but these and the drained are ever told."""
+    draining = 3
+    while True:
+        rows = p.loads["topup"].items()
+        if {port for port, e in rows if e.health_status != draining} == {9000 + i for i in numbers}:
+            return
+        p.take()
+
+
+def test_proxies_follow_consuls_checks_maintenance_and_deregistration(
+    tmp_path: Path, agent: Process
+) -> None:
+    listed(agent, *range(1, 11))
+    with control(tmp_path, agent.address) as process, proxy(process) as p:
+        follow(p, *range(1, 11))
+        agent.call("POST", "/standin/status", {"t-3": "critical"})
+        follow(p, 1, 2, *range(4, 11))
+        agent.call("POST", "/standin/status", {"t-3": "passing"})
+        agent.call("PUT", "/v1/agent/service/maintenance/t-4?enable=true")
+        follow(p, 1, 2, 3, *range(5, 11))
+    lines = agent.call("GET", "/standin/lines")["seconds"]
+    assert max(lines.values()) <= 190
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        {"status": 500}, {"status": 429}, {"reset": True}, {"leaderless": True},
+        {"contact_ms": 60_000}, {"cut": 10}, {"body": "[{"}, {"body": '{"a": 1}'},
+        {"body": '[{"Node": 5}]'}, {"token": "other"}, {"empty": True},
+    ],
+)  # fmt: skip
+def test_no_fault_of_an_agent_takes_a_server_away(
+    tmp_path: Path, agent: Process, faults: dict[str, Any]
+) -> None:
+    """While it lasts nothing changes; once it is over the next change is followed."""
+    listed(agent, 1, 2, 3)
+    with control(tmp_path, agent.address) as process, proxy(process) as p:
+        follow(p, 1, 2, 3)
+        fault(agent, **faults)
+        agent.call("POST", "/standin/status", {"t-1": "warning"})  # its readers wake to it
+        if not faults.get("empty"):
+            until_said(process, "the list stands")
+        fault(agent)
+        listed(agent, 1, 2, 3, 4)
+        while len(p.loads["topup"]) < 4:
+            assert set(p.loads["topup"]) == {9001, 9002, 9003}
+            p.take()
+
+
+def test_the_next_agent_is_asked_when_one_is_gone(tmp_path: Path, agent: Process) -> None:
+    with started(("-m", "standins.consul")) as other:
+        for each in (agent, other):
+            listed(each, 1, 2)
+        with control(tmp_path, agent.address, other.address) as process, proxy(process) as p:
+            follow(p, 1, 2)
+            agent.popen.kill()
+            until_said(process, "the list stands")
+            listed(other, 1, 2, 3)
+            follow(p, 1, 2, 3)
+
+
+def test_an_agent_restored_from_an_old_backup_is_followed(tmp_path: Path, agent: Process) -> None:
+    listed(agent, 1, 2, 3)
+    with control(tmp_path, agent.address) as process, proxy(process) as p:
+        follow(p, 1, 2, 3)
+        fault(agent, rewind=True)
+        listed(agent, 1, 2, 3, 4)
+        follow(p, 1, 2, 3, 4)
+
+
+def test_without_an_agent_the_last_known_list_is_handed_out(tmp_path: Path) -> None:
+    known = roster(target("s-1", 9001))
+    with control(tmp_path, "127.0.0.1:1", **known) as process, proxy(process) as p:
+        assert p.ports("topup") == {9001}
+        until_said(process, "the list stands")
+
+
+def test_the_merged_list_is_printed_with_reasons(tmp_path: Path, agent: Process) -> None:
+    rows = [
+        service(1), service(2, Status="critical"),
+        service(3, Address="", NodeAddress="127.0.0.9"),
+        service(4, ID="odd/ name é!"), service(5, Address="::1"),
+        service(6, Service="other"), service(7, Port=9001),
+    ]  # fmt: skip
+    agent.call("PUT", "/standin/services", rows)
+    path = tmp_path / "consul.toml"
+    path.write_text(FILE.format(agent=agent.address))
+    done = subprocess.run(
+        [sys.executable, "-m", "windrelay", "members", str(path)],
+        cwd=ROOT, capture_output=True, text=True, timeout=60,
+    )  # fmt: skip
+    assert done.returncode == 0, done.stderr
+    found = {line.split(" 127")[0].split(" ::")[0]: line for line in done.stdout.splitlines()}
+    assert len(found) == 6
+    assert "ready (passing): consul:dc1 passing for" in found["node-t-1/t-1"]
+    assert "gone (never in: critical)" in found["node-t-2/t-2"]
+    assert "127.0.0.9:9003 ready" in found["node-t-3/t-3"]
+    assert "ready" in found["node-odd/ name é!/odd/ name é!"]
+    assert "::1:9005 ready" in found["node-t-5/t-5"]
+    assert "the same address as node-t-1/t-1" in found["node-t-7/t-7"]
+
+
+# ---- rows and the file ---------------------------------------------------
+
+
+def row(**more: Any) -> dict[str, Any]:
+    return {
+        "Node": {"Node": "n", "Address": "127.0.0.2"},
+        "Service": {"ID": "a", "Address": "127.0.0.1", "Port": 80} | more.pop("Service", {}),
+        "Checks": [{"CheckID": "c", "Status": "passing"}],
+    } | more
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        {}, 5, None, row(Service={"Port": 0}), row(Service={"Port": "80"}),
+        row(Service={"Port": True}), row(Checks=[{"CheckID": "c", "Status": "odd"}]),
+        row(Checks=[5]), row(Node=None), row(Service={"Weights": {"Passing": -1}}),
+        row(Service={"Weights": 5}), row(Service={"Address": 7}),
+    ],
+)  # fmt: skip
+def test_one_bad_row_makes_the_answer_unusable(bad: Any) -> None:
+    with pytest.raises(RowError, match="row 1"):
+        words(json.dumps([row(), bad]).encode(), "east")
+
+
+def test_the_worst_check_counts_and_weights_are_consuls() -> None:
+    rows = [
+        row(Checks=[{"CheckID": "a", "Status": "warning"}, {"CheckID": "b", "Status": "passing"}],
+            Service={"Weights": {"Passing": 10, "Warning": 2}}),
+        row(Checks=[{"CheckID": "_node_maintenance", "Status": "critical"}]),
+        row(Checks=None),
+    ]  # fmt: skip
+    found = words(json.dumps(rows).encode(), "east")
+    assert [(w.health, w.weight) for w in found] == [
+        (Health.WARNING, 2.0), (Health.MAINTENANCE, 1.0), (Health.PASSING, 1.0),
+    ]  # fmt: skip
+
+
+def test_a_token_that_others_may_read_is_refused_and_never_told(tmp_path: Path) -> None:
+    path = tmp_path / "token"
+    path.write_text("s3cret\n")
+    path.chmod(0o644)
+    with pytest.raises(ConsulError, match="chmod 600") as caught:
+        read_token(path)
+    assert "s3cret" not in str(caught.value)
+    path.chmod(0o600)
+    assert read_token(path) == "s3cret"
+    path.write_text("two\r\nHeader: x")
+    with pytest.raises(ConsulError, match="no token") as caught:
+        read_token(path)
+    assert "Header" not in str(caught.value)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "line", "rule"),
+    [
+        ("version = 1", "version = 2", 1, "version"),
+        ('agents = ["127.0.0.1:8500"]', "agents = []", 2, "missing-key"),
+        ('agents = ["127.0.0.1:8500"]', 'agents = ["here"]', 2, "bad-value"),
+        ('service = "topup"', "service = 5", 3, "missing-key"),
+        ('{ dc1 = "east" }', "5", 4, "bad-value"),
+        ('fresh = "5s"', 'fresh = "soon"', 5, "bad-value"),
+        ('fresh = "5s"', "readers = 500", 5, "thin-share"),
+        ('fresh = "5s"', "lines = 0", 5, "bad-value"),
+        ('fresh = "5s"', "odd = 1", 5, "unknown-key"),
+    ],
+)
+def test_a_fault_in_the_file_is_named(
+    tmp_path: Path, old: str, new: str, line: int, rule: str
+) -> None:
+    path = tmp_path / "consul.toml"
+    path.write_text(FILE.format(agent="127.0.0.1:8500").replace(old, new))
+    with pytest.raises(ConsulError) as caught:
+        read_consul(str(path))
+    assert f"{path}:{line}: [{rule}]" in str(caught.value)
+
+
+def test_a_share_is_its_part_of_the_ceiling_less_a_margin(tmp_path: Path) -> None:
+    path = tmp_path / "consul.toml"
+    path.write_text(FILE.format(agent="127.0.0.1:8500") + "readers = 21\n")
+    assert read_consul(str(path)).share == 9
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -43,7 +43,7 @@
 def test_states_become_what_the_module_is_told() -> None:
     rows = pool(10)
     rows[0], rows[1], rows[2] = (
-        word(1, Health.WARNING), word(2, Health.CRITICAL), word(3, Health.MAINTENANCE),
+        word(1, Health.WARNING, weight=0.5), word(2, Health.CRITICAL), word(3, Health.MAINTENANCE),
     )  # fmt: skip
     m = started(10, rules=Rules(most=1.0))
     m.told(SECOND, "consul", rows, True)
--- /dev/null
+++ b/tests/test_shards.py
@@ -0,0 +1,178 @@
+"""No second returns more lines than the ration, and every server is found."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+from typing import Any
+
+import pytest
+
+from flinthatch.shards import (
+    OTHER,
+    Question,
+    Ration,
+    Rounds,
+    What,
+    expression,
+    suffix_of,
+)
+from standins.bexpr import compiled
+
+SECOND = 1_000_000_000
+MS = 1_000_000
+
+
+class Service:
+    """A list's service that counts the lines it returns over any second."""
+
+    def __init__(self, ids: list[str]) -> None:
+        self.ids = ids
+        self._rows: dict[str, list[str]] = {}
+        self._of: list[str] = []
+        self.bad: set[str] = set()
+        self.returned: list[tuple[int, int]] = []
+
+    def answer(self, now: int, question: Question) -> list[str]:
+        if self._of is not self.ids:
+            self._of, self._rows = self.ids, {}
+            for u in self.ids:
+                self._rows.setdefault(suffix_of(u), []).append(u)
+        found = [u for s in question.suffixes for u in self._rows.get(s, ())]
+        if question.what is What.BAD:
+            found = [u for u in found if u in self.bad]
+        self.returned.append((now, len(found)))
+        return found
+
+    def most(self) -> int:
+        """The most lines in any one second."""
+        worst = total = first = 0
+        for when, lines in self.returned:
+            total += lines
+            while self.returned[first][0] <= when - SECOND:
+                total -= self.returned[first][1]
+                first += 1
+            worst = max(worst, total)
+        return worst
+
+
+def play(service: Service, rounds: Rounds, until: int, now: int = 0, latency: int = 5 * MS) -> int:
+    """Ask until that many whole rounds have ended; returns the time."""
+    while rounds.rounds < until:
+        question, wait = rounds.next(now)
+        if question is None:
+            now += wait
+            continue
+        found = service.answer(now + latency // 2, question)
+        now += latency
+        rounds.answered(now, question, Counter(suffix_of(u) for u in found))
+    return now
+
+
+def named(count: int) -> list[str]:
+    return [f"topup-{i}" for i in range(count)]
+
+
+def hexadecimal(count: int) -> list[str]:
+    random = Random(3)
+    return [f"{random.getrandbits(128):032x}" for _ in range(count)]
+
+
+@pytest.mark.parametrize("ids", [named, hexadecimal])
+@pytest.mark.parametrize("count", [0, 1, 270, 2000, 5000])
+def test_no_second_returns_more_than_the_ration(ids: object, count: int) -> None:
+    service = Service(ids(count))  # type: ignore[operator]
+    rounds = Rounds(Ration(190))
+    play(service, rounds, 3)
+    assert rounds.size() == count
+    assert service.most() <= 190 and rounds.surprises <= 2
+
+
+def test_a_small_share_holds_as_well() -> None:
+    """Nine lines a second, as one of 21 readers has."""
+    service = Service(named(270))
+    rounds = Rounds(Ration(9))
+    now = play(service, rounds, 2)
+    assert service.most() <= 9 and rounds.size() == 270
+    assert now < 400 * SECOND
+
+
+def test_growth_between_rounds_stays_within_the_ration() -> None:
+    service = Service(hexadecimal(300))
+    rounds = Rounds(Ration(190))
+    now = play(service, rounds, 2)
+    service.ids = hexadecimal(300) + [u[:-1] + u[-1] for u in hexadecimal(560)[300:]]
+    now = play(service, rounds, 4, now)
+    assert rounds.size() == 560
+    assert service.most() <= 190
+
+
+def test_a_wake_costs_little_while_few_are_bad_and_stays_bounded_when_all_are() -> None:
+    service = Service(named(5000))
+    rounds = Rounds(Ration(190))
+    now = play(service, rounds, 1)
+    service.bad = {"topup-7", "topup-4999"}
+    rounds.woken()
+    began = now
+    found = set()
+    while (asked := rounds.next(now))[0] is None or asked[0].what is What.BAD:
+        question, wait = asked
+        if question is None:
+            now += wait
+            continue
+        answer = service.answer(now, question)
+        found.update(answer)
+        now += 5 * MS
+        rounds.answered(now, question, Counter(suffix_of(u) for u in answer))
+    assert found == service.bad
+    assert now - began < 3 * SECOND  # the whole list would take 26
+    service.bad = set(service.ids)
+    for _ in range(20):
+        rounds.woken()
+        question, wait = rounds.next(now)
+        now += wait
+        if question is not None:
+            answer = service.answer(now, question)
+            rounds.answered(now, question, Counter(suffix_of(u) for u in answer))
+    assert service.most() <= 190
+
+
+def test_a_failed_question_is_paid_for_and_asked_again() -> None:
+    rounds = Rounds(Ration(5))
+    question, _ = rounds.next(0)
+    assert question is not None and question.bound == 4
+    rounds.failed(MS, question)
+    again, wait = rounds.next(MS)
+    assert again is None and wait == SECOND
+    again, _ = rounds.next(MS + SECOND)
+    assert again == question
+
+
+def test_a_reader_without_a_line_is_refused() -> None:
+    with pytest.raises(ValueError, match="at least one line"):
+        Ration(0)
+
+
+def test_a_question_reads_as_consuls_filter() -> None:
+    ids = [*named(200), *hexadecimal(50), "odd name!", "x", "Upper-AB", "1é"]
+    rows: list[dict[str, Any]] = [
+        {"Service": {"ID": u}, "Checks": [{"Status": "passing"}]} for u in ids
+    ]
+    rounds = Rounds(Ration(190))
+    seen: Counter[str] = Counter()
+    now = 0
+    while rounds.rounds < 1:
+        question, wait = rounds.next(now)
+        now += wait
+        if question is None:
+            continue
+        test = compiled(expression(question))
+        found = [row["Service"]["ID"] for row in rows if test(row)]
+        assert found == [u for u in ids if suffix_of(u) in question.suffixes]
+        seen.update(found)
+        rounds.answered(now, question, Counter(suffix_of(u) for u in found))
+    assert seen == Counter(ids)
+    bad = Question(What.BAD, (OTHER, "a1"), 4)
+    rows[0]["Checks"].append({"Status": "critical"})
+    test = compiled(expression(bad))
+    assert [r["Service"]["ID"] for r in rows if test(r)] == []
--- /dev/null
+++ b/windrelay/consul/file.py
@@ -0,0 +1,125 @@
+"""deploy/consul.toml, decoded in one place."""
+
+from __future__ import annotations
+
+import os
+import re
+import stat
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from flinthatch.routefile import Fault
+from windrelay.config import Address
+from windrelay.operator.section import Section
+from windrelay.operator.tomlfile import FileError, Key, read
+
+KEYS = (
+    "version", "agents", "service", "datacentres", "token_file", "ca_file", "lines", "readers",
+    "stale", "fresh",
+)  # fmt: skip
+MARGIN = 0.95  # of the ceiling, shared out: clocks of two services never agree
+MAX_AGENTS = 16
+MAX_TOKEN = 4096  # bytes
+_SECONDS = re.compile(r"(\d{1,5})s")
+_TOKEN = re.compile(r"[!-~]+")
+
+
+class ConsulError(Exception):
+    """A consul file, or the token it names, that can't be used; one fault a line."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConsulFile:
+    """`datacentres`: zones by datacentre; `share`: lines a second of this reader."""
+
+    agents: tuple[Address, ...]
+    service: str
+    datacentres: Mapping[str, str]
+    token_file: Path | None
+    ca_file: Path | None
+    share: int
+    stale: bool
+    fresh: int  # seconds
+
+
+def read_consul(path: str) -> ConsulFile:
+    """Read and decode it; ConsulError with every fault and its line."""
+    try:
+        raw, lines = read(path)
+    except FileError as err:
+        raise ConsulError(f"{path}:{err.line}: [{err.rule}] {err.wrong}; {err.right}") from None
+    found, faults = decode(raw, lines, Path(path).resolve().parent)
+    if found is None:
+        raise ConsulError("\n".join(f"{path}:{fault}" for fault in faults))
+    return found
+
+
+def decode(
+    raw: dict[str, Any], lines: Mapping[Key, int], folder: Path = Path()
+) -> tuple[ConsulFile | None, list[Fault]]:
+    """The decoded file, or its faults in the file's order."""
+    top = Section(raw, (), lines, folder, [])
+    top.known(KEYS)
+    if raw.get("version") != 1:
+        top.fault("version", "version", "not 1", "write version = 1")
+    agents = _agents(top)
+    service = top.text("service")
+    fresh = _SECONDS.fullmatch(top.text("fresh", "60s"))
+    if fresh is None:
+        top.fault("fresh", "bad-value", "no whole seconds", 'write "60s"')
+    ceiling, readers = _count(top, "lines", 200), _count(top, "readers", 1)
+    share = int(ceiling * MARGIN) // max(readers, 1)
+    if ceiling and readers and share < 1:
+        wrong = f"{readers} readers of {ceiling} lines a second have less than one each"
+        top.fault("readers", "thin-share", wrong, "let fewer read, and pass the list on")
+    zones = raw.get("datacentres", {"dc1": ""})
+    good = isinstance(zones, dict) and zones and all(isinstance(z, str) for z in zones.values())
+    if not good:
+        top.fault("datacentres", "bad-value", "no zones by datacentre", 'write { dc1 = "east" }')
+    if not isinstance(raw.get("stale", True), bool):
+        top.fault("stale", "bad-value", "stale is no boolean", "write true or false")
+    if top.faults or fresh is None:
+        return None, sorted(top.faults)
+    token = top.path("token_file") if "token_file" in raw else None
+    ca = top.path("ca_file") if "ca_file" in raw else None
+    found = ConsulFile(
+        agents, service, zones, token, ca, share, raw.get("stale", True), int(fresh[1])
+    )
+    return found, []
+
+
+def _agents(top: Section) -> tuple[Address, ...]:
+    rows = top.raw.get("agents")
+    if not isinstance(rows, list) or not 1 <= len(rows) <= MAX_AGENTS:
+        top.fault(
+            "agents", "missing-key", f"not 1 to {MAX_AGENTS} agents", 'write ["127.0.0.1:8500"]'
+        )
+        return ()
+    found = (top.sub({"agents": row}).address("agents") for row in rows)
+    return tuple(a for a in found if a is not None)
+
+
+def _count(top: Section, key: str, default: int) -> int:
+    value = top.raw.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, int) or not 1 <= value <= 1_000_000:
+        top.fault(key, "bad-value", f"{key} is no number from 1 on", f"write {default}")
+        return 0
+    return int(value)
+
+
+def read_token(path: Path) -> str:
+    """The token in a file that only its owner can read; ConsulError names the path, never it."""
+    try:
+        with open(path, "rb") as file:
+            mode = os.fstat(file.fileno()).st_mode
+            data = file.read(MAX_TOKEN + 1)
+    except OSError as err:
+        raise ConsulError(f"{path}: [token-file] can't be read: {err.strerror}") from None
+    if mode & (stat.S_IRWXG | stat.S_IRWXO):
+        raise ConsulError(f"{path}: [token-file] others than its owner may use it; chmod 600")
+    token = data.decode("latin-1").strip()
+    if len(data) > MAX_TOKEN or _TOKEN.fullmatch(token) is None:
+        raise ConsulError(f"{path}: [token-file] holds no token of printable characters")
+    return token
--- /dev/null
+++ b/windrelay/consul/reader.py
@@ -0,0 +1,239 @@
+"""Reads one service from Consul within a share of lines a second.
+
+For each datacentre two calls at most are out: a blocking one that costs no line and tells
+that something changed, and one question of `flinthatch.shards`. Agents are tried in turn;
+after a failure the next call waits, longer each time and with chance in it, so that
+readers that lost one agent together do not come to the next one together.
+
+Source: Consul HTTP API, "Blocking queries" (an index that goes back is reset to 0, one
+below 1 is taken for 0), "Consistency modes" (stale, X-Consul-LastContact in milliseconds,
+X-Consul-KnownLeader), "Filtering".
+"""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+import time
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+from urllib.parse import quote
+
+from flinthatch.members import Word
+from flinthatch.shards import Question, Ration, Rounds, expression, suffix_of
+from windrelay.consul.file import ConsulFile
+from windrelay.consul.rows import RowError, words
+from windrelay.httpcall import Answer, Call
+
+SECOND = 1_000_000_000
+WAIT_S = 55  # a blocking call's
+CALL_S = 10.0  # for an answer, beyond the time it may block
+WAKE_S = 1.0  # between two blocking calls that were answered, at least
+ROUND_S = 30.0  # between whole rounds while nothing changes
+BACKOFF_S = 0.5
+BACKOFF_MOST_S = 15.0
+NOTHING = 'Service.ID == ""'  # a filter that no server passes
+
+Told = Callable[[str, list[Word], bool], None]  # source, its words, whether they are all
+
+
+class Reader:
+    """All datacentres of one file. `told` gets words as they come, and each whole round."""
+
+    def __init__(
+        self,
+        file: ConsulFile,
+        token: str,
+        told: Told,
+        log: Callable[[str], None],
+        seed: int,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.file = file
+        self.told = told
+        self.log = log
+        self.random = Random(seed)
+        self.tls = tls
+        self.headers = {"User-Agent": "wharfspread"}
+        if token:
+            self.headers["X-Consul-Token"] = token
+        ration = Ration(file.share)
+        self._centers = [_Center(self, dc, zone, ration) for dc, zone in file.datacentres.items()]
+
+    def sources(self) -> list[str]:
+        return [center.source for center in self._centers]
+
+    def start(self) -> None:
+        for center in self._centers:
+            center.start()
+
+    def close(self) -> None:
+        for center in self._centers:
+            center.close()
+
+    def rounds(self) -> int:
+        """Whole rounds that every datacentre has ended."""
+        return min(center.rounds.rounds for center in self._centers)
+
+
+class _Center:
+    """One datacentre's watch and questions."""
+
+    def __init__(self, reader: Reader, dc: str, zone: str, ration: Ration) -> None:
+        self._reader = reader
+        self._dc = dc
+        self._zone = zone
+        self.source = f"consul:{dc}"
+        self.rounds = Rounds(ration)
+        self._index = 0
+        self._agent = 0
+        self._failures = 0
+        self._said = ""
+        self._round: dict[str, Word] = {}  # the newest word on each server of this round
+        self._calls: set[Call] = set()
+        self._timers: set[asyncio.TimerHandle] = set()
+        self._pause: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        # Readers start together: spread over a second.
+        self._later(self._reader.random.random(), self._watch)
+        self._later(self._reader.random.random(), self._ask)
+
+    def close(self) -> None:
+        for call in self._calls:
+            call.drop()
+        for timer in self._timers:
+            timer.cancel()
+
+    def _later(self, delay: float, what: Callable[[], None]) -> asyncio.TimerHandle:
+        def run() -> None:
+            self._timers.discard(timer)
+            what()
+
+        timer = asyncio.get_running_loop().call_later(delay, run)
+        self._timers.add(timer)
+        return timer
+
+    def _get(self, query: str, wait: float, done: Callable[[Answer | None], None]) -> None:
+        file = self._reader.file
+        agent = file.agents[self._agent % len(file.agents)]
+        stale = "&stale" if file.stale else ""
+        path = f"/v1/health/service/{quote(file.service, safe='')}"
+        target = f"{path}?dc={quote(self._dc, safe='')}{stale}{query}"
+
+        def ended(answer: Answer | None) -> None:
+            self._calls.discard(call)
+            done(answer)
+
+        call = Call(agent, target, wait, ended, self._reader.headers, self._reader.tls)
+        self._calls.add(call)
+
+    # ---- failures ------------------------------------------------------
+
+    def _wrong(self, answer: Answer | None) -> str:
+        """Why an answer can't be used, "" where it can."""
+        if answer is None:
+            return "no whole answer"
+        if answer.status != 200:
+            return f"status {answer.status}"
+        if answer.headers.get("x-consul-knownleader", "true") != "true":
+            return "its servers know no leader"
+        contact = answer.headers.get("x-consul-lastcontact", "0")
+        if not contact.isdigit() or int(contact) > self._reader.file.fresh * 1000:
+            return f"its word is {contact[:20]} ms old"
+        return ""
+
+    def _failed(self, why: str, again: Callable[[], None]) -> None:
+        """Try the next agent, later each time."""
+        file = self._reader.file
+        agent = file.agents[self._agent % len(file.agents)]
+        if why != self._said:
+            self._said = why
+            self._reader.log(f"{self.source}: agent {agent}: {why}; the list stands")
+        self._agent += 1
+        delay = min(BACKOFF_S * 2 ** min(self._failures, 10), BACKOFF_MOST_S)
+        self._failures += 1
+        self._later(delay * (0.5 + self._reader.random.random() / 2), again)
+
+    def _worked(self) -> None:
+        if self._said:
+            self._reader.log(f"{self.source}: answers again")
+        self._said = ""
+        self._failures = 0
+
+    # ---- the watch -------------------------------------------------------
+
+    def _watch(self) -> None:
+        query = f"&filter={quote(NOTHING)}"
+        wait = CALL_S
+        if self._index:
+            query += f"&index={self._index}&wait={WAIT_S}s"
+            wait += WAIT_S * 17 / 16  # the agent adds up to a sixteenth
+        self._get(query, wait, self._watched)
+
+    def _watched(self, answer: Answer | None) -> None:
+        why = self._wrong(answer)
+        if why or answer is None:
+            self._failed(why, self._watch)
+            return
+        self._worked()
+        text = answer.headers.get("x-consul-index", "0")
+        index = int(text) if text.isdigit() and len(text) < 20 else 0
+        if index != self._index:
+            # An index that went back is another catalogue's: all is asked anew.
+            self._index = 0 if index < self._index else index
+            self.rounds.woken()
+            self._unrest()
+        self._later(WAKE_S * (0.5 + self._reader.random.random()), self._watch)
+
+    # ---- questions ---------------------------------------------------------
+
+    def _unrest(self) -> None:
+        """End the pause between rounds."""
+        if self._pause is not None:
+            self._pause.cancel()
+            self._timers.discard(self._pause)
+            self._pause = None
+            self._ask()
+
+    def _ask(self) -> None:
+        self._pause = None
+        question, wait = self.rounds.next(time.monotonic_ns())
+        if question is None:
+            self._later(wait / SECOND, self._ask)
+            return
+        query = f"&filter={quote(expression(question), safe='')}"
+        self._get(query, CALL_S, lambda answer: self._answered(question, answer))
+
+    def _answered(self, question: Question, answer: Answer | None) -> None:
+        now = time.monotonic_ns()
+        why = self._wrong(answer)
+        rows: list[Word] = []
+        if not why and answer is not None:
+            try:
+                rows = words(answer.body, self._zone)
+            except RowError as err:
+                why = str(err)
+        if why:
+            self.rounds.failed(now, question)
+            self._failed(why, self._ask)
+            return
+        self._worked()
+        before = self.rounds.rounds
+        surprises = self.rounds.surprises
+        self.rounds.answered(now, question, Counter(suffix_of(w.uid) for w in rows))
+        if self.rounds.surprises != surprises:
+            self._reader.log(
+                f"{self.source}: {len(rows)} lines where {question.bound} were reserved: "
+                "ids that end alike are read together"
+            )
+        if rows:
+            self._reader.told(self.source, rows, False)
+        self._round.update((w.uid, w) for w in rows)
+        if self.rounds.rounds != before:
+            whole, self._round = self._round, {}
+            self._reader.told(self.source, [*whole.values()], True)
+            self._pause = self._later(ROUND_S, self._ask)
+        else:
+            self._ask()
--- a/windrelay/discovery.py
+++ b/windrelay/discovery.py
@@ -2,22 +2,19 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import time
 from collections.abc import Callable
 from hashlib import blake2b
-from typing import Any, cast
-
-import httptools
+from typing import Any
 
 from flinthatch import Listing, State, Update
 from windrelay.config import Address, Config, parse_address
+from windrelay.httpcall import Answer, Call
 
 LIST = "/registry/instances"
 HOLD_MS = 20_000  # how long a watch may wait for news
 CALL_S = 4.0  # for a call's answer, beyond the time it may wait
-MAX_ANSWER = 16 << 20
 OLD_TRIES = 3  # answers older than ours in a row before they are taken for the truth
 STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
 
@@ -108,76 +105,6 @@
         return stale
 
 
-class Call(asyncio.Protocol):
-    """One GET on a connection of its own; `done` gets the body, or None, once."""
-
-    __slots__ = ("_body", "_done", "_handle", "_head", "_parser", "_size", "_task", "_transport")
-
-    def __init__(self, address: Address, target: str, wait: float, done: Callable[..., None]):
-        loop = asyncio.get_running_loop()
-        self._done: Callable[..., None] | None = done
-        self._head = f"GET {target} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n"
-        self._body: list[bytes] = []
-        self._size = 0
-        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
-        self._transport: asyncio.Transport | None = None
-        self._handle = loop.call_later(wait, self.end, None)
-        self._task = loop.create_task(self._connect(address))
-
-    async def _connect(self, address: Address) -> None:
-        loop = asyncio.get_running_loop()
-        try:
-            await loop.create_connection(lambda: self, address.host, address.port)
-        except OSError:
-            self.end(None)
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = cast(asyncio.Transport, transport)
-        if self._done is None:
-            self._transport.abort()
-        else:
-            self._transport.write(self._head.encode())
-
-    def data_received(self, data: bytes) -> None:
-        if self._parser is None:
-            return
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.end(None)
-
-    def on_body(self, body: bytes) -> None:
-        self._body.append(body)
-        self._size += len(body)
-        if self._size > MAX_ANSWER:
-            self.end(None)
-
-    def on_message_complete(self) -> None:
-        parser = self._parser
-        if parser is not None:
-            self.end(b"".join(self._body) if parser.get_status_code() == 200 else None)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.end(None)
-
-    def end(self, body: bytes | None) -> None:
-        """Hand over what came, once, and let go of the connection."""
-        done = self._done
-        if done is not None:
-            self.drop()
-            done(body)
-
-    def drop(self) -> None:
-        """Let go of the connection and tell nobody."""
-        self._done = None
-        self._parser = None
-        self._handle.cancel()
-        if self._transport is not None:
-            self._transport.abort()
-        else:
-            self._task.cancel()
-
-
 class Discovery:
     """Carries out watch and fetch; `told` gets each update and what it made stale."""
 
@@ -240,9 +167,9 @@
         self._calls.clear()
 
     def _call(self, target: str, wait: float, done: Callable[[bytes | None], None]) -> None:
-        def ended(body: bytes | None) -> None:
+        def ended(answer: Answer | None) -> None:
             self._calls.discard(call)
-            done(body)
+            done(answer.body if answer is not None and answer.status == 200 else None)
 
         call = Call(self._address, target, wait, ended)
         self._calls.add(call)
--- /dev/null
+++ b/windrelay/httpcall.py
@@ -0,0 +1,116 @@
+"""One HTTP/1.1 GET to a service beside the node's own work."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, cast
+
+import httptools
+
+from windrelay.config import Address
+
+MAX_ANSWER = 16 << 20  # bytes of head and body
+
+
+class Answer(NamedTuple):
+    """A whole answer; header names in lower case."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class Call(asyncio.Protocol):
+    """One GET on a connection of its own; `done` gets the answer, or None, once.
+
+    `headers` go out as they are; `tls` wraps the connection. Bounded in time and size.
+    """
+
+    __slots__ = (
+        "_body", "_done", "_handle", "_head", "_headers", "_parser", "_size", "_task", "_tls",
+        "_transport",
+    )  # fmt: skip
+
+    def __init__(
+        self,
+        address: Address,
+        target: str,
+        wait: float,
+        done: Callable[[Answer | None], None],
+        headers: Mapping[str, str] | None = None,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self._done: Callable[[Answer | None], None] | None = done
+        more = "".join(f"{name}: {value}\r\n" for name, value in (headers or {}).items())
+        self._head = f"GET {target} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n{more}\r\n"
+        self._tls = tls
+        self._headers: dict[str, str] = {}
+        self._body: list[bytes] = []
+        self._size = 0
+        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._handle = loop.call_later(wait, self.end, None)
+        self._task = loop.create_task(self._connect(address))
+
+    async def _connect(self, address: Address) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.create_connection(lambda: self, address.host, address.port, ssl=self._tls)
+        except OSError:
+            self.end(None)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        if self._done is None:
+            self._transport.abort()
+        else:
+            self._transport.write(self._head.encode())
+
+    def data_received(self, data: bytes) -> None:
+        if self._parser is None:
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.end(None)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._size += len(name) + len(value)
+        if self._size > MAX_ANSWER:
+            self.end(None)
+            return
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        self._body.append(body)
+        self._size += len(body)
+        if self._size > MAX_ANSWER:
+            self.end(None)
+
+    def on_message_complete(self) -> None:
+        parser = self._parser
+        if parser is not None:
+            self.end(Answer(parser.get_status_code(), self._headers, b"".join(self._body)))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.end(None)
+
+    def end(self, answer: Answer | None) -> None:
+        """Hand over what came, once, and let go of the connection."""
+        done = self._done
+        if done is not None:
+            self.drop()
+            done(answer)
+
+    def drop(self) -> None:
+        """Let go of the connection and tell nobody."""
+        self._done = None
+        self._parser = None
+        self._handle.cancel()
+        if self._transport is not None:
+            self._transport.abort()
+        else:
+            self._task.cancel()
--- a/windrelay/operator/check.py
+++ b/windrelay/operator/check.py
@@ -34,6 +34,10 @@
         raw, lines = read(path)
     except FileError:
         return check_file(path, settings)
+    if "agents" in raw:
+        from windrelay.consul.file import decode as decode_consul
+
+        return Result(None, decode_consul(raw, lines)[1], [])
     if "service" not in raw and "listen" in raw:
         return Result(None, decode_control(raw, lines)[1], [])
     return decode(raw, lines, settings)
--- a/windrelay/operator/cli.py
+++ b/windrelay/operator/cli.py
@@ -8,6 +8,7 @@
 USAGE = """usage: python -m windrelay                the node, configured by PROXY_CONFIG
        python -m windrelay check FILE...  check files under deploy/ (--help for more)
        python -m windrelay control FILE   hand the decisions to other proxies over xDS
+       python -m windrelay members FILE   the servers as Consul tells them, and why
        python -m windrelay demo           a node, stand-ins and a short load, no set-up"""
 
 
@@ -22,6 +23,10 @@
         from windrelay.operator.demo import main as demo
 
         return demo(rest)
+    if name == "members":
+        from windrelay.operator.members import main as members
+
+        return members(rest)
     if name == "control" and len(rest) == 1:
         from windrelay.xds.control import main as control
 
--- /dev/null
+++ b/windrelay/operator/members.py
@@ -0,0 +1,67 @@
+"""`python -m windrelay members FILE`: the merged list, and why each server is in or out."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+import time
+from collections.abc import Sequence
+from typing import TextIO
+
+from flinthatch.members import Member, Members, Word
+from windrelay.consul.file import ConsulError, ConsulFile, read_consul
+from windrelay.consul.source import merged, open_reader
+
+SECOND = 1_000_000_000
+
+
+async def read_once(file: ConsulFile, seconds: float) -> tuple[Members, bool]:
+    """One whole round of every datacentre; False where it did not end in time."""
+    members = merged(file)
+    done = asyncio.Event()
+
+    def told(source: str, words: list[Word], whole: bool) -> None:
+        members.told(time.monotonic_ns(), source, words, whole)
+        if reader.rounds():
+            done.set()
+
+    reader = open_reader(file, told, lambda text: print(text, file=sys.stderr), time.time_ns())
+    reader.start()
+    try:
+        await asyncio.wait_for(done.wait(), seconds)
+    except TimeoutError:
+        return members, False
+    finally:
+        reader.close()
+    return members, True
+
+
+def line(m: Member, now: int) -> str:
+    """One server: where, what is told on and why, and who says what since when."""
+    said = ", ".join(
+        f"{source} {health.name.lower()} for {(now - since) // SECOND} s"
+        for source, health, since in m.words
+    )
+    return f"{m.uid} {m.host}:{m.port} {m.state.name.lower()} ({m.why}): {said}"
+
+
+def main(words: Sequence[str], out: TextIO = sys.stdout) -> int:
+    """Print the list; 2 for a bad file, 1 where Consul did not answer in time."""
+    parser = argparse.ArgumentParser(prog="python -m windrelay members", description=__doc__)
+    parser.add_argument("file", help="a consul.toml")
+    parser.add_argument("--seconds", type=float, default=60.0, help="how long to wait for it")
+    args = parser.parse_args(words)
+    try:
+        file = read_consul(args.file)
+        members, whole = asyncio.run(read_once(file, args.seconds))
+    except ConsulError as err:
+        print(err, file=sys.stderr)
+        return 2
+    now = time.monotonic_ns()
+    for m in members.members():
+        print(line(m, now), file=out)
+    if not whole:
+        print(f"members: no whole list within {args.seconds:g} s", file=sys.stderr)
+        return 1
+    return 0
--- /dev/null
+++ b/windrelay/operator/section.py
@@ -0,0 +1,58 @@
+"""One table of a TOML file, read key by key; every fault is kept with its line and rule."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from ipaddress import ip_address
+from pathlib import Path
+from typing import Any
+
+from flinthatch.routefile import Fault
+from windrelay.config import Address, parse_address
+from windrelay.operator.tomlfile import Key
+
+
+@dataclass(slots=True)
+class Section:
+    """One table of the file, and the faults found so far in all of them."""
+
+    raw: dict[str, Any]
+    at: Key
+    lines: Mapping[Key, int]
+    folder: Path
+    faults: list[Fault] = field(default_factory=list)
+
+    def sub(self, raw: dict[str, Any], *at: str | int) -> Section:
+        return replace(self, raw=raw, at=(*self.at, *at))
+
+    def fault(self, key: str, rule: str, wrong: str, right: str) -> None:
+        line = self.lines.get((*self.at, key), self.lines.get(self.at, 1))
+        self.faults.append(Fault(line, rule, wrong, right))
+
+    def known(self, keys: tuple[str, ...]) -> None:
+        for key in self.raw:
+            if key not in keys:
+                self.fault(key, "unknown-key", f"no key {key!r}", f"known are {', '.join(keys)}")
+
+    def text(self, key: str, default: str | None = None) -> str:
+        value = self.raw.get(key, default)
+        if isinstance(value, str) and value:
+            return value
+        self.fault(key, "missing-key", f"{key} is no string", "write one")
+        return ""
+
+    def path(self, key: str) -> Path:
+        return self.folder / self.text(key)
+
+    def address(self, key: str, default: str | None = None) -> Address | None:
+        value = self.text(key, default)
+        if not value:
+            return None
+        try:
+            found = parse_address(value)
+            ip_address(found.host)
+        except ValueError as err:
+            self.fault(key, "bad-value", str(err), 'write "127.0.0.1:18000"')
+            return None
+        return found
--- a/windrelay/xds/control.py
+++ b/windrelay/xds/control.py
@@ -23,6 +23,7 @@
 from flinthatch.routes import Table
 from flinthatch.snapshot import Audience, Plan
 from windrelay.config import Config, ConfigError, load
+from windrelay.consul.file import ConsulError
 from windrelay.discovery import Discovery, ListError
 from windrelay.operator.check import check_file
 from windrelay.xds.encode import Encoder
@@ -300,7 +301,7 @@
     try:
         file = read_file(path)
         asyncio.run(run(Control(path, file, read_inputs(file))))
-    except (ControlError, ConfigError, ListError, OSError, RuntimeError) as err:
+    except (ControlError, ConfigError, ConsulError, ListError, OSError, RuntimeError) as err:
         print(f"control: {err}", file=sys.stderr)
         return 2
     return 0
--- a/windrelay/xds/file.py
+++ b/windrelay/xds/file.py
@@ -4,20 +4,21 @@
 
 import re
 from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass
 from fnmatch import fnmatchcase
 from ipaddress import ip_address
 from pathlib import Path
 from typing import Any
 
 from flinthatch.routefile import Fault
-from windrelay.config import Address, parse_address
+from windrelay.config import Address
+from windrelay.operator.section import Section
 from windrelay.operator.tomlfile import FileError, Key, read
 
 SECTIONS: Mapping[str, tuple[str, ...]] = {
     "": ("version", "listen", "envoy_listener", "slow_start", "report_every", "config", "routes",
-         "members", "pool", "tls"),
-    "pool": ("name", "config", "routes", "members"),
+         "members", "consul", "pool", "tls"),
+    "pool": ("name", "config", "routes", "members", "consul"),
     "tls": ("certificate", "key", "clients", "nodes"),
 }  # fmt: skip
 MAX_POOLS = 64
@@ -32,6 +33,7 @@
     config: Path
     routes: Path
     members: Path | None
+    consul: Path | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +82,7 @@
     raw: dict[str, Any], lines: Mapping[Key, int], folder: Path = Path()
 ) -> tuple[ControlFile | None, list[Fault]]:
     """The decoded file, or its faults in the file's order."""
-    top = _Section(raw, (), lines, folder, [])
+    top = Section(raw, (), lines, folder, [])
     top.known(SECTIONS[""])
     if raw.get("version") != 1:
         top.fault("version", "version", "not 1", "write version = 1")
@@ -102,52 +104,7 @@
     return ControlFile(listen, envoy, ramp == "proxy", int(every[1]), pools, tls), []
 
 
-@dataclass(slots=True)
-class _Section:
-    """One table of the file, and the faults found so far in all of them."""
-
-    raw: dict[str, Any]
-    at: Key
-    lines: Mapping[Key, int]
-    folder: Path
-    faults: list[Fault] = field(default_factory=list)
-
-    def sub(self, raw: dict[str, Any], *at: str | int) -> _Section:
-        return replace(self, raw=raw, at=(*self.at, *at))
-
-    def fault(self, key: str, rule: str, wrong: str, right: str) -> None:
-        line = self.lines.get((*self.at, key), self.lines.get(self.at, 1))
-        self.faults.append(Fault(line, rule, wrong, right))
-
-    def known(self, keys: tuple[str, ...]) -> None:
-        for key in self.raw:
-            if key not in keys:
-                self.fault(key, "unknown-key", f"no key {key!r}", f"known are {', '.join(keys)}")
-
-    def text(self, key: str, default: str | None = None) -> str:
-        value = self.raw.get(key, default)
-        if isinstance(value, str) and value:
-            return value
-        self.fault(key, "missing-key", f"{key} is no string", "write one")
-        return ""
-
-    def path(self, key: str) -> Path:
-        return self.folder / self.text(key)
-
-    def address(self, key: str, default: str | None = None) -> Address | None:
-        value = self.text(key, default)
-        if not value:
-            return None
-        try:
-            found = parse_address(value)
-            ip_address(found.host)
-        except ValueError as err:
-            self.fault(key, "bad-value", str(err), 'write "127.0.0.1:18000"')
-            return None
-        return found
-
-
-def _pools(top: _Section) -> tuple[PoolFile, ...]:
+def _pools(top: Section) -> tuple[PoolFile, ...]:
     """The unnamed pool of the file's head, or those of its [[pool]] tables."""
     rows = top.raw.get("pool", [])
     if not isinstance(rows, list) or not all(isinstance(row, dict) for row in rows):
@@ -155,7 +112,7 @@
         return ()
     if not rows:
         return (_pool(top, "main"),)
-    for key in ("config", "routes", "members"):
+    for key in ("config", "routes", "members", "consul"):
         if key in top.raw:
             top.fault(key, "twice", f"{key} beside [[pool]]", "write it in the pool it is for")
     if len(rows) > MAX_POOLS:
@@ -173,12 +130,15 @@
     return tuple(out)
 
 
-def _pool(one: _Section, name: str) -> PoolFile:
+def _pool(one: Section, name: str) -> PoolFile:
     members = one.path("members") if "members" in one.raw else None
-    return PoolFile(name, one.path("config"), one.path("routes"), members)
+    consul = one.path("consul") if "consul" in one.raw else None
+    if members is not None and consul is not None:
+        one.fault("consul", "twice", "consul beside members", "name one source of servers")
+    return PoolFile(name, one.path("config"), one.path("routes"), members, consul)
 
 
-def _tls(top: _Section) -> TlsFile | None:
+def _tls(top: Section) -> TlsFile | None:
     raw = top.raw["tls"]
     if not isinstance(raw, dict):
         top.fault("tls", "bad-value", "tls is no table", "write [tls]")
--- a/windrelay/xds/pool.py
+++ b/windrelay/xds/pool.py
@@ -14,6 +14,7 @@
 from flinthatch.routes import Table
 from flinthatch.snapshot import Audience, Plan, plan
 from windrelay.config import Config
+from windrelay.consul.source import ConsulMembers
 from windrelay.discovery import Discovery
 from windrelay.xds.file import PoolFile
 from windrelay.xds.members import FileMembers
@@ -43,8 +44,10 @@
         self._changed = changed
         self._urgent = urgent
         self._log = log
-        self.members: FileMembers | Discovery
-        if file.members is not None:
+        self.members: FileMembers | Discovery | ConsulMembers
+        if file.consul is not None:
+            self.members = ConsulMembers(file.consul, config, self._told, self.log)
+        elif file.members is not None:
             self.members = FileMembers(file.members, config, self._told, self.log)
         else:
             self.members = Discovery(config, self._told, self.log)
@@ -62,7 +65,7 @@
         self.heard = now
         self.balancer.start(now)
         self.balancer.on_members(now, Update.CACHED, rows)
-        if isinstance(self.members, FileMembers):
+        if not isinstance(self.members, Discovery):
             self.members.watch()
         self.refresh()
 
@@ -107,7 +110,7 @@
         age = now - self.heard
         if not self.balancer.view(now):
             return f"{self.name}: list is empty"
-        if age >= OLD and isinstance(self.members, Discovery):
+        if age >= OLD and not isinstance(self.members, FileMembers):
             return f"{self.name}: not heard of for {age // SECOND} s"
         return ""
 
