Report every drain, learn once from a report, and keep to the next agent

A drain that began while another was under way was never reported: its report was timed by the earlier one. The same load reports were learned from every second, so that a server that failed once was left alone for as long as they were kept. A watch and a question that lost one Consul agent together passed over the next one. A list read in rounds was called old between them. A reload that named another source of servers said it was taken over. A doubted server that was replaced kept its place among the doubted. Each has a test. When a list is old is each source's own word now, not a case in the pool; a source's name is made in one place; dead code went.

--- a/flinthatch/drains.py
+++ b/flinthatch/drains.py
@@ -64,10 +64,6 @@
         if len(self._usable) > MAX_VERSIONS:
             del self._usable[next(iter(self._usable))]
 
-    def next_due(self) -> int:
-        """When a drain's time is over next, 0 where none is under way."""
-        return min(self._due.values(), default=0)
-
     def late(self, backend: int, holdings: Iterable[Holding]) -> list[str]:
         """The proxies that may still send new work to it."""
         return sorted({h.proxy for h in holdings if self._may_send(backend, h)})
--- a/flinthatch/members.py
+++ b/flinthatch/members.py
@@ -29,7 +29,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import IntEnum
 
 from flinthatch.balancer import State
@@ -172,7 +172,7 @@
             for server in self._servers.values():
                 told = server.words.get(source)
                 if told is not None and server.uid not in named:
-                    self._take(now, server, source, _gone(told.word))
+                    self._take(now, server, source, replace(told.word, health=Health.GONE))
         return self.settle(now)
 
     def _too_empty(self, now: int, source: str) -> bool:
@@ -368,6 +368,7 @@
 
     def _tell(self, now: int, s: _Server, state: State, weight: float, why: str) -> None:
         s.why = why
+        s.doubted = s.doubted and state != State.GONE
         if state != s.state:
             s.since = now
         if (state, weight) != (s.state, s.weight):
@@ -385,7 +386,3 @@
             self._leave_place(self._servers.pop(uid))
         if gone:
             self._alias = {k: uid for k, uid in self._alias.items() if uid not in gone}
-
-
-def _gone(word: Word) -> Word:
-    return Word(word.uid, word.host, word.port, word.zone, Health.GONE, word.weight, word.boot)
--- a/flinthatch/reports.py
+++ b/flinthatch/reports.py
@@ -76,12 +76,13 @@
 class Ledger:
     """Reports of all proxies of one pool. Times in nanoseconds."""
 
-    __slots__ = ("_proxies", "_streams", "every")
+    __slots__ = ("_news", "_proxies", "_streams", "every")
 
     def __init__(self, every: int) -> None:
         self.every = every  # how often a proxy is to report
         self._proxies: dict[str, _Proxy] = {}
         self._streams = 0
+        self._news = False
 
     def opened(self, now: int, proxy: str) -> int:
         """A stream of this proxy; the newest of an id is the one that counts.
@@ -110,6 +111,7 @@
         if why:
             known.refused += 1
             return why
+        self._news = True
         known.counted += 1
         known.claimed += interval
         known.heard = now
@@ -142,6 +144,15 @@
                 return f"more than {MAX_RATE} a second or {MAX_IN_FLIGHT} in flight at one server"
         return ""
 
+    def news(self) -> bool:
+        """Whether a report was counted since this was asked last.
+
+        Learned again from the same reports, a server that failed once would be left
+        alone again and again for as long as its figures are kept.
+        """
+        news, self._news = self._news, False
+        return news
+
     def counts(self, proxy: str) -> tuple[int, int]:
         """How many of a proxy's reports were counted, and how many not."""
         known = self._proxies.get(proxy)
--- a/flinthatch/shards.py
+++ b/flinthatch/shards.py
@@ -3,10 +3,9 @@
 A list's service counts the lines it returns, and all its readers share a number of them a
 second. An answer's size has to be known before it is asked for; a whole list has more
 lines than a second allows. So a reader asks for shards: the servers whose ids end in
-given characters. Three kinds of question:
+given characters. Two kinds of question, beside a watch under a filter that nothing
+passes, which costs no line and needs none of this:
 
-- WATCH: blocks until anything of the service changes, under a filter that nothing
-  passes: it costs no line.
 - BAD: the servers of a shard that are not passing. As many as the shard has at worst,
   mostly next to none: what was reserved and not returned may be used at once.
 - WHOLE: a shard with all its servers, in turn: finds who came and who left.
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import json
 import subprocess
@@ -16,7 +17,9 @@
 from flinthatch.picture import Kind
 from standins.fleet import Process, started
 from windrelay.consul.file import ConsulError, read_consul, read_token
+from windrelay.consul.reader import ROUND_S, SECOND
 from windrelay.consul.rows import RowError, words
+from windrelay.consul.source import ConsulMembers, open_reader
 
 from .harness import ROOT, SETTINGS, roster, target
 from .test_control import ROUTES, raw
@@ -267,3 +270,25 @@
     path = tmp_path / "consul.toml"
     path.write_text(FILE.format(agent="127.0.0.1:8500") + "readers = 21\n")
     assert read_consul(str(path)).share == 9
+
+
+def test_a_watch_and_a_question_that_lose_one_agent_go_on_to_the_next(tmp_path: Path) -> None:
+    """Of two agents: counted twice they would come back to the one that is gone."""
+    path = tmp_path / "consul.toml"
+    path.write_text(FILE.format(agent='127.0.0.1:1", "127.0.0.1:2'))
+
+    async def play() -> None:
+        reader = open_reader(read_consul(str(path)), lambda *_: None, lambda _: None, 1)
+        (center,) = reader.centers
+        for _ in range(2):
+            center.failed("gone", 0, lambda: None)
+        assert center.agent == 1
+        center.failed("gone", 1, lambda: None)
+        assert center.agent == 2
+        reader.close()
+
+    asyncio.run(play())
+
+
+def test_a_list_that_is_read_in_rounds_is_not_called_old_between_them() -> None:
+    assert ConsulMembers.old_after > 2 * ROUND_S * SECOND
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -20,7 +20,6 @@
 
 def test_the_report_comes_within_the_grace_less_a_margin_and_names_the_late() -> None:
     out = drain()
-    assert out.next_due() == 1_600_000_000
     rows = [
         Holding("p1", GROUP, "one"), Holding("p2", GROUP, "both"), Holding("p2", GROUP, "one"),
         Holding("p3", GROUP, ""), Holding("p4", ("grpc", "east"), "one"),
@@ -28,7 +27,7 @@
     assert out.over(1_500_000_000, rows) == []
     (report,) = out.over(1_600_000_000, rows)
     assert (report.backend, report.told, report.late) == (2, 1, ("p2", "p3", "p4"))
-    assert out.over(9 * SECOND, rows) == [] and out.next_due() == 0
+    assert out.over(9 * SECOND, rows) == []
 
 
 def test_a_drain_that_is_taken_back_is_not_reported_and_counts_anew() -> None:
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -197,6 +197,21 @@
     assert "told in time to 4 proxies, NOT to 2: p-5, slow-1" in line
 
 
+def test_drains_that_begin_one_after_the_other_are_each_reported(tmp_path: Path) -> None:
+    rows = listed(1, 10)
+    with (
+        service(tmp_path, rows) as (process, discovery),
+        proxies(process.address, 3, "whole") as crowd,
+    ):
+        wait(crowd, held(rows), only=True)
+        for i in range(2):
+            rows[i] = rows[i] | {"state": "leaving"}
+            discovery.call("POST", "/standin/targets", rows)
+            wait(crowd, held(rows[: i + 1], DRAINING))
+        until_said(process, "drain of 127.0.0.1:20002 told in time to 3 proxies")
+    assert "drain of 127.0.0.1:20001 told in time to 3 proxies" in process.log
+
+
 def until_said(process: Process, text: str) -> None:
     """Wait for a line of the service's log, and keep all that came before it."""
     assert process.popen.stdout is not None
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -132,6 +132,20 @@
     assert m.due(3 * SECOND) == 0
 
 
+def test_a_doubted_server_that_is_replaced_makes_room_for_doubt_again() -> None:
+    """Four servers, one of which may be out for its checks' word alone."""
+    m = Members([CONSUL, LIST], Rules(most=1.0))
+    m.told(0, "consul", pool(4), True)
+    m.told(0, "list", [word(5, Health.CRITICAL), word(1)], False)
+    m.told(SECOND, "consul", pool(4, 1), True)
+    assert len(ready(m)) == 3
+    # Its place is another's now; the list still speaks of it, so that it is not forgotten.
+    m.told(2 * SECOND, "consul", [word(9, port=9001), *pool(4, 1)], True)
+    assert "s-9" in ready(m)
+    m.told(3 * SECOND, "consul", [word(9, port=9001), *pool(4, 1, 2)], True)
+    assert one(m, "s-2").state == State.DRAINING
+
+
 def test_a_new_id_at_the_same_address_replaces_the_old_one_and_starts_cold() -> None:
     m = started(10)
     rows = [*pool(9), word(10, uid="s-new")]
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -25,11 +25,12 @@
 
 from flinthatch.picture import Kind
 from standins.fleet import Process, started
+from windrelay.discovery import Discovery
 from windrelay.xds.control import read_inputs
 from windrelay.xds.encode import TYPES
 from windrelay.xds.file import ControlError, read_file
 from windrelay.xds.load import SERVICE as LOAD_SERVICE
-from windrelay.xds.pool import OLD, Pool
+from windrelay.xds.pool import Pool
 from windrelay.xds.server import SERVICE
 from windrelay.xds.status import SERVICE as STATUS
 
@@ -193,7 +194,10 @@
     with two(tmp_path) as process, envoy(process) as proxy:
         billing = (tmp_path / "billing.toml").read_text()
         replace(tmp_path / "billing.toml", billing.replace("bill.svc", "b2.svc"))
-        for old, new in (("0.1:0", "0.1:1"), ('name = "billing"', 'name = "other"')):
+        for old, new in (
+            ("0.1:0", "0.1:1"), ('name = "billing"', 'name = "other"'),
+            ('members = "billing', 'members = "other'),
+        ):  # fmt: skip
             replace(tmp_path / "control.toml", TWO.replace(old, new))
             process.popen.send_signal(signal.SIGHUP)
             until_said(process, "reload: nothing changed")
@@ -355,7 +359,7 @@
         pool = Pool(*inputs[0], 0, lambda: None, lambda _pool: None, said.append)
         pool.start()
         assert pool.old() == ""
-        pool.heard -= OLD
+        pool.heard -= Discovery.old_after
         assert pool.old() == "topup: not heard of for 30 s"
         assert pool.known() and len(pool.usable()) == 1
 
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -120,6 +120,13 @@
     assert [proxies.ledger.counts(name) for name in proxies.names] == [(1, 1), (1, 1)]
 
 
+def test_the_same_reports_are_learned_from_once() -> None:
+    proxies = Proxies(2)
+    assert not proxies.ledger.news()
+    proxies.round()
+    assert proxies.ledger.news() and not proxies.ledger.news()
+
+
 def test_a_second_stream_of_the_same_id_replaces_the_first() -> None:
     ledger = Ledger(EVERY)
     old = ledger.opened(0, "p")
--- a/windrelay/consul/file.py
+++ b/windrelay/consul/file.py
@@ -109,6 +109,11 @@
     return int(value)
 
 
+def source_name(datacentre: str) -> str:
+    """What a datacentre is called as a source of the merged list."""
+    return f"consul:{datacentre}"
+
+
 def read_token(path: Path) -> str:
     """The token in a file that only its owner can read; ConsulError names the path, never it."""
     try:
--- a/windrelay/consul/reader.py
+++ b/windrelay/consul/reader.py
@@ -22,7 +22,7 @@
 
 from flinthatch.members import Word
 from flinthatch.shards import Question, Ration, Rounds, expression, suffix_of
-from windrelay.consul.file import ConsulFile
+from windrelay.consul.file import ConsulFile, source_name
 from windrelay.consul.rows import RowError, words
 from windrelay.httpcall import Answer, Call
 
@@ -59,22 +59,19 @@
         if token:
             self.headers["X-Consul-Token"] = token
         ration = Ration(file.share)
-        self._centers = [_Center(self, dc, zone, ration) for dc, zone in file.datacentres.items()]
-
-    def sources(self) -> list[str]:
-        return [center.source for center in self._centers]
+        self.centers = [_Center(self, dc, zone, ration) for dc, zone in file.datacentres.items()]
 
     def start(self) -> None:
-        for center in self._centers:
+        for center in self.centers:
             center.start()
 
     def close(self) -> None:
-        for center in self._centers:
+        for center in self.centers:
             center.close()
 
     def rounds(self) -> int:
         """Whole rounds that every datacentre has ended."""
-        return min(center.rounds.rounds for center in self._centers)
+        return min(center.rounds.rounds for center in self.centers)
 
 
 class _Center:
@@ -84,10 +81,10 @@
         self._reader = reader
         self._dc = dc
         self._zone = zone
-        self.source = f"consul:{dc}"
+        self.source = source_name(dc)
         self.rounds = Rounds(ration)
         self._index = 0
-        self._agent = 0
+        self.agent = 0
         self._failures = 0
         self._said = ""
         self._round: dict[str, Word] = {}  # the newest word on each server of this round
@@ -115,16 +112,18 @@
         self._timers.add(timer)
         return timer
 
-    def _get(self, query: str, wait: float, done: Callable[[Answer | None], None]) -> None:
+    def _get(self, query: str, wait: float, done: Callable[[Answer | None, int], None]) -> None:
+        """Ask the present agent; `done` gets the answer and which agent it was."""
         file = self._reader.file
-        agent = file.agents[self._agent % len(file.agents)]
+        tried = self.agent
+        agent = file.agents[tried % len(file.agents)]
         stale = "&stale" if file.stale else ""
         path = f"/v1/health/service/{quote(file.service, safe='')}"
         target = f"{path}?dc={quote(self._dc, safe='')}{stale}{query}"
 
         def ended(answer: Answer | None) -> None:
             self._calls.discard(call)
-            done(answer)
+            done(answer, tried)
 
         call = Call(agent, target, wait, ended, self._reader.headers, self._reader.tls)
         self._calls.add(call)
@@ -144,14 +143,18 @@
             return f"its word is {contact[:20]} ms old"
         return ""
 
-    def _failed(self, why: str, again: Callable[[], None]) -> None:
-        """Try the next agent, later each time."""
+    def failed(self, why: str, tried: int, again: Callable[[], None]) -> None:
+        """Try the next agent, later each time.
+
+        The watch and the question fail together with their agent: counted twice they
+        would pass over the next one, and of two come back to the one that is gone.
+        """
         file = self._reader.file
-        agent = file.agents[self._agent % len(file.agents)]
+        agent = file.agents[tried % len(file.agents)]
         if why != self._said:
             self._said = why
             self._reader.log(f"{self.source}: agent {agent}: {why}; the list stands")
-        self._agent += 1
+        self.agent = max(self.agent, tried + 1)
         delay = min(BACKOFF_S * 2 ** min(self._failures, 10), BACKOFF_MOST_S)
         self._failures += 1
         self._later(delay * (0.5 + self._reader.random.random() / 2), again)
@@ -172,10 +175,10 @@
             wait += WAIT_S * 17 / 16  # the agent adds up to a sixteenth
         self._get(query, wait, self._watched)
 
-    def _watched(self, answer: Answer | None) -> None:
+    def _watched(self, answer: Answer | None, tried: int) -> None:
         why = self._wrong(answer)
         if why or answer is None:
-            self._failed(why, self._watch)
+            self.failed(why, tried, self._watch)
             return
         self._worked()
         text = answer.headers.get("x-consul-index", "0")
@@ -204,9 +207,9 @@
             self._later(wait / SECOND, self._ask)
             return
         query = f"&filter={quote(expression(question), safe='')}"
-        self._get(query, CALL_S, lambda answer: self._answered(question, answer))
+        self._get(query, CALL_S, lambda *got: self._answered(question, *got))
 
-    def _answered(self, question: Question, answer: Answer | None) -> None:
+    def _answered(self, question: Question, answer: Answer | None, tried: int) -> None:
         now = time.monotonic_ns()
         why = self._wrong(answer)
         rows: list[Word] = []
@@ -217,7 +220,7 @@
                 why = str(err)
         if why:
             self.rounds.failed(now, question)
-            self._failed(why, self._ask)
+            self.failed(why, tried, self._ask)
             return
         self._worked()
         before = self.rounds.rounds
--- a/windrelay/consul/source.py
+++ b/windrelay/consul/source.py
@@ -12,7 +12,13 @@
 from flinthatch import Listing, State, Update
 from flinthatch.members import Member, Members, Rules, Source, Word
 from windrelay.config import Address, Config
-from windrelay.consul.file import ConsulError, ConsulFile, read_consul, read_token
+from windrelay.consul.file import (
+    ConsulError,
+    ConsulFile,
+    read_consul,
+    read_token,
+    source_name,
+)
 from windrelay.consul.reader import Reader
 from windrelay.discovery import Roster, backend_id
 
@@ -38,13 +44,15 @@
 
 def merged(file: ConsulFile, drain: int = 2 * SECOND) -> Members:
     """The list of one file's datacentres; `drain` in nanoseconds."""
-    sources = [Source(f"consul:{dc}", 1, file.fresh * SECOND) for dc in file.datacentres]
+    sources = [Source(source_name(dc), 1, file.fresh * SECOND) for dc in file.datacentres]
     return Members(sources, Rules(drain=drain))
 
 
 class ConsulMembers:
     """What a pool asks of a source: a roster, and to be told of changes."""
 
+    old_after = 120 * SECOND  # a whole round and the pause before it take over 30 s
+
     __slots__ = (
         "_members", "_reader", "_started", "_timer", "_told", "_zones", "log", "roster",
     )  # fmt: skip
--- a/windrelay/discovery.py
+++ b/windrelay/discovery.py
@@ -108,6 +108,8 @@
 class Discovery:
     """Carries out watch and fetch; `told` gets each update and what it made stale."""
 
+    old_after = 30_000_000_000  # ns without a word: a watch answers within HOLD_MS
+
     __slots__ = ("_address", "_calls", "_old", "_told", "_watching", "log", "roster")
 
     def __init__(
--- a/windrelay/xds/control.py
+++ b/windrelay/xds/control.py
@@ -19,6 +19,7 @@
 
 import grpc
 
+from flinthatch.drains import MARGIN_PART
 from flinthatch.picture import Kind, Picture
 from flinthatch.routes import Table
 from flinthatch.snapshot import Audience, Plan
@@ -171,9 +172,8 @@
         loop = asyncio.get_running_loop()
         grace = pool.config.settings.drain_grace / 1e9
         loop.call_later(grace * PRESS_PART, self._press, pool)
-        due = max(d.next_due() for d in pool.drains.values())
         # A little after: a timer may come some nanoseconds before its time.
-        loop.call_later(max(due - time.monotonic_ns(), 0) / 1e9 + 0.002, self._report, pool)
+        loop.call_later(grace * (1.0 - MARGIN_PART) + 0.002, self._report, pool)
 
     def _press(self, pool: Pool) -> None:
         for service in pool.drains:
@@ -208,8 +208,8 @@
             file = read_file(self.path)
             if replace(file, pools=()) != replace(self.file, pools=()):
                 raise ControlError("only routes, and where discovery is, change without a restart")
-            if [p.name for p in file.pools] != [p.name for p in self.file.pools]:
-                raise ControlError("pools come and go with a restart only")
+            if [p.sources() for p in file.pools] != [p.sources() for p in self.file.pools]:
+                raise ControlError("pools, and where their servers come from, need a restart")
             inputs = read_inputs(file)
         except (ControlError, ConfigError) as err:
             self.log(f"reload: nothing changed: {err}")
--- a/windrelay/xds/file.py
+++ b/windrelay/xds/file.py
@@ -35,6 +35,10 @@
     members: Path | None
     consul: Path | None = None
 
+    def sources(self) -> tuple[str, Path | None, Path | None]:
+        """Its name and where its servers come from: what no reload changes."""
+        return self.name, self.members, self.consul
+
 
 @dataclass(frozen=True, slots=True)
 class TlsFile:
--- a/windrelay/xds/members.py
+++ b/windrelay/xds/members.py
@@ -23,6 +23,8 @@
     be: what then is no JSON is refused, and read again once it changes again.
     """
 
+    old_after = 0  # a file that has not changed is as good as ever
+
     __slots__ = ("_handle", "_path", "_stamp", "_told", "log", "roster")
 
     def __init__(
--- a/windrelay/xds/pool.py
+++ b/windrelay/xds/pool.py
@@ -20,7 +20,6 @@
 from windrelay.xds.members import FileMembers
 
 SECOND = 1_000_000_000
-OLD = 30 * SECOND  # without a word from discovery, whose watch answers within 20 s
 
 
 class Pool:
@@ -110,7 +109,7 @@
         age = now - self.heard
         if not self.balancer.view(now):
             return f"{self.name}: list is empty"
-        if age >= OLD and not isinstance(self.members, FileMembers):
+        if 0 < self.members.old_after <= age:
             return f"{self.name}: not heard of for {age // SECOND} s"
         return ""
 
@@ -155,7 +154,7 @@
         """Tell the Balancer what all proxies' reports say together."""
         now = time.monotonic_ns()
         self.ledger.forget(now, self._addresses)
-        for v in self.ledger.verdicts():
+        for v in self.ledger.verdicts() if self.ledger.news() else ():
             self.balancer.on_reported(now, v.backend, v.ratio, v.failing)
 
     # ---- Actions ------------------------------------------------------
