Take a node's servers from Consul, corroborated by its own attempts, or pass a list on

Only the control service could live on Consul, and nothing told a real outage from checks that were wrong. A node now reads a consul file (PROXY_CONSUL) with its own attempts as evidence: a server that is silent to it leaves at once, one that is only called critical stays within a quarter of the pool. The control service's evidence is what its proxies' load reports made of it.

The platform's list can be one more source, whose drains are orders. A token that is refused is read again from its file.

--- a/flinthatch/members.py
+++ b/flinthatch/members.py
@@ -217,6 +217,8 @@
 
     def _take(self, now: int, server: _Server, source: str, word: Word) -> None:
         old = server.words.get(source)
+        if old is not None and word.health == Health.GONE:
+            word = replace(old.word, health=Health.GONE)  # it may not say where it was
         if old is not None and old.word.health == word.health:
             old.word, old.heard = word, now
         else:
--- a/standins/consul.py
+++ b/standins/consul.py
@@ -76,6 +76,7 @@
         self.ttl: dict[str, asyncio.TimerHandle] = {}
         self.random = Random(1)
         self.waiting = 0
+        self.asked = 0  # requests of readers
 
     # ---- what is registered --------------------------------------------
 
@@ -348,7 +349,7 @@
     async def command(self, asked: Asked) -> Reply:
         if asked.path == "/standin/lines":
             lines = {"seconds": dict(self.by_second), "readers": dict(self.by_reader),
-                     "waiting": self.waiting}  # fmt: skip
+                     "waiting": self.waiting, "asked": self.asked}  # fmt: skip
             return Reply(200, json.dumps(lines).encode())
         raw = json.loads(asked.body)
         if asked.path == "/standin/services":
@@ -376,6 +377,7 @@
         if asked.path == "/v1/status/leader":
             return Reply(200, b'""' if self.faults.get("leaderless") else b'"127.0.0.1:8300"')
         if asked.method == "GET":
+            self.asked += 1
             return await self.read(asked)
         return await self.write(asked)
 
--- /dev/null
+++ b/tests/test_consul_node.py
@@ -0,0 +1,256 @@
+"""A real node that takes its servers from Consul, directly or from who passes the list on."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import threading
+import time
+from collections.abc import Iterator
+from http.client import HTTPConnection
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from standins.fleet import Process, backends, started
+
+from .harness import LIMIT, Running, node, request, roster, target, until
+from .test_consul import FILE, service
+
+
+def listed_at(servers: list[Process], **more: Any) -> list[dict[str, Any]]:
+    """The servers as Consul's rows, t-1 first."""
+    return [
+        service(i, Port=int(s.address.rpartition(":")[2]), **more) for i, s in enumerate(servers, 1)
+    ]
+
+
+def lines_of(running: Running) -> list[str]:
+    """The node's log as it grows."""
+    lines: list[str] = []
+
+    def follow() -> None:
+        assert running.process.stderr is not None
+        with contextlib.suppress(ValueError):
+            for line in running.process.stderr:
+                lines.append(line)
+
+    threading.Thread(target=follow, daemon=True).start()
+    return lines
+
+
+class Clients:
+    """A few clients that ask one after the other until the end of the block."""
+
+    def __init__(self, running: Running, count: int = 4) -> None:
+        self.statuses: list[int] = []
+        self._running = running
+        self._end = threading.Event()
+        self._threads = [threading.Thread(target=self._ask, args=(i,)) for i in range(count)]
+
+    def __enter__(self) -> Clients:
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._end.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _ask(self, number: int) -> None:
+        peer = self._running.connect()
+        asked = 0
+        while not self._end.is_set():
+            asked += 1
+            rid = f"{number:04x}{asked:012x}"
+            peer.send(request(rid=rid))
+            self.statuses.append(int(peer.message()[0].split()[1]))
+
+    def more(self, count: int) -> list[int]:
+        """The statuses of the next so many answers."""
+        at = len(self.statuses)
+        until(lambda: len(self.statuses) >= at + count)
+        return self.statuses[at:]
+
+
+@contextlib.contextmanager
+def on_consul(
+    tmp_path: Path, agent: str, more: str = "", known: dict[str, object] | None = None, **over: Any
+) -> Iterator[Running]:
+    path = tmp_path / "consul.toml"
+    path.write_text(FILE.format(agent=agent) + more)
+    with node(tmp_path, known or roster(), consul=str(path), **over) as running:
+        yield running
+
+
+@pytest.fixture
+def agent() -> Iterator[Process]:
+    with started(("-m", "standins.consul")) as process:
+        yield process
+
+
+def served(running: Running, rid: str) -> int:
+    peer = running.connect()
+    peer.send(request(rid=rid))
+    return int(peer.message()[0].split()[1])
+
+
+def test_a_node_serves_from_consuls_list(tmp_path: Path, agent: Process) -> None:
+    with backends(2, 1.0) as servers:
+        agent.call("PUT", "/standin/services", listed_at(servers))
+        with on_consul(tmp_path, agent.address) as running:
+            running.says("2 servers listed")
+            assert served(running, "a1") == 200
+            agent.call("PUT", "/standin/services", listed_at(servers)[:1])
+            running.says("servers out: node-t-2/t-2 (gone)")
+            assert served(running, "a2") == 200
+
+
+def test_half_the_servers_really_gone_leave_at_once(tmp_path: Path, agent: Process) -> None:
+    """Their own silence agrees with the checks: neither the bucket nor doubt holds them."""
+    with backends(10, 1.0) as servers:
+        agent.call("PUT", "/standin/services", listed_at(servers))
+        with on_consul(tmp_path, agent.address) as running:
+            running.says("10 servers listed")
+            lines = lines_of(running)
+            with Clients(running) as clients:
+                clients.more(200)
+                for server in servers[5:]:
+                    server.popen.kill()
+                agent.call("POST", "/standin/status", {f"t-{i}": "critical" for i in range(6, 11)})
+                agreed = "and its own answers agree"
+                until(lambda: sum(x.count(agreed) for x in lines) + _doubted(lines) >= 5)
+                assert sum(x.count(agreed) for x in lines) >= 3
+                assert set(clients.more(200)) == {200}
+
+
+def _doubted(lines: list[str]) -> int:
+    """Servers that left for their checks' word alone."""
+    return sum(x.count("(critical)") for x in lines)
+
+
+def test_checks_that_are_wrong_about_half_take_a_quarter_at_the_most(
+    tmp_path: Path, agent: Process
+) -> None:
+    with backends(8, 1.0) as servers:
+        agent.call("PUT", "/standin/services", listed_at(servers))
+        with on_consul(tmp_path, agent.address) as running:
+            running.says("8 servers listed")
+            lines = lines_of(running)
+            with Clients(running) as clients:
+                clients.more(100)
+                agent.call("POST", "/standin/status", {f"t-{i}": "critical" for i in range(5, 9)})
+                until(lambda: _doubted(lines) >= 1)
+                # Its readers wake to the next change: by then all that is doubted was heard.
+                rows = [*listed_at(servers), service(9, Status="critical")]
+                for i in range(4, 8):
+                    rows[i]["Status"] = "critical"
+                agent.call("PUT", "/standin/services", rows)
+                assert set(clients.more(500)) == {200}
+                assert _doubted(lines) <= 2
+                assert not any("own answers agree" in x for x in lines)
+
+
+def test_without_an_agent_a_node_goes_on_with_the_last_known_list(tmp_path: Path) -> None:
+    with backends(1, 1.0) as servers:
+        port = int(servers[0].address.rpartition(":")[2])
+        known = roster(target("s-1", port))
+        with on_consul(tmp_path, "127.0.0.1:1", known=known) as running:
+            running.says("the list stands")
+            assert served(running, "b1") == 200
+            before = _cpu(running)
+            until(lambda: served(running, f"c{time.monotonic_ns():x}") == 200)
+            assert _cpu(running) - before < 1.0  # it waits between its tries
+
+
+def _cpu(running: Running) -> float:
+    fields = Path(f"/proc/{running.process.pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / 100
+
+
+def test_the_platforms_list_is_one_more_source_and_its_drains_are_orders(
+    tmp_path: Path, agent: Process
+) -> None:
+    with backends(3, 1.0) as servers, started(("-m", "standins.discovery")) as discovery:
+        ports = [int(s.address.rpartition(":")[2]) for s in servers]
+        rows = [target(f"s-{i}", port) for i, port in enumerate(ports, 1)]
+        discovery.call("POST", "/standin/targets", rows)
+        agent.call("PUT", "/standin/services", listed_at(servers)[:2])
+        at = int(discovery.address.rpartition(":")[2])
+        with on_consul(
+            tmp_path, agent.address, "platform = true\n", roster(*rows), discovery=at
+        ) as running:
+            assert served(running, "d1") == 200
+            rows[0]["state"] = "leaving"
+            rows[1]["state"] = "leaving"
+            discovery.call("POST", "/standin/targets", rows)
+            running.says("maintenance, as ordered")
+            for i in range(20):
+                assert served(running, f"e{i}") == 200
+            counts = [s.call("GET", "/standin/state") for s in servers]
+            assert counts[2]["received"] >= 20
+
+
+def test_a_list_that_is_passed_on_reaches_a_node_as_its_discovery(
+    tmp_path: Path, agent: Process
+) -> None:
+    path = tmp_path / "consul.toml"
+    path.write_text(FILE.format(agent=agent.address))
+    with backends(2, 1.0) as servers:
+        agent.call("PUT", "/standin/services", listed_at(servers))
+        words = ("-m", "windrelay", "members", str(path), "--serve", "127.0.0.1:0")
+        with started(words) as relay:
+            until(lambda: asked(relay, "/health/ready")[0] == 200)
+            whole = json.loads(asked(relay, "/registry/instances")[1])
+            assert whole["all"] and len(whole["targets"]) == 2
+            held = f"/registry/instances?from={whole['rev']}&hold_ms=60000"
+            answers: list[Any] = []
+            watch = threading.Thread(target=lambda: answers.append(asked(relay, held)[1]))
+            watch.start()
+            agent.call("PUT", "/v1/agent/service/maintenance/t-1?enable=true")
+            watch.join(LIMIT)
+            news = json.loads(answers[0])
+            assert not news["all"] and news["rev"] > whole["rev"]
+            assert [(t["uid"], t["state"]) for t in news["targets"]] == [
+                ("node-t-1/t-1", "leaving")
+            ]
+            at = int(relay.address.rpartition(":")[2])
+            with node(tmp_path, roster(), at) as running:
+                until(lambda: served(running, f"f{time.monotonic_ns():x}") == 200)
+
+
+@pytest.mark.parametrize(
+    ("target_", "status"),
+    [("/registry/instances?from=x", 400), ("/registry/instances?hold_ms=-1", 400), ("/odd", 404)],
+)
+def test_a_watcher_that_asks_badly_is_told(
+    tmp_path: Path, agent: Process, target_: str, status: int
+) -> None:
+    path = tmp_path / "consul.toml"
+    path.write_text(FILE.format(agent=agent.address))
+    agent.call("PUT", "/standin/services", [service(1)])
+    words = ("-m", "windrelay", "members", str(path), "--serve", "127.0.0.1:0")
+    with started(words) as relay:
+        until(lambda: asked(relay, "/health/ready")[0] == 200)
+        assert asked(relay, target_)[0] == status
+
+
+def test_nothing_is_passed_on_before_a_whole_round(tmp_path: Path, agent: Process) -> None:
+    path = tmp_path / "consul.toml"
+    path.write_text(FILE.format(agent=agent.address))
+    agent.call("POST", "/standin/faults", {"status": 500})
+    words = ("-m", "windrelay", "members", str(path), "--serve", "127.0.0.1:0")
+    with started(words) as relay:
+        assert asked(relay, "/registry/instances")[0] == 503
+
+
+def asked(relay: Process, path: str) -> tuple[int, bytes]:
+    connection = HTTPConnection(relay.address, timeout=LIMIT)
+    try:
+        connection.request("GET", path)
+        answer = connection.getresponse()
+        return answer.status, answer.read()
+    finally:
+        connection.close()
--- a/windrelay/__main__.py
+++ b/windrelay/__main__.py
@@ -34,7 +34,7 @@
 
 from windrelay.config import Config, ConfigError, load, reload  # noqa: E402
 from windrelay.discovery import ListError  # noqa: E402
-from windrelay.errors import RoutesError  # noqa: E402
+from windrelay.errors import RoutesError, SourceError  # noqa: E402
 from windrelay.node import Node  # noqa: E402
 from windrelay.server import SWEEP_S, Server  # noqa: E402
 
@@ -139,7 +139,7 @@
     try:
         run = Run(config, loop)
         loop.run_until_complete(run.run())
-    except (ListError, RoutesError, OSError) as err:
+    except (ListError, RoutesError, SourceError, OSError) as err:
         print(f"windrelay: {err}", file=sys.stderr)
         return 2
     # Not through the interpreter's own end: it would take the loop and each
--- a/windrelay/config.py
+++ b/windrelay/config.py
@@ -24,7 +24,7 @@
     port: int
 
     def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
+        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +45,7 @@
     max_open: int
     reports: bool
     routes: str  # the routes file's path, empty where there is none
+    consul: str  # likewise of the consul file
 
 
 def parse_address(text: object) -> Address:
@@ -52,6 +53,8 @@
     host, colon, port = str(text).rpartition(":")
     if not colon or not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
         raise ValueError(f"{text!r} is no host:port")
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]  # an IPv6 address, as RFC 3986, section 3.2.2, writes it
     return Address(host, int(port))
 
 
@@ -69,7 +72,7 @@
         raise ConfigError(f"{path} is not JSON: {err}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"{path} is not a JSON object")
-    for key in ("name", "listen", "discovery", "routes"):
+    for key in ("name", "listen", "discovery", "routes", "consul"):
         raw[key] = environ.get(f"PROXY_{key.upper()}") or raw.get(key)
     try:
         return _config(raw)
@@ -120,4 +123,5 @@
         max_open=int(settings.get("limits", {}).get("open_cap", 20_000)),
         reports=settings.get("load_info", {}).get("how", "off") != "off",
         routes=str(raw["routes"] or ""),
+        consul=str(raw["consul"] or ""),
     )
--- a/windrelay/consul/file.py
+++ b/windrelay/consul/file.py
@@ -12,6 +12,7 @@
 
 from flinthatch.routefile import Fault
 from windrelay.config import Address
+from windrelay.errors import SourceError
 from windrelay.operator.section import Section
 from windrelay.operator.tomlfile import FileError, Key, read
 
@@ -31,7 +32,7 @@
 _TOKEN = re.compile(r"[!-~]+")
 
 
-class ConsulError(Exception):
+class ConsulError(SourceError):
     """A consul file, or the token it names, that can't be used; one fault a line."""
 
 
--- a/windrelay/consul/reader.py
+++ b/windrelay/consul/reader.py
@@ -21,7 +21,7 @@
 
 from flinthatch.members import Word
 from flinthatch.shards import Question, Ration, Rounds, expression
-from windrelay.consul.file import ConsulFile, source_name
+from windrelay.consul.file import ConsulError, ConsulFile, read_token, source_name
 from windrelay.consul.rows import Fields, RowError, rows
 from windrelay.httpcall import Answer, Call
 
@@ -32,6 +32,7 @@
 ROUND_S = 30.0  # between whole rounds while nothing changes
 BACKOFF_S = 0.5
 BACKOFF_MOST_S = 15.0
+FORBIDDEN = "status 403"
 CONSISTENCY = {"stale": "&stale", "default": "", "consistent": "&consistent"}
 
 Told = Callable[[str, list[Word], bool], None]  # source, its words, whether they are all
@@ -55,11 +56,22 @@
         self.random = Random(seed)
         self.tls = tls
         self.headers = {"User-Agent": "wharfspread"}
-        if token:
-            self.headers["X-Consul-Token"] = token
+        self._use(token)
         ration = Ration(file.share)
         self.centers = [_Center(self, dc, zone, ration) for dc, zone in file.datacentres.items()]
 
+    def _use(self, token: str) -> None:
+        if token:
+            self.headers["X-Consul-Token"] = token
+
+    def renew(self) -> None:
+        """Read the token again: one that is refused may have been replaced in its file."""
+        if self.file.token_file is not None:
+            try:
+                self._use(read_token(self.file.token_file))
+            except ConsulError as err:
+                self.log(str(err))
+
     def start(self) -> None:
         for center in self.centers:
             center.start()
@@ -156,6 +168,8 @@
         if why != self._said:
             self._said = why
             self._reader.log(f"{self.source}: agent {agent}: {why}; the list stands")
+        if why == FORBIDDEN:
+            self._reader.renew()
         self.agent = max(self.agent, tried + 1)
         delay = min(BACKOFF_S * 2 ** min(self._failures, 10), BACKOFF_MOST_S)
         self._failures += 1
--- a/windrelay/errors.py
+++ b/windrelay/errors.py
@@ -14,3 +14,7 @@
 
 class RoutesError(Exception):
     """A routes file that can't be used; the text names its first fault and how many there are."""
+
+
+class SourceError(Exception):
+    """A file that names a source of servers can't be used; the text says why, a fault a line."""
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -15,6 +15,7 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 from heapq import heappop, heappush
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from flinthatch import Balancer, Listing, Outcome, Update
@@ -23,6 +24,7 @@
 from windrelay.upstream import Upstream
 
 if TYPE_CHECKING:
+    from windrelay.consul.source import ConsulMembers
     from windrelay.routing import Routing
     from windrelay.server import ClientConnection, Incoming
     from windrelay.upstream import BackendConnection
@@ -138,7 +140,7 @@
         self.freed: Callable[[], None] = lambda: None  # the server's, once it listens
         self.sockets = config.sockets - RESERVED
         self.upstream = Upstream(self)
-        self.discovery = Discovery(config, self.members_told, self.log)
+        self.discovery: Discovery | ConsulMembers = self._members()
         self.requests: dict[int, Request] = {}
         self.open = 0
         self.labels: set[bytes] = set()  # ids that clients gave, of the open ones
@@ -154,6 +156,19 @@
         self.balancer = Balancer(config.settings, config.seed, self)
         self.routing: Routing | None = None
 
+    def _members(self) -> Discovery | ConsulMembers:
+        config = self.config
+        if not config.consul:
+            return Discovery(config, self.members_told, self.log)
+        # Here and not above: without its file the node is as small as ever.
+        from flinthatch.evidence import alive
+        from windrelay.consul.source import ConsulMembers
+
+        def answers(backend: int) -> bool | None:
+            return alive(self.balancer, time.monotonic_ns(), backend)
+
+        return ConsulMembers(Path(config.consul), config, self.members_told, self.log, answers)
+
     def start(self) -> None:
         """Begin from the list in the configuration; ListError if it is malformed."""
         rows = self.discovery.known(self.config.known)
@@ -161,6 +176,8 @@
         self.balancer.start(self.now)
         self.balancer.on_members(self.now, Update.CACHED, rows)
         self.leave()
+        if self.config.consul:
+            self.discovery.watch()
 
     def route(self, path: str) -> None:
         """Take over the routes file at `path`, or none; RoutesError changes nothing."""
--- a/windrelay/operator/members.py
+++ b/windrelay/operator/members.py
@@ -1,4 +1,7 @@
-"""`python -m windrelay members FILE`: the merged list, and why each server is in or out."""
+"""`python -m windrelay members FILE`: the merged list, and why each server is in or out.
+
+With --serve it stays and passes the list on to nodes.
+"""
 
 from __future__ import annotations
 
@@ -10,12 +13,18 @@
 from typing import TextIO
 
 from flinthatch.members import Member, Members, Word
+from windrelay.config import parse_address
 from windrelay.consul.file import ConsulError, ConsulFile, read_consul
+from windrelay.consul.relay import serve
 from windrelay.consul.source import merged, open_reader
 
 SECOND = 1_000_000_000
 
 
+def say(text: str) -> None:
+    print(text, file=sys.stderr, flush=True)
+
+
 async def read_once(file: ConsulFile, seconds: float) -> tuple[Members, bool]:
     """One whole round of every datacentre; False where it did not end in time."""
     members = merged(file)
@@ -26,7 +35,7 @@
         if reader.rounds():
             done.set()
 
-    reader = open_reader(file, told, lambda text: print(text, file=sys.stderr), time.time_ns())
+    reader = open_reader(file, told, say, time.time_ns())
     reader.start()
     try:
         await asyncio.wait_for(done.wait(), seconds)
@@ -46,14 +55,31 @@
     return f"{m.uid} {m.host}:{m.port} {m.state.name.lower()} ({m.why}): {said}"
 
 
+def pass_on(file: ConsulFile, listen: str) -> int:
+    """Serve nodes until a signal ends it; 2 where the address can't be used."""
+    try:
+        asyncio.run(serve(file, parse_address(listen), say, time.time_ns()))
+    except (OSError, ValueError) as err:
+        print(f"members: --serve: {err}", file=sys.stderr)
+        return 2
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        pass
+    return 0
+
+
 def main(words: Sequence[str], out: TextIO = sys.stdout) -> int:
     """Print the list; 2 for a bad file, 1 where Consul did not answer in time."""
     parser = argparse.ArgumentParser(prog="python -m windrelay members", description=__doc__)
     parser.add_argument("file", help="a consul.toml")
     parser.add_argument("--seconds", type=float, default=60.0, help="how long to wait for it")
+    parser.add_argument(
+        "--serve", metavar="HOST:PORT", help="pass the list on to nodes as their discovery"
+    )
     args = parser.parse_args(words)
     try:
         file = read_consul(args.file)
+        if args.serve:
+            return pass_on(file, args.serve)
         members, whole = asyncio.run(read_once(file, args.seconds))
     except ConsulError as err:
         print(err, file=sys.stderr)
--- a/windrelay/xds/pool.py
+++ b/windrelay/xds/pool.py
@@ -10,6 +10,7 @@
 from flinthatch import Balancer, Listing, State, Update
 from flinthatch.balancer import ServerView
 from flinthatch.drains import Drains, Holding
+from flinthatch.evidence import alive
 from flinthatch.reports import Ledger
 from flinthatch.routes import Table
 from flinthatch.snapshot import Audience, Plan, plan
@@ -45,7 +46,7 @@
         self._log = log
         self.members: FileMembers | Discovery | ConsulMembers
         if file.consul is not None:
-            self.members = ConsulMembers(file.consul, config, self._told, self.log)
+            self.members = ConsulMembers(file.consul, config, self._told, self.log, self._answers)
         elif file.members is not None:
             self.members = FileMembers(file.members, config, self._told, self.log)
         else:
@@ -57,6 +58,10 @@
         self._addresses: dict[int, tuple[str, int]] = {}
         self._backends: dict[tuple[str, int], int] = {}
 
+    def _answers(self, backend: int) -> bool | None:
+        """What the proxies' load reports say of a server."""
+        return alive(self.balancer, time.monotonic_ns(), backend)
+
     def start(self) -> None:
         """Take the list to begin with over; ListError or OSError where it can't be used."""
         rows = self.members.known(self.config.known)
