Group the decisions by concern, and put their plain types below all

Routes, membership and what is handed out are packages now; settings, listings, outcomes and a host's actions are in model.py, so that routes no longer need the Balancer's file for a type.

--- a/benchmarks/consul.py
+++ b/benchmarks/consul.py
@@ -31,7 +31,7 @@
 from typing import Any
 
 from benchmarks.stats import spread
-from flinthatch.members import Health, Members, Word
+from flinthatch.membership.members import Health, Members, Word
 from standins.fleet import Process, started
 from windrelay.config import parse_address
 from windrelay.consul.file import MARGIN, ConsulFile
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -23,9 +23,11 @@
 
 from benchmarks.stats import spread
 from flinthatch import State
-from flinthatch.balancer import ServerView
-from flinthatch.picture import Kind, Reply, resource
-from flinthatch.snapshot import Audience, ProxyKind, plan
+from flinthatch.handout.picture import Kind, Reply, resource
+from flinthatch.handout.snapshot import Audience, ProxyKind, plan
+from flinthatch.model import (
+    ServerView,
+)
 from standins.fleet import SETTINGS, Process, started
 from windrelay.operator.check import check_file, settings_of
 from windrelay.xds.encode import Encoder
--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -21,9 +21,9 @@
 from typing import Any
 
 from benchmarks.stats import spread
-from flinthatch.canonical import is_canonical
-from flinthatch.routefile import decode
-from flinthatch.routes import Service
+from flinthatch.routes.canonical import is_canonical
+from flinthatch.routes.file import decode
+from flinthatch.routes.table import Service
 from standins import fleet
 from standins.load import Clients, play
 from windrelay.operator.tomlfile import parse
--- a/flinthatch/__init__.py
+++ b/flinthatch/__init__.py
@@ -1,8 +1,10 @@
 """Decisions of an HTTP load balancer; see README.md for the interface."""
 
 from flinthatch.balancer import (
-    Actions,
     Balancer,
+)
+from flinthatch.model import (
+    Actions,
     Effect,
     Listing,
     Outcome,
--- a/flinthatch/drill.py
+++ b/flinthatch/drill.py
@@ -15,6 +15,8 @@
 
 from flinthatch.balancer import (
     Balancer,
+)
+from flinthatch.model import (
     Effect,
     Listing,
     RequestClass,
--- /dev/null
+++ b/flinthatch/handout/__init__.py
@@ -0,0 +1,1 @@
+"""What is handed to other proxies: plans, pictures, drains, load reports, pacing."""
--- a/flinthatch/snapshot.py
+++ b/flinthatch/handout/snapshot.py
@@ -18,12 +18,14 @@
     BACKOFF,
     BACKOFF_MAX,
     ERRORS,
+)
+from flinthatch.model import (
     Effect,
     ServerView,
     Settings,
     State,
 )
-from flinthatch.routes import BudgetSpec, Condition, Pattern, Policy, Route, Service
+from flinthatch.routes.table import BudgetSpec, Condition, Pattern, Policy, Route, Service
 
 WEIGHT_UNIT = 100  # a warm server of usual speed, a slot
 WARMTH_STEPS = 20  # a cold server's weight is told anew at each, not at every cycle
--- a/flinthatch/members.py
+++ b/flinthatch/membership/members.py
@@ -35,7 +35,9 @@
 from dataclasses import dataclass, field, replace
 from enum import IntEnum
 
-from flinthatch.balancer import State
+from flinthatch.model import (
+    State,
+)
 
 SECOND = 1_000_000_000
 FORGOTTEN = 0.01  # of a flap
--- /dev/null
+++ b/flinthatch/model.py
@@ -0,0 +1,149 @@
+"""Plain types that the decisions share with whoever tells them and carries them out.
+
+Times are integer nanoseconds. Nothing here decides or imports anything of the project.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import NamedTuple, Protocol
+
+MS = 1_000_000
+SECOND = 1_000_000_000
+
+
+class State(IntEnum):
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+class Update(IntEnum):
+    DELTA = 0
+    FULL = 1
+    CACHED = 2
+    FAILED = 3
+
+
+class Effect(IntEnum):
+    PURE = 0
+    TOKEN = 1
+    SIDE_EFFECT = 2
+
+
+class Scope(IntEnum):
+    ALL = 0
+    ZONE = 1
+    CELL = 2
+
+
+class Outcome(IntEnum):
+    OK = 1
+    ERROR = 2
+    FULL = 3
+    TIMEOUT = 4
+    CONNECT_FAILED = 5
+    RESET = 6
+    CANCELLED = 7
+    MOOT = 8
+
+
+class Listing(NamedTuple):
+    """One line of the backend list."""
+
+    backend: int
+    state: State
+    zone: int = 0
+    cell: int = 0
+    kind: int = 0
+    boot: int = 0
+    rating: float = 1.0
+
+
+class ServerView(NamedTuple):
+    """What the Balancer holds of one backend, for whoever passes its decisions on."""
+
+    backend: int
+    zone: int
+    state: State
+    cap: int  # requests in flight that this node allows
+    warmth: float  # part of its capacity, 1.0 once warm
+    latency: float  # against the fleet's
+    down: bool  # left alone as silent or unreachable
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    name: str
+    aim: int
+    deadline: int
+    effect: Effect = Effect.PURE
+    scope: Scope = Scope.ALL
+    window: int = 0
+    worth: float = 1.0
+    late_worth: float = 0.0
+    stream: bool = False
+    aim_stretch: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    name: str
+    portion: float = 1.0
+    quota_per_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What a node is told at its start; times in nanoseconds."""
+
+    classes: tuple[RequestClass, ...]
+    tenants: tuple[Tenant, ...] = ()
+    node: int = 0
+    balancers: int = 1
+    zone: int = 0
+    zones: int = 1
+    load_columns: tuple[str, ...] = ()
+    ask: bool = False
+    ask_within: int = 10 * SECOND
+    drain_grace: int = SECOND
+    cold_from: float = 0.1
+    cold: int = 10 * SECOND
+    fall_multiple: float = 3.0
+    fall: int = 2 * SECOND
+    answer_slack: int = 0
+    max_attempts: int = 1
+    second_copies: bool = False
+    can_cancel: bool = False
+    can_probe: bool = False
+    max_retry_after: int = 0
+    marks_retry: bool = False
+    connect_timeout: int = 250 * MS
+    tick: int = MS
+    worst_class: float = 0.0
+    cross_zone_price: float = 0.0
+    rated: bool = False
+
+    def __post_init__(self) -> None:
+        if not self.classes:
+            raise ValueError("settings need at least one request class")
+        if self.balancers < 1:
+            raise ValueError("balancers must be at least 1")
+        for c in self.classes:
+            if c.aim <= 0 or c.deadline <= 0:
+                raise ValueError(f"class {c.name!r} needs an aim and a deadline above 0")
+
+
+class Actions(Protocol):
+    """What a Balancer asks its host to do; all take effect at once."""
+
+    def send(self, request: int, backend: int, timeout: int) -> None: ...
+    def refuse(self, request: int, retry_after: int) -> None: ...
+    def fail(self, request: int) -> None: ...
+    def cancel(self, request: int, attempt: int) -> None: ...
+    def set_timer(self, token: int, due: int) -> None: ...
+    def probe(self, backend: int) -> None: ...
+    def watch(self) -> None: ...
+    def fetch(self) -> None: ...
+    def log(self, text: str) -> None: ...
--- /dev/null
+++ b/flinthatch/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Routes: canonical forms, the table that is matched, its file and the file's rules."""
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -10,8 +10,10 @@
 
 from flinthatch import Balancer, Effect, Outcome, RequestClass, Scope, Settings, State, Update
 from flinthatch.attempts import Attempts, Budget, Latencies
-from flinthatch.balancer import TIMER_WAKE
-from flinthatch.routes import NEVER_RAN, BudgetSpec, Condition, CopySpec, Policy
+from flinthatch.balancer import (
+    TIMER_WAKE,
+)
+from flinthatch.routes.table import NEVER_RAN, BudgetSpec, Condition, CopySpec, Policy
 
 from .fakes import MS, SECOND, Host, rows
 
--- a/tests/test_canonical.py
+++ b/tests/test_canonical.py
@@ -8,7 +8,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from flinthatch.canonical import FormError, canonical_host, canonical_path, is_canonical, target
+from flinthatch.routes.canonical import (
+    FormError,
+    canonical_host,
+    canonical_path,
+    is_canonical,
+    target,
+)
 
 PATHS = {
     b"/": b"/",
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -13,8 +13,8 @@
 
 import pytest
 
-from flinthatch.members import Health
-from flinthatch.picture import Kind
+from flinthatch.handout.picture import Kind
+from flinthatch.membership.members import Health
 from standins.fleet import Process, started
 from windrelay.consul.file import ConsulError, read_consul, read_token
 from windrelay.consul.reader import ROUND_S, SECOND
--- a/tests/test_consul_hard.py
+++ b/tests/test_consul_hard.py
@@ -12,8 +12,8 @@
 import pytest
 
 from flinthatch import State
-from flinthatch.members import Health, Members, Source, Word
-from flinthatch.shards import Ration, Rounds, What
+from flinthatch.membership.members import Health, Members, Source, Word
+from flinthatch.membership.shards import Ration, Rounds, What
 from standins.fleet import Process, started
 from windrelay.config import parse_address
 from windrelay.consul.file import ConsulFile, read_consul
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -19,8 +19,8 @@
 from envoy.service.status.v3 import csds_pb2
 from google.protobuf import any_pb2
 
-from flinthatch.picture import Kind, Reply, Session, resource
-from flinthatch.snapshot import ProxyKind
+from flinthatch.handout.picture import Kind, Reply, Session, resource
+from flinthatch.handout.snapshot import ProxyKind
 from standins.fleet import Process, started
 from windrelay.xds.encode import TYPES
 from windrelay.xds.file import ControlError, read_file
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from flinthatch.drains import MAX_VERSIONS, Drains, Holding
-from flinthatch.pacing import Pacing
-from flinthatch.picture import EMPTY, Kind, Request, Session, picture, resource
+from flinthatch.handout.drains import MAX_VERSIONS, Drains, Holding
+from flinthatch.handout.pacing import Pacing
+from flinthatch.handout.picture import EMPTY, Kind, Request, Session, picture, resource
 
 SECOND = 1_000_000_000
 GROUP = ("envoy", "east")
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -9,7 +9,7 @@
 import pytest
 
 from flinthatch import State
-from flinthatch.members import Health, Member, Members, Rules, Source, Word
+from flinthatch.membership.members import Health, Member, Members, Rules, Source, Word
 
 SECOND = 1_000_000_000
 MINUTE = 60 * SECOND
--- a/tests/test_picture.py
+++ b/tests/test_picture.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from flinthatch.picture import (
+from flinthatch.handout.picture import (
     EMPTY,
     MAX_NAMES,
     History,
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -23,7 +23,7 @@
 from envoy.service.load_stats.v3 import lrs_pb2
 from envoy.service.status.v3 import csds_pb2
 
-from flinthatch.picture import Kind
+from flinthatch.handout.picture import Kind
 from standins.fleet import Process, started
 from windrelay.discovery import Discovery
 from windrelay.xds.control import read_inputs
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -8,7 +8,7 @@
 import pytest
 
 from flinthatch import Balancer, Listing, RequestClass, Settings, State, Update
-from flinthatch.reports import KEPT, Ledger, Row, Verdict
+from flinthatch.handout.reports import KEPT, Ledger, Row, Verdict
 
 SECOND = 1_000_000_000
 EVERY = 10 * SECOND
--- a/tests/test_routefile.py
+++ b/tests/test_routefile.py
@@ -8,7 +8,7 @@
 import pytest
 
 from flinthatch import Effect, RequestClass, Scope, Settings
-from flinthatch.routefile import Fault, Result, decode
+from flinthatch.routes.file import Fault, Result, decode
 from windrelay.operator.check import check_any, main
 from windrelay.operator.tomlfile import FileError, parse
 
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 
 from flinthatch import Outcome
-from flinthatch.routefile import decode
-from flinthatch.routes import (
+from flinthatch.routes.file import decode
+from flinthatch.routes.table import (
     DEFAULT_NODE_BUDGET,
     Condition,
     Pattern,
@@ -220,7 +220,7 @@
 
 def keeps_the_rules(text: str, policy: object) -> None:
     """Every class, every way an attempt ends, every number of it, against the file's own words."""
-    from flinthatch.routes import Policy
+    from flinthatch.routes.table import Policy
 
     assert isinstance(policy, Policy)
     values, _ = parse(text.encode())
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from flinthatch.shards import (
+from flinthatch.membership.shards import (
     OTHER,
     Question,
     Ration,
--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -13,11 +13,13 @@
 from google.protobuf import any_pb2
 
 from flinthatch import Effect, RequestClass, Settings, State
-from flinthatch.balancer import ServerView
-from flinthatch.picture import Kind, Picture
-from flinthatch.routefile import decode
-from flinthatch.routes import Condition, Table
-from flinthatch.snapshot import Audience, Plan, ProxyKind, kind_of, plan, weight
+from flinthatch.handout.picture import Kind, Picture
+from flinthatch.handout.snapshot import Audience, Plan, ProxyKind, kind_of, plan, weight
+from flinthatch.model import (
+    ServerView,
+)
+from flinthatch.routes.file import decode
+from flinthatch.routes.table import Condition, Table
 from windrelay.operator.tomlfile import parse
 from windrelay.xds.encode import Encoder
 
--- a/tests/test_solver.py
+++ b/tests/test_solver.py
@@ -6,7 +6,12 @@
 
 import pytest
 
-from flinthatch.balancer import WORST, predicted, solve, utility
+from flinthatch.balancer import (
+    WORST,
+    predicted,
+    solve,
+    utility,
+)
 
 Flow = tuple[float, float, float, float, float]
 
--- a/windrelay/consul/file.py
+++ b/windrelay/consul/file.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from flinthatch.routefile import Fault
+from flinthatch.routes.file import Fault
 from windrelay.config import Address
 from windrelay.errors import SourceError
 from windrelay.operator.section import Section
--- a/windrelay/consul/reader.py
+++ b/windrelay/consul/reader.py
@@ -1,8 +1,8 @@
 """Reads one service from Consul within a share of lines a second.
 
 For each datacentre two calls at most are out: a blocking one that costs no line and tells
-that something changed, and one question of `flinthatch.shards`. Agents are tried in turn;
-after a failure the next call waits, longer each time and with chance in it, so that
+that something changed, and one question of `flinthatch.membership.shards`. Agents are tried
+in turn; after a failure the next call waits, longer each time and with chance in it, so that
 readers that lost one agent together do not come to the next one together.
 
 Source: Consul HTTP API, "Blocking queries" (an index that goes back is reset to 0, one
@@ -19,8 +19,8 @@
 from random import Random
 from urllib.parse import quote
 
-from flinthatch.members import Word
-from flinthatch.shards import Question, Ration, Rounds, expression
+from flinthatch.membership.members import Word
+from flinthatch.membership.shards import Question, Ration, Rounds, expression
 from windrelay.consul.file import ConsulError, ConsulFile, read_token, source_name
 from windrelay.consul.rows import Fields, RowError, rows
 from windrelay.httpcall import Answer, Call
--- a/windrelay/consul/relay.py
+++ b/windrelay/consul/relay.py
@@ -21,8 +21,8 @@
 import httptools
 
 from flinthatch import State
-from flinthatch.members import Member, Members, Word
-from flinthatch.revisions import Revisions
+from flinthatch.membership.members import Member, Members, Word
+from flinthatch.membership.revisions import Revisions
 from windrelay.config import Address
 from windrelay.consul.file import ConsulFile
 from windrelay.consul.source import merged, open_reader
--- a/windrelay/consul/rows.py
+++ b/windrelay/consul/rows.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from flinthatch.members import Health, Word
+from flinthatch.membership.members import Health, Word
 
 MAX_ROWS = 100_000
 MAINTENANCE = ("_service_maintenance:", "_node_maintenance")
--- a/windrelay/consul/source.py
+++ b/windrelay/consul/source.py
@@ -1,4 +1,4 @@
-"""A list of servers from Consul, merged by flinthatch.members, for a node or a pool."""
+"""A list of servers from Consul, merged by flinthatch.membership.members, for a node or a pool."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from typing import Any
 
 from flinthatch import Listing, State, Update
-from flinthatch.members import Health, Member, Members, Rules, Source, Word
+from flinthatch.membership.members import Health, Member, Members, Rules, Source, Word
 from windrelay.config import Address, Config
 from windrelay.consul.file import (
     ConsulError,
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -161,7 +161,7 @@
         if not config.consul:
             return Discovery(config, self.members_told, self.log)
         # Here and not above: without its file the node is as small as ever.
-        from flinthatch.evidence import alive
+        from flinthatch.membership.evidence import alive
         from windrelay.consul.source import ConsulMembers
 
         def answers(backend: int) -> bool | None:
--- a/windrelay/operator/check.py
+++ b/windrelay/operator/check.py
@@ -10,8 +10,8 @@
 
 from flinthatch import Settings
 from flinthatch.drill import WireError, settings_from_json
-from flinthatch.routefile import REPEAT_NAMES, Explained, Fault, Result, decode
-from flinthatch.routes import Policy
+from flinthatch.routes.file import REPEAT_NAMES, Explained, Fault, Result, decode
+from flinthatch.routes.table import Policy
 from windrelay.operator.tomlfile import FileError, read
 
 NOTHING = "as without a file"
--- a/windrelay/operator/members.py
+++ b/windrelay/operator/members.py
@@ -12,7 +12,7 @@
 from collections.abc import Sequence
 from typing import TextIO
 
-from flinthatch.members import Member, Members, Word
+from flinthatch.membership.members import Member, Members, Word
 from windrelay.config import parse_address
 from windrelay.consul.file import ConsulError, ConsulFile, read_consul
 from windrelay.consul.relay import serve
--- a/windrelay/operator/section.py
+++ b/windrelay/operator/section.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from flinthatch.routefile import Fault
+from flinthatch.routes.file import Fault
 from windrelay.config import Address, parse_address
 from windrelay.operator.tomlfile import Key
 
--- a/windrelay/routing.py
+++ b/windrelay/routing.py
@@ -11,8 +11,8 @@
 from typing import Protocol
 
 from flinthatch import Settings
-from flinthatch.canonical import FormError, canonical_host, is_canonical, target
-from flinthatch.routes import Policy, Service, Table
+from flinthatch.routes.canonical import FormError, canonical_host, is_canonical, target
+from flinthatch.routes.table import Policy, Service, Table
 from windrelay.errors import BadRequest, RoutesError
 from windrelay.operator.check import check_file
 
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -17,7 +17,7 @@
 from windrelay.errors import BadRequest
 
 if TYPE_CHECKING:
-    from flinthatch.routes import Policy
+    from flinthatch.routes.table import Policy
     from windrelay.config import Address
     from windrelay.node import Node, Request
 
--- a/windrelay/xds/control.py
+++ b/windrelay/xds/control.py
@@ -19,10 +19,10 @@
 
 import grpc
 
-from flinthatch.drains import MARGIN_PART
-from flinthatch.picture import Kind, Picture
-from flinthatch.routes import Table
-from flinthatch.snapshot import Audience, Plan
+from flinthatch.handout.drains import MARGIN_PART
+from flinthatch.handout.picture import Kind, Picture
+from flinthatch.handout.snapshot import Audience, Plan
+from flinthatch.routes.table import Table
 from windrelay.config import Config, ConfigError, load
 from windrelay.consul.file import ConsulError
 from windrelay.discovery import Discovery, ListError
--- a/windrelay/xds/encode.py
+++ b/windrelay/xds/encode.py
@@ -18,9 +18,9 @@
 )
 from google.protobuf import any_pb2, duration_pb2, message
 
-from flinthatch.picture import Kind, Picture, Resource, picture, resource
-from flinthatch.routes import Condition, Pattern, Policy
-from flinthatch.snapshot import Locality, Outliers, Plan, ProxyKind, RoutePlan, Server
+from flinthatch.handout.picture import Kind, Picture, Resource, picture, resource
+from flinthatch.handout.snapshot import Locality, Outliers, Plan, ProxyKind, RoutePlan, Server
+from flinthatch.routes.table import Condition, Pattern, Policy
 
 SECOND = 1_000_000_000
 PREFIX = "type.googleapis.com/"
--- a/windrelay/xds/file.py
+++ b/windrelay/xds/file.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from flinthatch.routefile import Fault
+from flinthatch.routes.file import Fault
 from windrelay.config import Address
 from windrelay.operator.section import Section
 from windrelay.operator.tomlfile import FileError, Key, read
--- a/windrelay/xds/load.py
+++ b/windrelay/xds/load.py
@@ -9,7 +9,7 @@
 import grpc
 from envoy.service.load_stats.v3 import lrs_pb2
 
-from flinthatch.reports import Ledger, Row
+from flinthatch.handout.reports import Ledger, Row
 from windrelay.xds.file import TlsFile
 from windrelay.xds.peers import REQUESTS, PeerError, Rate, first_request, identify
 
--- a/windrelay/xds/peers.py
+++ b/windrelay/xds/peers.py
@@ -9,7 +9,7 @@
 
 import grpc
 
-from flinthatch.snapshot import ProxyKind, kind_of
+from flinthatch.handout.snapshot import ProxyKind, kind_of
 from windrelay.xds.file import TlsFile
 
 MAX_ID = 256  # bytes of a node's id
--- a/windrelay/xds/pool.py
+++ b/windrelay/xds/pool.py
@@ -8,12 +8,14 @@
 from dataclasses import replace
 
 from flinthatch import Balancer, Listing, State, Update
-from flinthatch.balancer import ServerView
-from flinthatch.drains import Drains, Holding
-from flinthatch.evidence import alive
-from flinthatch.reports import Ledger
-from flinthatch.routes import Table
-from flinthatch.snapshot import Audience, Plan, plan
+from flinthatch.handout.drains import Drains, Holding
+from flinthatch.handout.reports import Ledger
+from flinthatch.handout.snapshot import Audience, Plan, plan
+from flinthatch.membership.evidence import alive
+from flinthatch.model import (
+    ServerView,
+)
+from flinthatch.routes.table import Table
 from windrelay.config import Config
 from windrelay.consul.source import ConsulMembers
 from windrelay.discovery import Discovery
--- a/windrelay/xds/server.py
+++ b/windrelay/xds/server.py
@@ -11,9 +11,9 @@
 import grpc
 from envoy.service.discovery.v3 import discovery_pb2
 
-from flinthatch.drains import Holding
-from flinthatch.pacing import Pacing
-from flinthatch.picture import (
+from flinthatch.handout.drains import Holding
+from flinthatch.handout.pacing import Pacing
+from flinthatch.handout.picture import (
     History,
     Kind,
     Picture,
--- a/windrelay/xds/status.py
+++ b/windrelay/xds/status.py
@@ -8,7 +8,7 @@
 import grpc
 from envoy.service.status.v3 import csds_pb2
 
-from flinthatch.picture import Kind, Session, Standing
+from flinthatch.handout.picture import Kind, Session, Standing
 from windrelay.xds.encode import TYPES
 from windrelay.xds.peers import Group, Peer
 
--- a/windrelay/xds/wire.py
+++ b/windrelay/xds/wire.py
@@ -15,7 +15,7 @@
 
 from collections import OrderedDict
 
-from flinthatch.picture import Kind, Reply, Resource
+from flinthatch.handout.picture import Kind, Reply, Resource
 from windrelay.xds.encode import TYPES
 
 MAX_SHARED = 256  # joined answers kept for the next proxy
