Hand gRPC's client for Node no route that ends its process

grpc-js-xds 1.14.1 dies of an uncaught TypeError on non_forwarding_action, which is how a denied route was handed out, and check wants a catch route in nearly every file. For that client denied routes behind all that forward are left out (a call no route matches is UNAVAILABLE and goes nowhere, gRFC A28); a service with one in between is refused to it, visibly in the log and in client status. Not tried with the client itself again.

Also: the benchmark's dead server by the list's own port, pathlib out of the node's imports while Consul is off.

--- a/benchmarks/consul.py
+++ b/benchmarks/consul.py
@@ -51,6 +51,7 @@
 
     members: Members
     reader: Reader
+    dead: set[str]
     seen: dict[str, tuple[Health, float]] = field(default_factory=dict)
 
     def told(self, source: str, words: list[Word], whole: bool) -> None:
@@ -70,7 +71,9 @@
     def told(source: str, words: list[Word], whole: bool) -> None:
         made.told(source, words, whole)
 
-    made = Player(merged(file), Reader(file, "", told, lambda _text: None, seed))
+    dead: set[str] = set()
+    members = merged(file, alive=lambda uid: False if uid in dead else None)
+    made = Player(members, Reader(file, "", told, lambda _text: None, seed), dead)
     return made
 
 
@@ -148,7 +151,7 @@
     """A server dies, its check fails and its users agree: when has the last reader acted?"""
     uid = f"node-topup-{count - 1}/topup-{count - 1}"
     for p in players:
-        p.members._alive = lambda one, dead=uid: False if one == dead else None  # type: ignore
+        p.dead.add(uid)
     began = time.monotonic()
     await call(agent, "POST", "/standin/status", {f"topup-{count - 1}": "critical"})
 
--- a/flinthatch/handout/snapshot.py
+++ b/flinthatch/handout/snapshot.py
@@ -31,7 +31,8 @@
 WARMTH_STEPS = 20  # a cold server's weight is told anew at each, not at every cycle
 # gRPC's proxyless clients by the version that first bounds what is in flight
 # (gRFC A32, circuit breaking): Node counts its own versions.
-BOUNDED_SINCE = {"grpc node": (1, 3), "grpc": (1, 37)}
+NODE = "grpc node"
+BOUNDED_SINCE = {NODE: (1, 3), "grpc": (1, 37)}
 _VERSION = re.compile(r"(\d{1,6})\.(\d{1,6})")
 
 
@@ -40,6 +41,7 @@
 
     ENVOY = "envoy"
     GRPC = "grpc"
+    GRPC_NODE = "grpc-node"  # ends its process on a route that forwards nothing
     GRPC_UNBOUNDED = "grpc-unbounded"  # bounds nothing in flight, or tells no version
 
     @property
@@ -56,7 +58,9 @@
         if agent.startswith(prefix):
             found = _VERSION.search(version)
             told = (int(found[1]), int(found[2])) if found else (0, 0)
-            return ProxyKind.GRPC if told >= since else ProxyKind.GRPC_UNBOUNDED
+            if told < since:
+                return ProxyKind.GRPC_UNBOUNDED
+            return ProxyKind.GRPC_NODE if prefix == NODE else ProxyKind.GRPC
     return None
 
 
@@ -221,6 +225,9 @@
         yield "bounds nothing in flight, or tells no version"
     if kind.proxyless and all("*" in host for host in service.hosts):
         yield "gRPC's client asks for an exact host, the service has none"
+    if kind is ProxyKind.GRPC_NODE:
+        for name in _denied_between(tuple(_all_routes(service.routes, kind))):
+            yield f"{name}: gRPC's client for Node takes no denied route before one that forwards"
 
 
 def _notes(service: Service, kind: ProxyKind) -> Iterator[str]:
@@ -269,6 +276,26 @@
 
 
 def _routes(routes: Sequence[Route], kind: ProxyKind) -> Iterator[RoutePlan]:
+    """Those that a kind is handed.
+
+    gRPC's client for Node (grpc-js-xds 1.14.1) ends its process on an action that forwards
+    nothing. A denied route behind all that forward is left out for it: a call that no route
+    matches fails with UNAVAILABLE (gRFC A28) and is sent nowhere, as with the route.
+    """
+    rows = tuple(_all_routes(routes, kind))
+    if kind is ProxyKind.GRPC_NODE:
+        last = max((i for i, r in enumerate(rows) if r.policy is not None), default=-1)
+        rows = rows[: last + 1]
+    yield from rows
+
+
+def _denied_between(rows: Sequence[RoutePlan]) -> list[str]:
+    """Denied routes that keep something from a route behind them."""
+    last = max((i for i, r in enumerate(rows) if r.policy is not None), default=-1)
+    return list(dict.fromkeys(r.name for r in rows[: max(last, 0)] if r.policy is None))
+
+
+def _all_routes(routes: Sequence[Route], kind: ProxyKind) -> Iterator[RoutePlan]:
     """In the order in which a proxy is to try them: it takes the first that fits."""
     for route in sorted(routes, key=lambda r: (r.pattern.rank(), -r.conditions())):
         methods = route.methods
--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -172,7 +172,7 @@
         ("gRPC C-core linux", "C-core 1.85.3", ProxyKind.GRPC),
         ("gRPC Go", "1.36.0", ProxyKind.GRPC_UNBOUNDED),
         ("gRPC Java", "1.37.1", ProxyKind.GRPC),
-        ("gRPC Node Pure JS", "1.8.0", ProxyKind.GRPC),
+        ("gRPC Node Pure JS", "1.8.0", ProxyKind.GRPC_NODE),
         ("gRPC Node Pure JS", "1.2.9", ProxyKind.GRPC_UNBOUNDED),
         ("gRPC Go", "", ProxyKind.GRPC_UNBOUNDED),
         ("squid", "6.1", None),
@@ -185,6 +185,21 @@
     assert kind_of(agent, version) is kind
 
 
+def test_grpcs_client_for_node_is_never_sent_a_route_that_ends_its_process() -> None:
+    """Its denied catch is left out, which forwards as little; one in between is refused."""
+    node = replace(GRPC, kind=ProxyKind.GRPC_NODE)
+    plain, told = planned(server(1), to=GRPC), planned(server(1), to=node)
+    assert [r.name for r in plain.routes if r.policy is None]
+    assert told.routes and all(r.policy is not None for r in told.routes)
+    assert not told.refused
+    assert [r.name for r in told.routes] == [r.name for r in plain.routes if r.policy is not None]
+    for route in routes(told, ProxyKind.GRPC_NODE).values():
+        assert route.HasField("route")
+    inner = GOOD + '[[service.route]]\nname = "inner"\nprefix = "/balance/in"\ndeny = true\n'
+    assert "topup/inner" in planned(server(1), to=node, text=inner).refused[0]
+    assert not planned(server(1), to=GRPC, text=inner).refused
+
+
 def test_a_proxy_that_bounds_nothing_is_not_served_and_told_why() -> None:
     p = planned(server(1), to=replace(ENVOY, kind=ProxyKind.GRPC_UNBOUNDED))
     assert p.refused == ("bounds nothing in flight, or tells no version",)
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -15,7 +15,6 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 from heapq import heappop, heappush
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 from flinthatch import Balancer, Listing, Outcome, Update
@@ -161,6 +160,8 @@
         if not config.consul:
             return Discovery(config, self.members_told, self.log)
         # Here and not above: without its file the node is as small as ever.
+        from pathlib import Path
+
         from flinthatch.membership.evidence import alive
         from windrelay.consul.source import ConsulMembers
 
