--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -116,6 +116,7 @@
         {"status": 500}, {"status": 429}, {"reset": True}, {"leaderless": True},
         {"contact_ms": 60_000}, {"cut": 10}, {"body": "[{"}, {"body": '{"a": 1}'},
         {"body": '[{"Node": 5}]'}, {"token": "other"}, {"empty": True},
+        {"endless": True}, {"rate": 1},
     ],
 )  # fmt: skip
 def test_no_fault_of_an_agent_takes_a_server_away(
@@ -189,6 +190,18 @@
     assert "the same address as node-t-1/t-1" in found["node-t-7/t-7"]
 
 
+def test_a_service_under_another_name_is_pointed_out(tmp_path: Path, agent: Process) -> None:
+    agent.call("PUT", "/standin/services", [service(1, Service="top-up")])
+    path = tmp_path / "consul.toml"
+    path.write_text(FILE.format(agent=agent.address))
+    done = subprocess.run(
+        [sys.executable, "-m", "windrelay", "members", str(path)],
+        cwd=ROOT, capture_output=True, text=True, timeout=60,
+    )  # fmt: skip
+    assert done.returncode == 1
+    assert "no server of 'topup' is listed; the catalogue has top-up" in done.stderr
+
+
 # ---- rows and the file ---------------------------------------------------
 
 
--- a/windrelay/operator/members.py
+++ b/windrelay/operator/members.py
@@ -7,18 +7,23 @@
 
 import argparse
 import asyncio
+import json
 import sys
 import time
 from collections.abc import Sequence
+from difflib import get_close_matches
 from typing import TextIO
+from urllib.parse import quote
 
 from flinthatch.membership.members import Member, Members, Word
 from windrelay.config import parse_address
 from windrelay.consul.file import ConsulError, ConsulFile, read_consul
 from windrelay.consul.relay import serve
 from windrelay.consul.source import merged, open_reader
+from windrelay.httpcall import Answer, Call
 
 SECOND = 1_000_000_000
+CALL_S = 5.0
 
 
 def say(text: str) -> None:
@@ -67,6 +72,24 @@
     return 0
 
 
+async def close_names(file: ConsulFile) -> list[str]:
+    """Services of the first agent's catalogue that are named much as the file's is.
+
+    Source: Consul HTTP API, "Catalog": GET /v1/catalog/services answers with tags by name.
+    """
+    done: asyncio.Future[Answer | None] = asyncio.get_running_loop().create_future()
+    reader = open_reader(file, lambda *_: None, say, 0)
+    dc = quote(next(iter(file.datacentres)), safe="")
+    target = f"/v1/catalog/services?dc={dc}&stale"
+    Call(file.agents[0], target, CALL_S, done.set_result, reader.headers, reader.tls)
+    answer = await done
+    try:
+        found = json.loads(answer.body) if answer is not None and answer.status == 200 else {}
+    except ValueError:
+        return []
+    return get_close_matches(file.service, found) if isinstance(found, dict) else []
+
+
 def main(words: Sequence[str], out: TextIO = sys.stdout) -> int:
     """Print the list; 2 for a bad file, 1 where Consul did not answer in time."""
     parser = argparse.ArgumentParser(prog="python -m windrelay members", description=__doc__)
@@ -87,6 +110,11 @@
     now = time.monotonic_ns()
     for m in members.members():
         print(line(m, now), file=out)
+    if whole and not members.members():
+        near = asyncio.run(close_names(file))
+        hint = f"; the catalogue has {', '.join(near)}" if near else ""
+        print(f"members: no server of {file.service!r} is listed{hint}", file=sys.stderr)
+        return 1
     if not whole:
         print(f"members: no whole list within {args.seconds:g} s", file=sys.stderr)
         return 1
