Move a watch off an agent that hangs with the first question it leaves unanswered

A hanging agent answers no question, yet its blocking call was only found silent after 68 s: until then nothing told of changes. The watch now goes to the next agent with the question that failed.

--- a/tests/test_consul_hard.py
+++ b/tests/test_consul_hard.py
@@ -7,6 +7,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -83,6 +84,38 @@
         asyncio.run(play(agent))
 
 
+def test_a_watch_leaves_an_agent_that_hangs_with_the_question_it_did_not_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def waiting(agent: Process) -> int:
+        return int((await asyncio.to_thread(agent.call, "GET", "/standin/lines"))["waiting"])
+
+    async def play(first: Process, second: Process) -> None:
+        file = replace(file_for(first), agents=(*file_for(first).agents, *file_for(second).agents))
+        listener = Listener(file, 1)
+        try:
+            (center,) = listener.reader.centers
+            await until(lambda: center._pause is not None and center._blocked is not None)
+            await asyncio.to_thread(agent_hangs, first)
+            monkeypatch.setattr("windrelay.consul.reader.CALL_S", 0.2)
+            center._unrest()
+            await until(lambda: bool(listener.said))
+            end = time.monotonic() + LIMIT
+            while not await waiting(second):
+                assert time.monotonic() < end, listener.said
+            assert len(listener.ready()) == 3
+        finally:
+            listener.reader.close()
+
+    def agent_hangs(agent: Process) -> None:
+        agent.call("POST", "/standin/faults", {"silent": True})
+
+    with started(("-m", "standins.consul")) as first, started(("-m", "standins.consul")) as second:
+        for agent in (first, second):
+            listed(agent, 1, 2, 3)
+        asyncio.run(play(first, second))
+
+
 def test_five_thousand_instances_are_read_whole_with_no_answer_beyond_its_bound() -> None:
     async def play(agent: Process) -> None:
         listener = Listener(file_for(agent, 20_000), 1)
--- a/windrelay/consul/reader.py
+++ b/windrelay/consul/reader.py
@@ -105,6 +105,7 @@
         self._calls: set[Call] = set()
         self._timers: set[asyncio.TimerHandle] = set()
         self._pause: asyncio.TimerHandle | None = None
+        self._blocked: tuple[Call, int] | None = None  # the watch that is out, and its agent
         self._again = False  # something changed while a round was under way
 
     def start(self) -> None:
@@ -127,7 +128,7 @@
         self._timers.add(timer)
         return timer
 
-    def _get(self, query: str, wait: float, done: Callable[[Answer | None, int], None]) -> None:
+    def _get(self, query: str, wait: float, done: Callable[[Answer | None, int], None]) -> Call:
         """Ask the present agent; `done` gets the answer and which agent it was."""
         file = self._reader.file
         tried = self.agent
@@ -142,6 +143,7 @@
 
         call = Call(agent, target, wait, ended, self._reader.headers, self._reader.tls)
         self._calls.add(call)
+        return call
 
     # ---- failures ------------------------------------------------------
 
@@ -174,6 +176,14 @@
         self.agent = max(self.agent, tried + 1)
         delay = min(BACKOFF_S * 2 ** min(self._failures, 10), BACKOFF_MOST_S)
         self._failures += 1
+        blocked = self._blocked
+        if blocked is not None and blocked[1] == tried:
+            # An agent that hangs answers no question, and its watch would only be found
+            # silent a minute later: it moves with the question that was not answered.
+            self._blocked = None
+            blocked[0].drop()
+            self._calls.discard(blocked[0])
+            self._later(delay * (0.5 + self._reader.random.random() / 2), self._watch)
         self._later(delay * (0.5 + self._reader.random.random() / 2), again)
 
     def _worked(self) -> None:
@@ -191,9 +201,11 @@
         if self._index:
             query += f"&index={self._index}&wait={WAIT_S}s"
             wait += WAIT_S * 17 / 16  # the agent adds up to a sixteenth
-        self._get(query, wait, self._watched)
+        tried = self.agent
+        self._blocked = (self._get(query, wait, self._watched), tried)
 
     def _watched(self, answer: Answer | None, tried: int) -> None:
+        self._blocked = None
         why = self._wrong(answer)
         if why or answer is None:
             self.failed(why, tried, self._watch)
