--- a/benchmarks/consul.py
+++ b/benchmarks/consul.py
@@ -108,6 +108,7 @@
     whole = await until(lambda: all(p.reader.rounds() for p in players), first)
     first_s = time.monotonic() - began
     random = Random(seed)
+    before = await call(agent, "GET", "/standin/lines")
     changes: list[tuple[float, str, Health]] = []
     for i in range(seconds):
         due = began + first_s + i
@@ -136,6 +137,7 @@
         "lines_a_second_most": max(counts, default=0),
         "lines_a_second_mean": round(mean(counts), 1) if counts else 0,
         "questions": lines["asked"],
+        "bytes_a_change": (lines["bytes"] - before["bytes"]) // len(changes),
         "age_p50_s": _quantile(ages, 50),
         "age_p99_s": _quantile(ages, 99),
         "changes_heard": len(ages),
--- a/standins/consul.py
+++ b/standins/consul.py
@@ -77,6 +77,7 @@
         self.random = Random(1)
         self.waiting = 0
         self.asked = 0  # requests of readers
+        self.bytes = 0  # of the bodies they were answered with
 
     # ---- what is registered --------------------------------------------
 
@@ -268,6 +269,7 @@
             self.by_second[int(time.monotonic())] += len(body)
             self.by_reader[asked.headers.get("user-agent", "-")] += len(body)
         data = json.dumps(body).encode()
+        self.bytes += len(data)
         if "body" in self.faults:
             data = str(self.faults["body"]).encode()
         headers = {
@@ -349,7 +351,7 @@
     async def command(self, asked: Asked) -> Reply:
         if asked.path == "/standin/lines":
             lines = {"seconds": dict(self.by_second), "readers": dict(self.by_reader),
-                     "waiting": self.waiting, "asked": self.asked}  # fmt: skip
+                     "waiting": self.waiting, "asked": self.asked, "bytes": self.bytes}  # fmt: skip
             return Reply(200, json.dumps(lines).encode())
         raw = json.loads(asked.body)
         if asked.path == "/standin/services":
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -202,6 +202,19 @@
     assert "no server of 'topup' is listed; the catalogue has top-up" in done.stderr
 
 
+def test_one_servers_checks_are_printed(tmp_path: Path, agent: Process) -> None:
+    agent.call("PUT", "/standin/services", [service(1, Status="critical"), service(2)])
+    path = tmp_path / "consul.toml"
+    path.write_text(FILE.format(agent=agent.address))
+    for uid, status, lines in (("node-t-1/t-1", 0, 1), ("t-9", 1, 0)):
+        done = subprocess.run(
+            [sys.executable, "-m", "windrelay", "members", str(path), "--why", uid],
+            cwd=ROOT, capture_output=True, text=True, timeout=60,
+        )  # fmt: skip
+        assert (done.returncode, len(done.stdout.splitlines())) == (status, lines), done.stderr
+        assert "t-2" not in done.stdout and ("critical" in done.stdout) == bool(lines)
+
+
 # ---- rows and the file ---------------------------------------------------
 
 
--- a/windrelay/operator/members.py
+++ b/windrelay/operator/members.py
@@ -12,7 +12,7 @@
 import time
 from collections.abc import Sequence
 from difflib import get_close_matches
-from typing import TextIO
+from typing import Any, TextIO
 from urllib.parse import quote
 
 from flinthatch.membership.members import Member, Members, Word
@@ -72,24 +72,55 @@
     return 0
 
 
-async def close_names(file: ConsulFile) -> list[str]:
-    """Services of the first agent's catalogue that are named much as the file's is.
-
-    Source: Consul HTTP API, "Catalog": GET /v1/catalog/services answers with tags by name.
-    """
+async def ask(file: ConsulFile, path: str) -> Any:
+    """One question to the first agent; its decoded answer, or None where it gave none."""
     done: asyncio.Future[Answer | None] = asyncio.get_running_loop().create_future()
     reader = open_reader(file, lambda *_: None, say, 0)
     dc = quote(next(iter(file.datacentres)), safe="")
-    target = f"/v1/catalog/services?dc={dc}&stale"
-    Call(file.agents[0], target, CALL_S, done.set_result, reader.headers, reader.tls)
+    Call(
+        file.agents[0], f"{path}dc={dc}&stale", CALL_S, done.set_result, reader.headers, reader.tls
+    )
     answer = await done
     try:
-        found = json.loads(answer.body) if answer is not None and answer.status == 200 else {}
+        return json.loads(answer.body) if answer is not None and answer.status == 200 else None
     except ValueError:
-        return []
+        return None
+
+
+async def close_names(file: ConsulFile) -> list[str]:
+    """Services of the first agent's catalogue that are named much as the file's is.
+
+    Source: Consul HTTP API, "Catalog": GET /v1/catalog/services answers with tags by name.
+    """
+    found = await ask(file, "/v1/catalog/services?")
     return get_close_matches(file.service, found) if isinstance(found, dict) else []
 
 
+async def checks(file: ConsulFile, uid: str) -> list[str] | None:
+    """One server's checks with what they print: as many lines as it has checks.
+
+    Source: Consul HTTP API, "Health": GET /v1/health/state/any, with a filter.
+    """
+    only = quote(f"ServiceID == {json.dumps(uid.rpartition('/')[2])}", safe="")
+    found = await ask(file, f"/v1/health/state/any?filter={only}&")
+    if not isinstance(found, list):
+        return None
+    rows = [row for row in found if isinstance(row, dict)]
+    keys = ("Node", "CheckID", "Status", "Output")
+    return [" ".join(str(row.get(key, "")) for key in keys).rstrip() for row in rows]
+
+
+def explain(file: ConsulFile, uid: str, out: TextIO) -> int:
+    """Print a server's checks; 1 where there are none."""
+    rows = asyncio.run(checks(file, uid))
+    for row in rows or ():
+        print(row, file=out)
+    if not rows:
+        why = "the agent did not answer" if rows is None else f"{uid!r} has no checks"
+        print(f"members: {why}", file=sys.stderr)
+    return 0 if rows else 1
+
+
 def main(words: Sequence[str], out: TextIO = sys.stdout) -> int:
     """Print the list; 2 for a bad file, 1 where Consul did not answer in time."""
     parser = argparse.ArgumentParser(prog="python -m windrelay members", description=__doc__)
@@ -98,9 +129,12 @@
     parser.add_argument(
         "--serve", metavar="HOST:PORT", help="pass the list on to nodes as their discovery"
     )
+    parser.add_argument("--why", metavar="ID", help="print one server's checks and their output")
     args = parser.parse_args(words)
     try:
         file = read_consul(args.file)
+        if args.why:
+            return explain(file, args.why, out)
         if args.serve:
             return pass_on(file, args.serve)
         members, whole = asyncio.run(read_once(file, args.seconds))
