Keep one merged list and timer for nodes, pools, relay and command; mend the review's finds

Read again, the change held the same things twice: merging, its timer and whether a list is complete stood in the relay, a host's source and the members command (one MergedList now, and Members itself says when it is complete, which was decided beside it); a second was defined in sixteen modules; two ways sorted keys to leaves; a firm source's order was looked for twice; an unused way to begin from an earlier list is gone.

--- a/benchmarks/consul.py
+++ b/benchmarks/consul.py
@@ -35,8 +35,8 @@
 from standins.fleet import Process, started
 from windrelay.config import parse_address
 from windrelay.consul.file import MARGIN, ConsulFile
+from windrelay.consul.merge import sources
 from windrelay.consul.reader import Reader
-from windrelay.consul.source import merged
 
 READERS = 21
 LINES = 200
@@ -72,7 +72,7 @@
         made.told(source, words, whole)
 
     dead: set[str] = set()
-    members = merged(file, alive=lambda uid: False if uid in dead else None)
+    members = Members(sources(file), alive=lambda uid: False if uid in dead else None)
     made = Player(members, Reader(file, "", told, lambda _text: None, seed), dead)
     return made
 
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -25,9 +25,7 @@
 from flinthatch import State
 from flinthatch.handout.picture import Kind, Reply, resource
 from flinthatch.handout.snapshot import Audience, ProxyKind, plan
-from flinthatch.model import (
-    ServerView,
-)
+from flinthatch.model import ServerView
 from standins.fleet import SETTINGS, Process, started
 from windrelay.operator.check import check_file, settings_of
 from windrelay.xds.encode import Encoder
--- a/flinthatch/__init__.py
+++ b/flinthatch/__init__.py
@@ -1,8 +1,6 @@
 """Decisions of an HTTP load balancer; see README.md for the interface."""
 
-from flinthatch.balancer import (
-    Balancer,
-)
+from flinthatch.balancer import Balancer
 from flinthatch.model import (
     Actions,
     Effect,
--- a/flinthatch/attempts.py
+++ b/flinthatch/attempts.py
@@ -13,24 +13,14 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from flinthatch.balancer import (
-    FULL_REST_MAX,
-)
-from flinthatch.model import (
-    Effect,
-    Outcome,
-)
+from flinthatch.balancer import FULL_REST_MAX
+from flinthatch.model import SECOND, Effect, Outcome
 from flinthatch.routes.table import BudgetSpec, Condition, Policy, condition
 
 if TYPE_CHECKING:
-    from flinthatch.balancer import (
-        Backend,
-        Balancer,
-        Request,
-    )
+    from flinthatch.balancer import Backend, Balancer, Request
 
 OK, CANCELLED = int(Outcome.OK), int(Outcome.CANCELLED)  # members of an enum cost a look-up
-SECOND = 1_000_000_000
 
 # Learned percentiles. Buckets grow by an eighth: a delay within 12% is near enough.
 GROWTH = 1.125
--- a/flinthatch/drill.py
+++ b/flinthatch/drill.py
@@ -13,19 +13,8 @@
 from collections.abc import Callable
 from typing import Any, BinaryIO
 
-from flinthatch.balancer import (
-    Balancer,
-)
-from flinthatch.model import (
-    Effect,
-    Listing,
-    RequestClass,
-    Scope,
-    Settings,
-    State,
-    Tenant,
-    Update,
-)
+from flinthatch.balancer import Balancer
+from flinthatch.model import Effect, Listing, RequestClass, Scope, Settings, State, Tenant, Update
 
 HEAD = struct.Struct(">IIIQ")
 REPLY = struct.Struct(">III")
--- a/flinthatch/handout/pacing.py
+++ b/flinthatch/handout/pacing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-SECOND = 1_000_000_000
+from flinthatch.model import SECOND
 
 
 class Pacing:
--- a/flinthatch/handout/snapshot.py
+++ b/flinthatch/handout/snapshot.py
@@ -14,17 +14,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from flinthatch.balancer import (
-    BACKOFF,
-    BACKOFF_MAX,
-    ERRORS,
-)
-from flinthatch.model import (
-    Effect,
-    ServerView,
-    Settings,
-    State,
-)
+from flinthatch.balancer import BACKOFF, BACKOFF_MAX, ERRORS
+from flinthatch.model import Effect, ServerView, Settings, State
 from flinthatch.routes.table import BudgetSpec, Condition, Pattern, Policy, Route, Service
 
 WEIGHT_UNIT = 100  # a warm server of usual speed, a slot
@@ -226,7 +217,8 @@
     if kind.proxyless and all("*" in host for host in service.hosts):
         yield "gRPC's client asks for an exact host, the service has none"
     if kind is ProxyKind.GRPC_NODE:
-        for name in _denied_between(tuple(_all_routes(service.routes, kind))):
+        denied = [r.name for r in _routes(service.routes, kind) if r.policy is None]
+        for name in dict.fromkeys(denied):
             yield f"{name}: gRPC's client for Node takes no denied route before one that forwards"
 
 
@@ -282,19 +274,13 @@
     nothing. A denied route behind all that forward is left out for it: a call that no route
     matches fails with UNAVAILABLE (gRFC A28) and is sent nowhere, as with the route.
     """
-    rows = tuple(_all_routes(routes, kind))
+    rows = list(_all_routes(routes, kind))
     if kind is ProxyKind.GRPC_NODE:
-        last = max((i for i, r in enumerate(rows) if r.policy is not None), default=-1)
-        rows = rows[: last + 1]
+        while rows and rows[-1].policy is None:
+            rows.pop()
     yield from rows
 
 
-def _denied_between(rows: Sequence[RoutePlan]) -> list[str]:
-    """Denied routes that keep something from a route behind them."""
-    last = max((i for i, r in enumerate(rows) if r.policy is not None), default=-1)
-    return list(dict.fromkeys(r.name for r in rows[: max(last, 0)] if r.policy is None))
-
-
 def _all_routes(routes: Sequence[Route], kind: ProxyKind) -> Iterator[RoutePlan]:
     """In the order in which a proxy is to try them: it takes the first that fits."""
     for route in sorted(routes, key=lambda r: (r.pattern.rank(), -r.conditions())):
--- a/flinthatch/membership/members.py
+++ b/flinthatch/membership/members.py
@@ -35,11 +35,8 @@
 from dataclasses import dataclass, field, replace
 from enum import IntEnum
 
-from flinthatch.model import (
-    State,
-)
+from flinthatch.model import SECOND, State
 
-SECOND = 1_000_000_000
 FORGOTTEN = 0.01  # of a flap
 
 Address = tuple[str, int]
@@ -149,7 +146,7 @@
 
     __slots__ = (
         "_active", "_alias", "_alive", "_at", "_counted", "_dirty", "_emptied", "_places", "_rules",
-        "_servers", "_sources", "_spent", "changes",
+        "_servers", "_sources", "_spent", "_whole", "changes",
     )  # fmt: skip
 
     def __init__(
@@ -169,6 +166,7 @@
         self._active: set[str] = set()  # by time alone
         self._counted = (0, 0)  # how many are told on, as of so many changes
         self._emptied: dict[str, int] = {}  # sources whose whole answer is empty, since when
+        self._whole: set[str] = set()  # sources that have told all they know of once
         self._spent = 0.0  # departures made on words alone, as of `_at`
         self._at = 0
         self.changes = 0  # of what is told on
@@ -181,6 +179,8 @@
         Whether anything that is told on changed.
         """
         rows = {w.uid: w for w in words}
+        if whole:
+            self._whole.add(source)
         if rows:
             self._emptied.pop(source, None)
         elif whole and self._speaks(source) and self._too_empty(now, source):
@@ -193,6 +193,11 @@
                     self._take(now, server, source, replace(told.word, health=Health.GONE))
         return self.settle(now)
 
+    def complete(self) -> bool:
+        """Whether all sources of some rank have told whole lists: a part would empty a pool."""
+        missing = {s.rank for s in self._sources.values() if s.name not in self._whole}
+        return any(s.rank not in missing for s in self._sources.values())
+
     def _too_empty(self, now: int, source: str) -> bool:
         """Whether an empty answer has not been repeated for long enough."""
         return now - self._emptied.setdefault(source, now) < self._rules.empty_after
@@ -284,22 +289,18 @@
             next((w.kind for w in words if w.kind), 0),
         )
 
-    def _ordered(self, server: _Server) -> bool:
-        """Whether a firm source wants it out, whatever others say of it."""
-        return any(
-            self._sources[name].firm and t.word.health >= Health.MAINTENANCE
-            for name, t in server.words.items()
-        )
+    def _order(self, server: _Server) -> Word | None:
+        """The word of a firm source that wants it out, whatever others say of it."""
+        for name, told in server.words.items():
+            if self._sources[name].firm and told.word.health >= Health.MAINTENANCE:
+                return told.word
+        return None
 
     def _decides(self, server: _Server) -> Word:
         """The word that counts: a firm order, else of the fresh ones that of highest rank."""
-        orders = [
-            t.word
-            for name, t in server.words.items()
-            if self._sources[name].firm and t.word.health >= Health.MAINTENANCE
-        ]
-        if orders:
-            return orders[0]
+        order_given = self._order(server)
+        if order_given is not None:
+            return order_given
         latest = max(t.heard for t in server.words.values())
 
         def order(item: tuple[str, _Told]) -> tuple[bool, int, int]:
@@ -389,7 +390,7 @@
         if self._alive(s.uid) is False:
             s.dead = True
             self._out(now, s, f"{what}, and its own answers agree", False)
-        elif self._ordered(s):
+        elif self._order(s) is not None:
             self._out(now, s, f"{what}, as ordered", False)
         elif checks and s.held:
             s.why = "flapping: held in"
--- a/flinthatch/membership/revisions.py
+++ b/flinthatch/membership/revisions.py
@@ -17,7 +17,7 @@
 
 
 class Revisions(Generic[Row]):
-    """Rows by id. A row that goes is told as `gone(row)` to those who held it."""
+    """Rows by id, as of version `rev`."""
 
     __slots__ = ("_changes", "_floor", "rev", "rows")
 
--- a/flinthatch/membership/shards.py
+++ b/flinthatch/membership/shards.py
@@ -32,7 +32,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-SECOND = 1_000_000_000
+from flinthatch.model import SECOND
+
 ALPHABET = "0123456789abcdefghijklmnopqrstuvwxyz"
 ALONE = "-"  # in the first place: no such character stands there
 OTHER = ""  # keys whose last character is none of these
@@ -120,11 +121,6 @@
     return low[-plain:] if plain == depth else ALONE + low[-plain:]
 
 
-def holds(leaf: str, key: str) -> bool:
-    """Whether a key is one of a leaf's."""
-    return tail(key, max(len(leaf), 1)) == leaf
-
-
 def sorted_out(leaves: Iterable[str], keys: Iterable[str]) -> dict[str, list[str]]:
     """The keys of each leaf; those of none are left out."""
     wanted = frozenset(leaves)
@@ -149,7 +145,7 @@
 class Rounds:
     """The questions of one reader, in turn. One is out at any time.
 
-    `bad`: whether checks are to be had, so that BAD questions make sense.
+    `checks`: whether there are any to be had, so that BAD questions make sense.
     """
 
     __slots__ = (
@@ -172,10 +168,6 @@
         self.rounds = 0  # whole rounds that have ended
         self.surprises = 0
 
-    def expect(self, keys: Iterable[str]) -> None:
-        """Begin with what an earlier list tells of sizes; it is no word on who is there."""
-        self._saw(("",), list(keys))
-
     def woken(self) -> None:
         """Something changed: all shards are asked for their bad ones, once each.
 
@@ -210,10 +202,7 @@
             self._saw(question.leaves, keys)
             found = sorted_out(question.leaves, keys)
             for leaf in question.leaves:
-                mine = found.get(leaf, [])
-                self._leaves[leaf] = len(mine)
-                if len(mine) > max(self._most // 2, 1):
-                    self._split(leaf, mine)
+                self._sized(leaf, found.get(leaf, []))
             if self._again:
                 self._again = False
                 self.woken()
@@ -319,15 +308,11 @@
 
     # ---- the trie ----------------------------------------------------------
 
-    def _saw(self, leaves: Iterable[str], keys: Sequence[str]) -> None:
-        """Remember how many keys one end may have, at the lengths around the leaves'."""
-        lengths = {len(leaf) for leaf in leaves} | {len(leaf) + 1 for leaf in leaves} | {DEPTH}
-        shortest = min(map(len, leaves), default=0)
-        for length in lengths:
-            if length < max(shortest, DEPTH):
-                continue
-            ends = Counter(tail(k, length) for k in keys)
-            for end, n in ends.items():
+    def _saw(self, leaves: Sequence[str], keys: Sequence[str]) -> None:
+        """Remember how many keys one end may have, at the leaves' lengths and one beyond."""
+        asked = {len(leaf) for leaf in leaves if leaf[:1] not in (ALONE, OTHER)}
+        for length in asked | {n + 1 for n in asked}:
+            for end, n in Counter(tail(k, length) for k in keys).items():
                 if end[:1] not in (ALONE, OTHER):  # which hold fewer than the plain ones
                     at = (end[-1], length)
                     self._widest[at] = max(self._widest.get(at, 0), n)
@@ -344,13 +329,17 @@
         if keys is None:
             self._leaves.update(dict.fromkeys(into))
             return True
-        counts = Counter(tail(k, len(leaf) + 1) for k in keys)
+        found = sorted_out(into, keys)
         for part in into:
-            self._leaves[part] = counts[part]
-            if counts[part] > max(self._most // 2, 1):
-                self._split(part, [k for k in keys if holds(part, k)])
+            self._sized(part, found.get(part, []))
         return True
 
+    def _sized(self, leaf: str, keys: Sequence[str]) -> None:
+        """These are all of a leaf's keys: remember how many, split it where it is too large."""
+        self._leaves[leaf] = len(keys)
+        if len(keys) > max(self._most // 2, 1):
+            self._split(leaf, keys)
+
     def _join(self) -> None:
         """Put a split leaf in its parts' place where they are thin: the trie stays small."""
         deep = sorted({leaf[1:] for leaf in self._leaves if len(leaf) > DEPTH}, key=len)
--- a/flinthatch/routes/file.py
+++ b/flinthatch/routes/file.py
@@ -15,12 +15,7 @@
 from difflib import get_close_matches
 from typing import Any, NamedTuple, TypeVar, cast
 
-from flinthatch.model import (
-    Effect,
-    RequestClass,
-    Scope,
-    Settings,
-)
+from flinthatch.model import Effect, RequestClass, Scope, Settings
 from flinthatch.routes.canonical import FormError, canonical_host, canonical_path
 from flinthatch.routes.table import (
     DEFAULT_NODE_BUDGET,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 from flinthatch import Balancer, Effect, Listing, RequestClass, Settings, State, Update
-
-MS = 1_000_000
-SECOND = 1_000_000_000
+from flinthatch.model import MS, SECOND
 
 
 class Host:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -10,12 +10,11 @@
 
 from flinthatch import Balancer, Effect, Outcome, RequestClass, Scope, Settings, State, Update
 from flinthatch.attempts import Attempts, Budget, Latencies
-from flinthatch.balancer import (
-    TIMER_WAKE,
-)
+from flinthatch.balancer import TIMER_WAKE
+from flinthatch.model import MS, SECOND
 from flinthatch.routes.table import NEVER_RAN, BudgetSpec, Condition, CopySpec, Policy
 
-from .fakes import MS, SECOND, Host, rows
+from .fakes import Host, rows
 
 BALANCE = RequestClass("balance", 800 * MS, 2000 * MS)
 CREDIT = RequestClass("credit", 800 * MS, 3000 * MS, Effect.SIDE_EFFECT)
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -15,11 +15,13 @@
 
 from flinthatch.handout.picture import Kind
 from flinthatch.membership.members import Health
+from flinthatch.model import SECOND
 from standins.fleet import Process, started
 from windrelay.consul.file import ConsulError, read_consul, read_token
-from windrelay.consul.reader import ROUND_S, SECOND
+from windrelay.consul.merge import open_reader
+from windrelay.consul.reader import ROUND_S
 from windrelay.consul.rows import RowError, words
-from windrelay.consul.source import ConsulMembers, open_reader
+from windrelay.consul.source import ConsulMembers
 
 from .harness import ROOT, SETTINGS, roster, target
 from .test_control import ROUTES, raw
--- a/tests/test_consul_hard.py
+++ b/tests/test_consul_hard.py
@@ -17,15 +17,16 @@
 from flinthatch import State
 from flinthatch.membership.members import Health, Members, Source, Word
 from flinthatch.membership.shards import Ration, Rounds, What
+from flinthatch.model import MS, SECOND
 from standins.fleet import Process, started
 from windrelay.config import Address, parse_address
 from windrelay.consul.file import ConsulFile, read_consul
+from windrelay.consul.merge import open_reader, sources
 from windrelay.consul.reader import BACKOFF_MOST_S, Reader
-from windrelay.consul.source import merged, open_reader
 
 from .harness import LIMIT
 from .test_consul import FILE, listed, service
-from .test_shards import MS, SECOND, Service, named
+from .test_shards import Service, named
 
 READERS = 21
 
@@ -34,7 +35,7 @@
     """A reader and the list it makes."""
 
     def __init__(self, file: ConsulFile, seed: int) -> None:
-        self.members = merged(file)
+        self.members = Members(sources(file))
         self.said: list[str] = []
         self.reader = Reader(file, "", self.told, self.said.append, seed)
         self.reader.start()
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -5,8 +5,8 @@
 from flinthatch.handout.drains import MAX_VERSIONS, Drains, Holding
 from flinthatch.handout.pacing import Pacing
 from flinthatch.handout.picture import EMPTY, Kind, Request, Session, picture, resource
+from flinthatch.model import SECOND
 
-SECOND = 1_000_000_000
 GROUP = ("envoy", "east")
 
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -10,8 +10,8 @@
 
 from flinthatch import State
 from flinthatch.membership.members import Health, Member, Members, Rules, Source, Word
+from flinthatch.model import SECOND
 
-SECOND = 1_000_000_000
 MINUTE = 60 * SECOND
 CONSUL = Source("consul", 2, 10 * SECOND)
 LIST = Source("list", 1)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -16,8 +16,9 @@
     Tenant,
     Update,
 )
+from flinthatch.model import MS, SECOND
 
-from .fakes import MS, PURE, SECOND, UNSAFE, Host, build
+from .fakes import PURE, UNSAFE, Host, build
 
 
 def test_sends_to_the_backend_holding_fewest() -> None:
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -9,8 +9,8 @@
 
 from flinthatch import Balancer, Listing, RequestClass, Settings, State, Update
 from flinthatch.handout.reports import KEPT, Ledger, Row, Verdict
+from flinthatch.model import SECOND
 
-SECOND = 1_000_000_000
 EVERY = 10 * SECOND
 USUAL = 0.02  # seconds a request takes
 SLOW = 7  # the server that takes three times as long
--- a/tests/test_routefile.py
+++ b/tests/test_routefile.py
@@ -8,6 +8,7 @@
 import pytest
 
 from flinthatch import Effect, RequestClass, Scope, Settings
+from flinthatch.model import MS
 from flinthatch.routes.file import Fault, Result, decode
 from windrelay.operator.check import check_any, main
 from windrelay.operator.tomlfile import FileError, parse
@@ -15,7 +16,6 @@
 from .harness import ROOT
 from .routefiles import GOOD, line_of, spoilt
 
-MS = 1_000_000
 SETTINGS = Settings(
     classes=(
         RequestClass("balance", 800 * MS, 2000 * MS),
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -20,8 +20,9 @@
     Tenant,
     Update,
 )
+from flinthatch.model import MS, SECOND
 
-from .fakes import MS, SECOND, Host
+from .fakes import Host
 
 CLASSES = (
     RequestClass("pure", 200 * MS, 900 * MS, Effect.PURE),
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -15,14 +15,12 @@
     Rounds,
     What,
     expression,
-    holds,
+    sorted_out,
     tail,
 )
+from flinthatch.model import MS, SECOND
 from standins.bexpr import compiled
 
-SECOND = 1_000_000_000
-MS = 1_000_000
-
 
 class Service:
     """A list's service that counts the lines it returns over any second."""
@@ -211,7 +209,7 @@
             continue
         test = compiled(expression(question))
         found = [row["Service"]["ID"] for row in rows if test(row)]
-        assert found == [u for u in ids if any(holds(x, u) for x in question.leaves)]
+        assert set(found) == {u for x in sorted_out(question.leaves, ids).values() for u in x}
         seen.update(found)
         rounds.answered(now, question, found)
     assert seen == Counter(ids)
--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -15,9 +15,7 @@
 from flinthatch import Effect, RequestClass, Settings, State
 from flinthatch.handout.picture import Kind, Picture
 from flinthatch.handout.snapshot import Audience, Plan, ProxyKind, kind_of, plan, weight
-from flinthatch.model import (
-    ServerView,
-)
+from flinthatch.model import SECOND, ServerView
 from flinthatch.routes.file import decode
 from flinthatch.routes.table import Condition, Table
 from windrelay.operator.tomlfile import parse
@@ -25,7 +23,6 @@
 
 from .routefiles import GOOD, spoilt
 
-SECOND = 1_000_000_000
 SETTINGS = Settings(
     classes=(
         RequestClass("balance", 800_000_000, 2 * SECOND),
--- a/tests/test_solver.py
+++ b/tests/test_solver.py
@@ -6,12 +6,7 @@
 
 import pytest
 
-from flinthatch.balancer import (
-    WORST,
-    predicted,
-    solve,
-    utility,
-)
+from flinthatch.balancer import WORST, predicted, solve, utility
 
 Flow = tuple[float, float, float, float, float]
 
--- a/windrelay/consul/reader.py
+++ b/windrelay/consul/reader.py
@@ -21,11 +21,11 @@
 
 from flinthatch.membership.members import Word
 from flinthatch.membership.shards import Question, Ration, Rounds, expression
+from flinthatch.model import SECOND
 from windrelay.consul.file import ConsulError, ConsulFile, read_token, source_name
 from windrelay.consul.rows import Fields, RowError, rows
-from windrelay.httpcall import Answer, Call
+from windrelay.httpcall import Answer, Call, whole_number
 
-SECOND = 1_000_000_000
 WAIT_S = 55  # a blocking call's
 CALL_S = 10.0  # for an answer, beyond the time it may block
 WAKE_S = 1.0  # between two blocking calls that were answered, at least
@@ -35,7 +35,7 @@
 FORBIDDEN = "status 403"
 CONSISTENCY = {"stale": "&stale", "default": "", "consistent": "&consistent"}
 
-Told = Callable[[str, list[Word], bool], None]  # source, its words, whether they are all
+Told = Callable[[str, list[Word], bool], object]  # source, its words, whether they are all
 
 
 class Reader:
@@ -155,9 +155,10 @@
             return f"status {answer.status}"
         if answer.headers.get("x-consul-knownleader", "true") != "true":
             return "its servers know no leader"
-        contact = answer.headers.get("x-consul-lastcontact", "0")
-        if not contact.isdigit() or int(contact) > self._reader.file.fresh * 1000:
-            return f"its word is {contact[:20]} ms old"
+        said = answer.headers.get("x-consul-lastcontact", "0")
+        contact = whole_number(said)
+        if contact is None or contact > self._reader.file.fresh * 1000:
+            return f"its word is {said[:20]} ms old"
         return ""
 
     def failed(self, why: str, tried: int, again: Callable[[], None]) -> None:
@@ -211,8 +212,7 @@
             self.failed(why, tried, self._watch)
             return
         self._worked()
-        text = answer.headers.get("x-consul-index", "0")
-        index = int(text) if text.isdigit() and len(text) < 20 else 0
+        index = whole_number(answer.headers.get("x-consul-index", "0")) or 0
         if index != self._index:
             # An index that went back is another catalogue's: all is asked anew.
             self._index = 0 if index < self._index else index
--- a/windrelay/consul/relay.py
+++ b/windrelay/consul/relay.py
@@ -21,13 +21,14 @@
 import httptools
 
 from flinthatch import State
-from flinthatch.membership.members import Member, Members, Word
+from flinthatch.membership.members import Member
 from flinthatch.membership.revisions import Revisions
+from flinthatch.model import MS
 from windrelay.config import Address
 from windrelay.consul.file import ConsulFile
-from windrelay.consul.source import merged, open_reader
+from windrelay.consul.merge import MergedList
+from windrelay.httpcall import whole_number
 
-SECOND = 1_000_000_000
 LIST = "/registry/instances"
 MAX_HOLD_S = 60.0
 MAX_WATCHERS = 1024
@@ -38,13 +39,12 @@
 Row = Mapping[str, Any]
 
 
-def row_of(m: Member, boot_ms: int) -> Row:
-    """One server in discovery's form."""
-    host = f"[{m.host}]" if ":" in m.host else m.host
+def row_of(m: Member, wall: int) -> Row:
+    """One server in discovery's form; `wall`: Unix time less the monotonic clock's."""
     return {
-        "uid": m.uid, "endpoint": f"{host}:{m.port}", "az": m.zone, "model": "",
+        "uid": m.uid, "endpoint": str(Address(m.host, m.port)), "az": m.zone, "model": "",
         "pod_group": m.cell, "state": STATES[m.state], "capacity_hint": m.weight,
-        "boot_ms": boot_ms,
+        "boot_ms": (m.boot + wall) // MS if m.boot else 0,
     }  # fmt: skip
 
 
@@ -52,20 +52,19 @@
     """The list and who waits for news of it."""
 
     def __init__(self, file: ConsulFile, log: Callable[[str], None], seed: int) -> None:
-        self.members: Members = merged(file)
-        self.reader = open_reader(file, self._heard, log, seed)
-        self.list: Revisions[Row] = Revisions(time.time_ns() // 1_000_000)
+        self.merged = MergedList(file, self._pass_on, log, seed)
+        self.list: Revisions[Row] = Revisions(time.time_ns() // MS)
         self.watchers: dict[Watcher, asyncio.TimerHandle] = {}
         self.connections = 0
-        self._timer: asyncio.TimerHandle | None = None
-        self._boots: dict[str, tuple[int, int]] = {}
+        # Taken once: a boot that is converted again must look the same.
+        self._wall = time.time_ns() - time.monotonic_ns()
 
     def ready(self) -> bool:
-        return self.reader.rounds() > 0
+        return self.merged.members.complete()
 
-    def answer(self, since: int | None) -> bytes:
-        """Discovery's answer to whoever holds version `since`, or nothing."""
-        changed, whole = self.list.since(-1 if since is None else since)
+    def answer(self, since: int) -> bytes:
+        """Discovery's answer to whoever holds version `since`, 0 for none."""
+        changed, whole = self.list.since(since)
         gone = {"state": "left", "endpoint": "", "az": "", "model": "", "pod_group": 0,
                 "capacity_hint": 1.0, "boot_ms": 0}  # fmt: skip
         rows = [{"uid": uid} | gone if row is None else row for uid, row in changed.items()]
@@ -87,36 +86,11 @@
         if handle is not None:
             handle.cancel()
 
-    def _heard(self, source: str, words: list[Word], whole: bool) -> None:
-        self.members.told(time.monotonic_ns(), source, words, whole)
-        self._pass_on()
-
     def _pass_on(self) -> None:
-        now = time.monotonic_ns()
-        if self.ready():
-            told = [m for m in self.members.members() if m.state != State.GONE]
-            rows = {m.uid: row_of(m, self._boot_ms(m, now)) for m in told}
-            if self.list.replace(rows):
-                for watcher in [*self.watchers]:
-                    self.release(watcher)
-        due = self.members.due(now)
-        if due and self._timer is None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later((due - now) / SECOND, self._settle)
-
-    def _settle(self) -> None:
-        self._timer = None
-        self.members.settle(time.monotonic_ns())
-        self._pass_on()
-
-    def _boot_ms(self, m: Member, now: int) -> int:
-        """Wall clock, each boot converted once: told again it must look the same."""
-        if not m.boot:
-            return 0
-        known = self._boots.get(m.uid)
-        if known is None or known[0] != m.boot:
-            known = self._boots[m.uid] = (m.boot, (time.time_ns() - (now - m.boot)) // 1_000_000)
-        return known[1]
+        told = [m for m in self.merged.members.members() if m.state != State.GONE]
+        if self.list.replace({m.uid: row_of(m, self._wall) for m in told}):
+            for watcher in [*self.watchers]:
+                self.release(watcher)
 
 
 class Watcher(asyncio.Protocol):
@@ -128,7 +102,7 @@
         self._transport: asyncio.Transport | None = None
         self._size = 0
         self._target = b""
-        self._since: int | None = None
+        self._since = 0
         self._idle: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -154,8 +128,8 @@
 
     def data_received(self, data: bytes) -> None:
         self._size += len(data)
-        if self._size > MAX_HEAD or self in self._relay.watchers:
-            self._give_up(400, b"too large, or a second question before the first's answer")
+        if self._size > MAX_HEAD:
+            self._give_up(400, b"too large")
             return
         try:
             self._parser.feed_data(data)
@@ -168,6 +142,9 @@
     def on_message_complete(self) -> None:
         target, self._target, self._size = self._target, b"", 0
         self._rest()
+        if self in self._relay.watchers:
+            self._give_up(400, b"a second question before the first's answer")
+            return
         if self._parser.get_method() != b"GET":
             self._give_up(405, b"GET only")
             return
@@ -182,16 +159,13 @@
             self._asked(parse_qs(parts.query))
 
     def _asked(self, query: dict[str, list[str]]) -> None:
-        since, hold = (query.get(k, [""])[0] for k in ("from", "hold_ms"))
-        if not all(
-            x.isascii() and x.isdigit() and len(x) < 19 for x in (since or "0", hold or "0")
-        ):
+        since, hold = (whole_number(query.get(k, ["0"])[0]) for k in ("from", "hold_ms"))
+        if since is None or hold is None:
             self._reply(400, b"from and hold_ms are whole numbers")
             return
-        self._since = int(since) if since else None
-        wait = min(int(hold or "0") / 1000, MAX_HOLD_S)
-        if self._since == self._relay.list.rev and wait > 0:
-            self._relay.wait(self, wait)
+        self._since = since
+        if since == self._relay.list.rev and hold > 0:
+            self._relay.wait(self, min(hold / 1000, MAX_HOLD_S))
         else:
             self.tell()
 
@@ -218,10 +192,6 @@
             self._transport.close()
 
 
-def _whole(text: str) -> bool:
-    return not text or (text.isascii() and text.isdigit() and len(text) < 19)
-
-
 async def serve(file: ConsulFile, listen: Address, log: Callable[[str], None], seed: int) -> None:
     """Pass the list on at `listen` until cancelled; OSError where it can't be listened at."""
     relay = Relay(file, log, seed)
@@ -229,8 +199,8 @@
     server = await loop.create_server(lambda: Watcher(relay), listen.host, listen.port)
     port = server.sockets[0].getsockname()[1]
     print(f"listening on {listen.host}:{port}", flush=True)
-    relay.reader.start()
+    relay.merged.start()
     try:
         await server.serve_forever()
     finally:
-        relay.reader.close()
+        relay.merged.close()
--- a/windrelay/consul/source.py
+++ b/windrelay/consul/source.py
@@ -2,63 +2,26 @@
 
 from __future__ import annotations
 
-import asyncio
-import ssl
 import time
 from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any
 
 from flinthatch import Listing, State, Update
-from flinthatch.membership.members import Health, Member, Members, Rules, Source, Word
+from flinthatch.membership.members import Health, Member, Word
+from flinthatch.model import SECOND
 from windrelay.config import Address, Config
 from windrelay.consul.file import (
-    ConsulError,
-    ConsulFile,
     read_consul,
-    read_token,
-    source_name,
 )
-from windrelay.consul.reader import Reader
+from windrelay.consul.merge import PLATFORM, MergedList
 from windrelay.discovery import Discovery, Roster, backend_id
 
-SECOND = 1_000_000_000
-PLATFORM = "platform"
 SAID = 5  # servers that are named in one line of the log
 
 HEALTH = {State.READY: Health.PASSING, State.DRAINING: Health.MAINTENANCE, State.GONE: Health.GONE}
 
 
-def open_reader(
-    file: ConsulFile,
-    told: Callable[[str, list[Word], bool], None],
-    log: Callable[[str], None],
-    seed: int,
-) -> Reader:
-    """A reader with its token and certificates; ConsulError where they can't be used."""
-    token = read_token(file.token_file) if file.token_file is not None else ""
-    tls = None
-    if file.ca_file is not None:
-        try:
-            tls = ssl.create_default_context(cafile=str(file.ca_file))
-        except (OSError, ssl.SSLError) as err:
-            raise ConsulError(f"{file.ca_file}: [ca-file] can't be used: {err}") from None
-    return Reader(file, token, told, log, seed, tls)
-
-
-def merged(
-    file: ConsulFile,
-    drain: int = 2 * SECOND,
-    alive: Callable[[str], bool | None] = lambda _uid: None,
-) -> Members:
-    """The list of one file's datacentres; `drain` in nanoseconds, `alive` as in Members."""
-    sources = [Source(source_name(dc), 1, file.fresh * SECOND) for dc in file.datacentres]
-    if file.platform:
-        # Below Consul, whose checks say more; but its drains are orders.
-        sources.append(Source(PLATFORM, 0, firm=True))
-    return Members(sources, Rules(drain=drain), alive)
-
-
 class ConsulMembers:
     """What a host asks of a source: a roster, and to be told of changes.
 
@@ -70,8 +33,8 @@
     old_after = 120 * SECOND  # a whole round and the pause before it take over 30 s
 
     __slots__ = (
-        "_alive", "_config", "_file", "_ids", "_members", "_platform", "_reader", "_started",
-        "_states", "_timer", "_told", "_zones", "log", "roster",
+        "_alive", "_config", "_ids", "_merged", "_platform", "_started", "_states", "_told",
+        "_zones", "log", "roster",
     )  # fmt: skip
 
     def __init__(
@@ -83,19 +46,18 @@
         alive: Callable[[int], bool | None] = lambda _backend: None,
     ) -> None:
         file = read_consul(str(path))
-        self._file = file
         self._config = config
         self._zones = {name: i for i, name in enumerate(config.zones)}
         self._told = told
         self._alive = alive
         self._ids: dict[str, int] = {}
         self._states: Mapping[str, State] = {}
-        self._members = merged(file, config.settings.drain_grace, self._answers)
-        self._reader = open_reader(file, self._heard, log, config.seed)
+        self._merged = MergedList(
+            file, self._tell, log, config.seed, config.settings.drain_grace, self._answers
+        )
         self._platform: Discovery | None = None
         if file.platform:
             self._platform = Discovery(config, self._platform_told, log)
-        self._timer: asyncio.TimerHandle | None = None
         self._started = False
         self.log = log
         self.roster = Roster(config)
@@ -108,7 +70,7 @@
         """The last known list of the configuration, until Consul has answered once."""
         if self._platform is not None:
             rows = self._platform.known(raw)
-            self._members.told(time.monotonic_ns(), PLATFORM, self._words(rows), True)
+            self._merged.members.told(time.monotonic_ns(), PLATFORM, self._words(rows), True)
             listed, addresses = self._rows()
             self.roster.apply(0, Update.FULL, listed, addresses)
             return listed
@@ -122,7 +84,7 @@
             self._platform.watch()
         if not self._started:
             self._started = True
-            self._reader.start()
+            self._merged.start()
 
     def fetch(self) -> None:
         """Ask the platform again, if it is a source: the reader goes on by itself."""
@@ -135,33 +97,18 @@
             self._platform.move(address)
 
     def close(self) -> None:
-        self._reader.close()
+        self._merged.close()
         if self._platform is not None:
             self._platform.close()
-        if self._timer is not None:
-            self._timer.cancel()
 
     # ---- what the sources say --------------------------------------------
 
-    def _heard(self, source: str, words: list[Word], whole: bool) -> None:
-        now = time.monotonic_ns()
-        changed = self._members.told(now, source, words, whole)
-        if self._may_tell() and (changed or whole):
-            self._tell()
-        self._plan(now)
-
-    def _may_tell(self) -> bool:
-        """A first list is told once it is whole: its beginning would empty the pool."""
-        return self._platform is not None or self._reader.rounds() > 0
-
     def _platform_told(self, update: Update, rows: list[Listing], _stale: list[int]) -> None:
         if update == Update.FAILED:
             self._told(update, [], [])
             return
-        now = time.monotonic_ns()
-        self._members.told(now, PLATFORM, self._words(rows), update == Update.FULL)
-        self._tell()  # also where nothing changed: whoever asked has its answer
-        self._plan(now)
+        if not self._merged.told(PLATFORM, self._words(rows), update == Update.FULL):
+            self._tell()  # also where nothing changed: whoever asked has its answer
 
     def _words(self, rows: list[Listing]) -> list[Word]:
         """The platform's lines as words; one that has left has no address any more."""
@@ -178,19 +125,6 @@
             )  # fmt: skip
         return out
 
-    def _plan(self, now: int) -> None:
-        due = self._members.due(now)
-        if due and self._timer is None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later((due - now) / SECOND, self._settle)
-
-    def _settle(self) -> None:
-        self._timer = None
-        now = time.monotonic_ns()
-        if self._members.settle(now) and self._may_tell():
-            self._tell()
-        self._plan(now)
-
     # ---- what is told on ---------------------------------------------------
 
     def _tell(self) -> None:
@@ -199,7 +133,7 @@
         self._told(Update.FULL, rows, stale)
 
     def _rows(self) -> tuple[list[Listing], dict[int, Address]]:
-        all_of = self._members.members()
+        all_of = self._merged.members.members()
         self._say(all_of)
         members = [m for m in all_of if m.state != State.GONE]
         self._ids = {m.uid: self._id(m) for m in members}
--- a/windrelay/httpcall.py
+++ b/windrelay/httpcall.py
@@ -14,6 +14,14 @@
 MAX_ANSWER = 16 << 20  # bytes of head and body
 
 
+def whole_number(text: str) -> int | None:
+    """A peer's decimal number of at most 18 digits, None for anything else.
+
+    Guards against digits that are none of ASCII's and against more than int() takes.
+    """
+    return int(text) if text.isascii() and text.isdigit() and len(text) <= 18 else None
+
+
 class Answer(NamedTuple):
     """A whole answer; header names in lower case."""
 
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -18,6 +18,7 @@
 from typing import TYPE_CHECKING
 
 from flinthatch import Balancer, Listing, Outcome, Update
+from flinthatch.model import MS, SECOND
 from windrelay.config import Config
 from windrelay.discovery import Discovery
 from windrelay.upstream import Upstream
@@ -28,8 +29,6 @@
     from windrelay.server import ClientConnection, Incoming
     from windrelay.upstream import BackendConnection
 
-MS = 1_000_000
-SECOND = 1_000_000_000
 
 BACKSTOP = 10 * MS  # past its deadline a request the module forgot is failed
 REARM = 100 * MS  # a timer whose event raised comes again after this long
--- a/windrelay/operator/members.py
+++ b/windrelay/operator/members.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import json
 import sys
 import time
@@ -15,14 +16,14 @@
 from typing import Any, TextIO
 from urllib.parse import quote
 
-from flinthatch.membership.members import Member, Members, Word
+from flinthatch.membership.members import Member, Members
+from flinthatch.model import SECOND
 from windrelay.config import parse_address
 from windrelay.consul.file import ConsulError, ConsulFile, read_consul
+from windrelay.consul.merge import MergedList, open_reader
 from windrelay.consul.relay import serve
-from windrelay.consul.source import merged, open_reader
 from windrelay.httpcall import Answer, Call
 
-SECOND = 1_000_000_000
 CALL_S = 5.0
 
 
@@ -32,23 +33,16 @@
 
 async def read_once(file: ConsulFile, seconds: float) -> tuple[Members, bool]:
     """One whole round of every datacentre; False where it did not end in time."""
-    members = merged(file)
     done = asyncio.Event()
-
-    def told(source: str, words: list[Word], whole: bool) -> None:
-        members.told(time.monotonic_ns(), source, words, whole)
-        if reader.rounds():
-            done.set()
-
-    reader = open_reader(file, told, say, time.time_ns())
-    reader.start()
+    merged = MergedList(file, done.set, say, time.time_ns())
+    merged.start()
     try:
         await asyncio.wait_for(done.wait(), seconds)
     except TimeoutError:
-        return members, False
+        return merged.members, False
     finally:
-        reader.close()
-    return members, True
+        merged.close()
+    return merged.members, True
 
 
 def line(m: Member, now: int) -> str:
@@ -72,42 +66,44 @@
     return 0
 
 
-async def ask(file: ConsulFile, path: str) -> Any:
-    """One question to the first agent; its decoded answer, or None where it gave none."""
-    done: asyncio.Future[Answer | None] = asyncio.get_running_loop().create_future()
+async def ask(file: ConsulFile, path: str, query: str = "") -> list[Any]:
+    """One question to the first agent in every datacentre; the answers that can be read."""
     reader = open_reader(file, lambda *_: None, say, 0)
-    dc = quote(next(iter(file.datacentres)), safe="")
-    Call(
-        file.agents[0], f"{path}dc={dc}&stale", CALL_S, done.set_result, reader.headers, reader.tls
-    )
-    answer = await done
-    try:
-        return json.loads(answer.body) if answer is not None and answer.status == 200 else None
-    except ValueError:
-        return None
+    found = []
+    for dc in file.datacentres:
+        done: asyncio.Future[Answer | None] = asyncio.get_running_loop().create_future()
+        target = f"{path}?dc={quote(dc, safe='')}&stale{query}"
+        Call(file.agents[0], target, CALL_S, done.set_result, reader.headers, reader.tls)
+        answer = await done
+        if answer is not None and answer.status == 200:
+            with contextlib.suppress(ValueError, RecursionError):
+                found.append(json.loads(answer.body))
+    return found
 
 
 async def close_names(file: ConsulFile) -> list[str]:
-    """Services of the first agent's catalogue that are named much as the file's is.
+    """Services of the catalogue that are named much as the file's is.
 
     Source: Consul HTTP API, "Catalog": GET /v1/catalog/services answers with tags by name.
     """
-    found = await ask(file, "/v1/catalog/services?")
-    return get_close_matches(file.service, found) if isinstance(found, dict) else []
+    found = await ask(file, "/v1/catalog/services")
+    return get_close_matches(
+        file.service, {n for one in found if isinstance(one, dict) for n in one}
+    )
 
 
 async def checks(file: ConsulFile, uid: str) -> list[str] | None:
-    """One server's checks with what they print: as many lines as it has checks.
+    """One server's checks with what they print, a line each; None without an answer.
 
     Source: Consul HTTP API, "Health": GET /v1/health/state/any, with a filter.
     """
-    only = quote(f"ServiceID == {json.dumps(uid.rpartition('/')[2])}", safe="")
-    found = await ask(file, f"/v1/health/state/any?filter={only}&")
-    if not isinstance(found, list):
-        return None
-    rows = [row for row in found if isinstance(row, dict)]
+    name = json.dumps(uid.rpartition("/")[2], ensure_ascii=False)
+    only = quote(f"ServiceID == {name}", safe="")
+    found = await ask(file, "/v1/health/state/any", f"&filter={only}")
+    rows = [row for one in found if isinstance(one, list) for row in one if isinstance(row, dict)]
     keys = ("Node", "CheckID", "Status", "Output")
-    return [" ".join(str(row.get(key, "")) for key in keys).rstrip() for row in rows]
+    out = [" ".join(str(row.get(key, "")) for key in keys).rstrip() for row in rows]
+    return out if found else None
 
 
 def explain(file: ConsulFile, uid: str, out: TextIO) -> int:
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -14,6 +14,7 @@
 import httptools
 
 from flinthatch import Effect
+from flinthatch.model import MS
 from windrelay.errors import BadRequest
 
 if TYPE_CHECKING:
@@ -21,7 +22,6 @@
     from windrelay.config import Address
     from windrelay.node import Node, Request
 
-MS = 1_000_000
 MAX_HEAD = 16 << 10
 MAX_BODY = 64 << 10  # as the protocol has it
 MAX_ID = 128  # bytes of a request's id
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -12,6 +12,7 @@
 import httptools
 
 from flinthatch import Outcome
+from flinthatch.model import MS
 from windrelay.config import Address
 
 if TYPE_CHECKING:
@@ -28,7 +29,6 @@
 CLIENT_FAULTS = frozenset(range(400, 500)) - {408, 421, 425, 429}
 MAX_INTERIM = 8  # 1xx answers before the real one
 IDLE_MARGIN_NS = 2_000_000_000  # closed so long before the backend would
-MS = 1_000_000
 
 # The site's words for load, beside those that settings may use for the same.
 LOAD_WORDS = {
--- a/windrelay/xds/encode.py
+++ b/windrelay/xds/encode.py
@@ -20,9 +20,9 @@
 
 from flinthatch.handout.picture import Kind, Picture, Resource, picture, resource
 from flinthatch.handout.snapshot import Locality, Outliers, Plan, ProxyKind, RoutePlan, Server
+from flinthatch.model import SECOND
 from flinthatch.routes.table import Condition, Pattern, Policy
 
-SECOND = 1_000_000_000
 PREFIX = "type.googleapis.com/"
 TYPES = {
     Kind.CLUSTER: PREFIX + "envoy.config.cluster.v3.Cluster",
--- a/windrelay/xds/load.py
+++ b/windrelay/xds/load.py
@@ -10,13 +10,13 @@
 from envoy.service.load_stats.v3 import lrs_pb2
 
 from flinthatch.handout.reports import Ledger, Row
+from flinthatch.model import SECOND
 from windrelay.xds.file import TlsFile
 from windrelay.xds.peers import REQUESTS, PeerError, Rate, first_request, identify
 
 SERVICE = "envoy.service.load_stats.v3.LoadReportingService"
 ROWS_PER_S = 5_000  # of all reports together; with more proxies each reports more rarely
 MAX_REPORTERS = 2000
-SECOND = 1_000_000_000
 
 
 class Reported(Protocol):
--- a/windrelay/xds/pool.py
+++ b/windrelay/xds/pool.py
@@ -12,9 +12,7 @@
 from flinthatch.handout.reports import Ledger
 from flinthatch.handout.snapshot import Audience, Plan, plan
 from flinthatch.membership.evidence import alive
-from flinthatch.model import (
-    ServerView,
-)
+from flinthatch.model import SECOND, ServerView
 from flinthatch.routes.table import Table
 from windrelay.config import Config
 from windrelay.consul.source import ConsulMembers
@@ -22,8 +20,6 @@
 from windrelay.xds.file import PoolFile
 from windrelay.xds.members import FileMembers
 
-SECOND = 1_000_000_000
-
 
 class Pool:
     """`changed` is called when what proxies hold may have to change, `urgent` for a drain."""
