--- a/flinthatch/membership/shards.py
+++ b/flinthatch/membership/shards.py
@@ -150,13 +150,14 @@
 
     __slots__ = (
         "_again", "_bad", "_checks", "_entry", "_leaves", "_most", "_probed", "_ration", "_whole",
-        "_widest", "rounds", "surprises",
+        "_swept", "_widest", "rounds", "surprises",
     )  # fmt: skip
 
     def __init__(self, ration: Ration, checks: bool = True) -> None:
         self._ration = ration
         self._checks = checks
-        self._again = False
+        self._swept = False  # since the last whole question
+        self._again = False  # woken since
         self._most = max(ration.lines // GROWTH, 1)  # of a shard, as it was last seen
         first = [a + b for b in ALPHABET for a in (*ALPHABET, ALONE)]
         self._leaves: dict[str, int | None] = dict.fromkeys([*first, OTHER])  # None: never asked
@@ -174,9 +175,10 @@
         Woken again on the way, they are asked once more, with a whole question between:
         checks that never rest must not keep a reader from ever finding who came and left.
         """
-        if self._bad:
+        if self._swept:
             self._again = True
         elif self._checks:
+            self._swept = True
             known = [x for x in self._shards() if any(self._leaves[i] is not None for i in x)]
             self._bad = deque(known)
 
@@ -203,6 +205,7 @@
             found = sorted_out(question.leaves, keys)
             for leaf in question.leaves:
                 self._sized(leaf, found.get(leaf, []))
+            self._swept = False
             if self._again:
                 self._again = False
                 self.woken()
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -9,9 +9,14 @@
 import pytest
 
 from flinthatch import State
+from flinthatch.balancer import STRIKES
+from flinthatch.membership.evidence import alive
 from flinthatch.membership.members import Health, Member, Members, Rules, Source, Word
+from flinthatch.membership.revisions import KEPT, Revisions
 from flinthatch.model import SECOND
 
+from .fakes import build
+
 MINUTE = 60 * SECOND
 CONSUL = Source("consul", 2, 10 * SECOND)
 LIST = Source("list", 1)
@@ -268,3 +273,44 @@
         m.told(now, "list", left, True)
         m.told(now, "consul", left, True)
     assert ready(m) == {w.uid for w in left}
+
+
+def test_those_that_go_on_answering_leave_last() -> None:
+    m = started(10, lambda uid: True if uid == "s-1" else None)
+    m.told(SECOND, "consul", pool(10, 1, 2, 3, health=Health.MAINTENANCE), True)
+    assert {f"s-{i}" for i in range(1, 11)} - ready(m) == {"s-2"}  # a fifth of nine
+
+
+def test_a_firm_sources_drains_are_orders_whatever_others_say() -> None:
+    m = Members([CONSUL, Source("platform", 0, firm=True)])
+    assert not m.complete()
+    m.told(0, "platform", pool(10), True)
+    assert m.complete()  # all sources of one rank have told whole lists
+    m.told(0, "consul", pool(10), True)
+    m.told(SECOND, "platform", pool(10, *range(1, 9), health=Health.MAINTENANCE), False)
+    assert ready(m) == {"s-9", "s-10"}
+    assert one(m, "s-1").why == "maintenance, as ordered"
+
+
+def test_a_server_is_alive_or_dead_by_a_balancers_own_attempts() -> None:
+    balancer, _ = build(count=2)
+    assert alive(balancer, SECOND, 100) is None and alive(balancer, SECOND, 9) is None
+    b = balancer.backends[100]
+    balancer.heard(SECOND, b)
+    assert alive(balancer, 2 * SECOND, 100) is True
+    assert alive(balancer, 7 * SECOND, 100) is None  # too long ago
+    b.strikes = STRIKES
+    assert alive(balancer, 2 * SECOND, 100) is False
+
+
+def test_a_holder_of_a_version_is_told_what_changed_or_all() -> None:
+    r: Revisions[int] = Revisions(100)
+    assert r.replace({"a": 1, "b": 2}) and not r.replace({"a": 1, "b": 2})
+    assert r.since(100) == ({"a": 1, "b": 2}, False) and r.since(101) == ({}, False)
+    assert r.replace({"a": 3}) and r.since(101) == ({"a": 3, "b": None}, False)
+    for unknown in (0, 99, 103):
+        assert r.since(unknown) == ({"a": 3}, True)
+    for i in range(KEPT):
+        r.replace({"a": 4 + i})
+    assert r.since(102) == ({"a": 3 + KEPT}, False)
+    assert r.since(101)[1]  # not remembered any more
--- a/windrelay/consul/file.py
+++ b/windrelay/consul/file.py
@@ -13,8 +13,9 @@
 from flinthatch.routes.file import Fault
 from windrelay.config import Address
 from windrelay.errors import SourceError
+from windrelay.operator import section
 from windrelay.operator.section import Section
-from windrelay.operator.tomlfile import FileError, Key, read
+from windrelay.operator.tomlfile import Key
 
 KEYS = (
     "version", "agents", "service", "datacentres", "token_file", "ca_file", "lines", "readers",
@@ -61,24 +62,14 @@
 
 def read_consul(path: str) -> ConsulFile:
     """Read and decode it; ConsulError with every fault and its line."""
-    try:
-        raw, lines = read(path)
-    except FileError as err:
-        raise ConsulError(f"{path}:{err.line}: [{err.rule}] {err.wrong}; {err.right}") from None
-    found, faults = decode(raw, lines, Path(path).resolve().parent)
-    if found is None:
-        raise ConsulError("\n".join(f"{path}:{fault}" for fault in faults))
-    return found
+    return section.read_file(path, decode, ConsulError)
 
 
 def decode(
     raw: dict[str, Any], lines: Mapping[Key, int], folder: Path = Path()
 ) -> tuple[ConsulFile | None, list[Fault]]:
     """The decoded file, or its faults in the file's order."""
-    top = Section(raw, (), lines, folder, [])
-    top.known(KEYS)
-    if raw.get("version") != 1:
-        top.fault("version", "version", "not 1", "write version = 1")
+    top = section.top_of(raw, lines, folder, KEYS)
     agents = _agents(top)
     service = top.text("service")
     fresh = _SECONDS.fullmatch(top.text("fresh", "60s"))
--- a/windrelay/operator/section.py
+++ b/windrelay/operator/section.py
@@ -2,15 +2,41 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 from ipaddress import ip_address
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from flinthatch.routes.file import Fault
 from windrelay.config import Address, parse_address
-from windrelay.operator.tomlfile import Key
+from windrelay.operator.tomlfile import FileError, Key, read
+
+T = TypeVar("T")
+Decode = Callable[[dict[str, Any], Mapping[Key, int], Path], tuple[T | None, list[Fault]]]
+
+
+def read_file(path: str, decode: Decode[T], error: type[Exception]) -> T:
+    """A file decoded whole; `error` with every fault and its line, one a line."""
+    try:
+        raw, lines = read(path)
+    except FileError as err:
+        raise error(f"{path}:{err.line}: [{err.rule}] {err.wrong}; {err.right}") from None
+    found, faults = decode(raw, lines, Path(path).resolve().parent)
+    if found is None:
+        raise error("\n".join(f"{path}:{fault}" for fault in faults))
+    return found
+
+
+def top_of(
+    raw: dict[str, Any], lines: Mapping[Key, int], folder: Path, keys: tuple[str, ...]
+) -> Section:
+    """A file's outermost table, with its keys and its version checked."""
+    top = Section(raw, (), lines, folder, [])
+    top.known(keys)
+    if raw.get("version") != 1:
+        top.fault("version", "version", "not 1", "write version = 1")
+    return top
 
 
 @dataclass(slots=True)
--- a/windrelay/xds/file.py
+++ b/windrelay/xds/file.py
@@ -12,8 +12,9 @@
 
 from flinthatch.routes.file import Fault
 from windrelay.config import Address
+from windrelay.operator import section
 from windrelay.operator.section import Section
-from windrelay.operator.tomlfile import FileError, Key, read
+from windrelay.operator.tomlfile import Key
 
 SECTIONS: Mapping[str, tuple[str, ...]] = {
     "": ("version", "listen", "envoy_listener", "slow_start", "report_every", "config", "routes",
@@ -72,24 +73,14 @@
 
 def read_file(path: str) -> ControlFile:
     """Read and decode deploy/control.toml; ControlError with every fault and its line."""
-    try:
-        raw, lines = read(path)
-    except FileError as err:
-        raise ControlError(f"{path}:{err.line}: [{err.rule}] {err.wrong}; {err.right}") from None
-    found, faults = decode(raw, lines, Path(path).resolve().parent)
-    if found is None:
-        raise ControlError("\n".join(f"{path}:{fault}" for fault in faults))
-    return found
+    return section.read_file(path, decode, ControlError)
 
 
 def decode(
     raw: dict[str, Any], lines: Mapping[Key, int], folder: Path = Path()
 ) -> tuple[ControlFile | None, list[Fault]]:
     """The decoded file, or its faults in the file's order."""
-    top = Section(raw, (), lines, folder, [])
-    top.known(SECTIONS[""])
-    if raw.get("version") != 1:
-        top.fault("version", "version", "not 1", "write version = 1")
+    top = section.top_of(raw, lines, folder, SECTIONS[""])
     listen = top.address("listen")
     envoy = top.address("envoy_listener", "127.0.0.1:10000")
     ramp = top.text("slow_start", "weights")
