--- a/tests/harness.py
+++ b/tests/harness.py
@@ -143,13 +143,34 @@
 class Running:
     """A node's process."""
 
-    def __init__(self, process: subprocess.Popen[str], port: int) -> None:
+    def __init__(self, process: subprocess.Popen[str], port: int, admin: int = 0) -> None:
         self.process = process
         self.port = port
+        self.admin = admin  # the second address's, 0 where there is none
 
     def connect(self) -> Peer:
         return Peer(socket.create_connection(("127.0.0.1", self.port), LIMIT))
 
+    def call(self, first: str, rest: str = "") -> tuple[str, dict[str, str], bytes]:
+        """One call on the second address, and its answer."""
+        peer = self.caller()
+        peer.send(f"{first} HTTP/1.1\r\nHost: x\r\n{rest}\r\n".encode())
+        answer = peer.message()
+        assert peer.ends() == b""
+        peer.close()
+        return answer
+
+    def caller(self) -> Peer:
+        return Peer(socket.create_connection(("127.0.0.1", self.admin), LIMIT))
+
+    def ready(self) -> bool:
+        """What the front is told, on a connection of its own."""
+        peer = self.connect()
+        peer.send(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        line = peer.message()[0]
+        peer.close()
+        return line == "HTTP/1.1 200 OK"
+
     def stop(self) -> int:
         self.process.send_signal(signal.SIGTERM)
         return self.process.wait(LIMIT)
@@ -209,9 +230,11 @@
     process = launch(environ)
     try:
         assert process.stderr is not None
-        line = process.stderr.readline()
+        line, admin = process.stderr.readline(), 0
+        if "calls at" in line:
+            line, admin = process.stderr.readline(), int(line.rsplit(":", 1)[1])
         assert "listening on" in line, line + process.stderr.read()
-        running = Running(process, int(line.rsplit(":", 1)[1]))
+        running = Running(process, int(line.rsplit(":", 1)[1]), admin)
         yield running
         assert process.poll() is None or process.returncode == 0
     finally:
--- a/windrelay/__main__.py
+++ b/windrelay/__main__.py
@@ -29,14 +29,18 @@
 import contextlib  # noqa: E402
 import gc  # noqa: E402
 import os  # noqa: E402
+import time  # noqa: E402
 
 import uvloop  # noqa: E402
 
+from flinthatch.model import SECOND  # noqa: E402
+from windrelay.admin import Admin, Reply, Route  # noqa: E402
 from windrelay.config import Config, ConfigError, load, reload  # noqa: E402
 from windrelay.discovery import ListError  # noqa: E402
 from windrelay.errors import RoutesError, SourceError  # noqa: E402
 from windrelay.node import Node  # noqa: E402
 from windrelay.server import SWEEP_S, Server  # noqa: E402
+from windrelay.service import TICK, Service  # noqa: E402
 
 # A stop. Connections go on coming for 0.4 s; the longest deadline and 0.7 s
 # after SIGTERM the node may be killed.
@@ -53,17 +57,28 @@
         self.config = config
         self.loop = loop
         self.node = Node(config, loop)
-        self.server = Server(self.node)
+        self.service = Service()
+        self.server = Server(self.node, self.service)
         self.ended = loop.create_future()
         self.give_up_at = 0.0
+        self.away: asyncio.TimerHandle | None = None
 
     async def run(self) -> None:
+        if self.config.admin is not None:
+            routes = {
+                "/status": Route("GET", self.status),
+                "/standby": Route("POST", self.standby),
+                "/active": Route("POST", self.active),
+            }
+            port = Admin(self.loop, routes, self.node.log).listen(self.config.admin)
+            self.node.log(f"calls at {self.config.admin.host}:{port}")
         self.node.route(self.config.routes)
         self.node.start()
         for number in STOPS:
             self.loop.add_signal_handler(number, self.stop)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         port = self.server.listen(self.config.listen)
+        self.service.serving = True
         self.node.log(f"listening on {self.config.listen.host}:{port}")
         # What stands now stands for good: later collections need not look at it.
         gc.collect()
@@ -91,15 +106,48 @@
             return
         self.node.log("reloaded the configuration")
 
+    # ---- calls on the second address ------------------------------------
+
+    def status(self) -> Reply:
+        state = self.service
+        if state.can_serve:
+            return Reply(200, "standby" if state.standby else "active")
+        return Reply(503, "stopping" if state.stopping else "not serving yet")
+
+    def standby(self) -> Reply:
+        """Send clients away; a stop does so too, and the answer is the same."""
+        if not self.service.standby:
+            self.node.log("standby: sending clients away")
+            self.service.begin_standby(time.monotonic_ns())
+            if self.away is not None:
+                self.away.cancel()  # of a drain that has only just ended
+            self.send_away()
+        return Reply(200, "standby")
+
+    def active(self) -> Reply:
+        if self.service.standby:
+            self.node.log("active: the drain has ended")
+        if not self.service.end_standby():
+            return Reply(409, "stopping: this process takes no clients any more")
+        return Reply(200, "active")
+
+    def send_away(self) -> None:
+        """While clients are sent away, look at the idle ones each TICK."""
+        if self.service.standby and not self.service.stopping:
+            self.server.send_away(time.monotonic_ns())
+            self.away = self.loop.call_later(TICK / SECOND, self.send_away)
+
+    # ---- time and signals ----------------------------------------------
+
     def sweep(self) -> None:
         self.server.sweep()
         self.node.sweep()
         self.loop.call_later(SWEEP_S, self.sweep)
 
     def stop(self) -> None:
-        if self.server.stopping:
+        if self.service.stopping:
             return  # a second signal changes nothing
-        self.server.stopping = True
+        self.service.stopping = True
         self.node.log("stopping")
         self.node.tell_routes()
         longest = max(c.deadline for c in self.config.settings.classes) / 1e9
--- a/windrelay/config.py
+++ b/windrelay/config.py
@@ -46,6 +46,7 @@
     reports: bool
     routes: str  # the routes file's path, empty where there is none
     consul: str  # likewise of the consul file
+    admin: Address | None  # the second address, where there is one
 
 
 def parse_address(text: object) -> Address:
@@ -72,7 +73,7 @@
         raise ConfigError(f"{path} is not JSON: {err}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"{path} is not a JSON object")
-    for key in ("name", "listen", "discovery", "routes", "consul"):
+    for key in ("name", "listen", "discovery", "routes", "consul", "admin"):
         raw[key] = environ.get(f"PROXY_{key.upper()}") or raw.get(key)
     try:
         return _config(raw)
@@ -124,4 +125,5 @@
         reports=settings.get("load_info", {}).get("how", "off") != "off",
         routes=str(raw["routes"] or ""),
         consul=str(raw["consul"] or ""),
+        admin=parse_address(raw["admin"]) if raw["admin"] else None,
     )
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -19,6 +19,7 @@
 
 from flinthatch import Balancer, Listing, Outcome, Update
 from flinthatch.model import MS, SECOND
+from windrelay.admin import DESCRIPTORS
 from windrelay.config import Config
 from windrelay.discovery import Discovery
 from windrelay.upstream import Upstream
@@ -136,7 +137,7 @@
         self.budget = Budget(config.memory_mb)
         self.clients = 0
         self.freed: Callable[[], None] = lambda: None  # the server's, once it listens
-        self.sockets = config.sockets - RESERVED
+        self.sockets = config.sockets - RESERVED - (DESCRIPTORS if config.admin else 0)
         self.upstream = Upstream(self)
         self.discovery: Discovery | ConsulMembers = self._members()
         self.requests: dict[int, Request] = {}
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -21,6 +21,7 @@
     from flinthatch.routes.table import Policy
     from windrelay.config import Address
     from windrelay.node import Node, Request
+    from windrelay.service import Service
 
 MAX_HEAD = 16 << 10
 MAX_BODY = 64 << 10  # as the protocol has it
@@ -35,6 +36,7 @@
 REST_SWEEPS = 9  # without a request, after which a connection may be closed for room
 WRITE_SWEEPS = 40  # without a byte taken
 LINGER_SWEEPS = 4
+FRESH_SWEEPS = 1  # for a new connection's first bytes, while clients are sent away
 FLOOD_PART = 4  # one silent connection in so many is a flood of them
 IDLE_PART = 0.5  # of the room for clients, above which the oldest resting ones go
 REST_PART = 0.2  # of all descriptors, above which an answer ends its connection
@@ -268,7 +270,7 @@
         self._keep_alive = incoming.keep_alive
         node = self._server.node
         if incoming.probe:
-            ready = not self._server.stopping
+            ready = self._server.service.asked_ready(time.monotonic_ns())
             self._write_head(READY if ready else EMPTY[503])
             return
         if incoming.label in node.labels:
@@ -313,7 +315,7 @@
 
     def _closes(self) -> bool:
         server = self._server
-        return server.stopping or self._eof or not self._keep_alive or server.crowded()
+        return server.service.closes or self._eof or not self._keep_alive or server.crowded()
 
     def _write_head(self, head: bytes, chunks: list[bytes] | None = None) -> None:
         """Write an answer that is whole, and go on to what follows it."""
@@ -466,14 +468,14 @@
 class Server:
     """The listening socket and all client connections."""
 
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: Node, service: Service) -> None:
         self.node = node
+        self.service = service
         self.connections: set[ClientConnection] = set()
         # At rest, longest first: those that have asked, and those that never have.
         self.idle: dict[ClientConnection, None] = {}
         self.fresh: dict[ClientConnection, None] = {}
         self.sweeps = 0
-        self.stopping = False
         self._paused = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._sock: socket.socket | None = None
@@ -610,7 +612,18 @@
         if self._paused:
             self._give_way()
 
-    # ---- stopping -----------------------------------------------------
+    # ---- sending clients away, stopping -------------------------------
+
+    def send_away(self, now: int) -> None:
+        """Close idle connections as the state has it, those that rest longest first.
+
+        One on which a request lies unread is no longer idle. One that has only just
+        come up is left its moment: the front's own question is about to be on it.
+        """
+        rest = [*self.idle, *(conn for conn in self.fresh if conn.age() > FRESH_SWEEPS)]
+        for conn in rest[: self.service.to_close(now, len(rest))]:
+            if conn.resting():
+                conn.close()
 
     def stop_accepting(self) -> None:
         """Take in what the kernel has accepted for us, then listen no more."""
--- /dev/null
+++ b/windrelay/service.py
@@ -0,0 +1,77 @@
+"""Whether this process serves, sends its clients away, or stops: one state, no I/O, no clock.
+
+Readiness, the end of answers' connections, the second address and the signals all ask
+here. Times are integer nanoseconds of one monotonic clock, given with each call.
+"""
+
+from __future__ import annotations
+
+from flinthatch.model import MS
+
+TICK = 50 * MS  # how often idle connections are looked at while clients are sent away
+# After the front has had its no, new connections come for 0.2 s more.
+SETTLE = 300 * MS
+UNASKED = 600 * MS  # the same after the call, where no front asks
+# What is used later than 2 s after the call would still hold a fresh request at 4 s.
+EMPTY_BY = 1600 * MS
+
+
+class Service:
+    """Active, standby or stopping; a stop is for good, standby until the end of the drain."""
+
+    __slots__ = ("_no_at", "_standby_at", "serving", "stopping")
+
+    def __init__(self) -> None:
+        self.serving = False  # listening, with a list taken over
+        self.stopping = False
+        self._standby_at = 0
+        self._no_at = 0  # the first no that was given, 0 before
+
+    @property
+    def standby(self) -> bool:
+        return self._standby_at != 0
+
+    @property
+    def can_serve(self) -> bool:
+        """What `GET /status` is told."""
+        return self.serving and not self.stopping
+
+    @property
+    def closes(self) -> bool:
+        """Whether each answer ends its connection."""
+        return self.stopping or self.standby
+
+    def begin_standby(self, now: int) -> None:
+        """Send clients away. A second call changes nothing, so nothing is put off by it."""
+        if not self.standby:
+            self._standby_at = now
+            self._no_at = 0
+
+    def end_standby(self) -> bool:
+        """The end of a drain; False where the process stops and stays away."""
+        self._standby_at = 0
+        return not self.stopping
+
+    def asked_ready(self, now: int) -> bool:
+        """The answer to the front; the first no is remembered."""
+        if not self.closes:
+            return True
+        self._no_at = self._no_at or now
+        return False
+
+    def to_close(self, now: int, idle: int) -> int:
+        """How many of so many idle connections to close in this tick of a drain.
+
+        Spread over what is left of the time, for each close may cross a request that
+        its client then has to send once more. All once the time is over.
+        """
+        if not self.standby:
+            return 0
+        begin = self._no_at + SETTLE if self._no_at else self._standby_at + UNASKED
+        end = self._standby_at + EMPTY_BY
+        if now >= end:
+            return idle
+        if now < begin:
+            return 0
+        ticks = max((end - now) // TICK, 1)
+        return -(-idle // ticks)
