Hand the clients' address to a second process; be one node with it meanwhile

Change: where a second address is configured the listening socket goes over a Unix socket in TMPDIR, with the list, drains, what was learned and ids that are open; caps are divided by flinthatch/halves.py (the old side only ever gives up), discovery is watched by one and passed on, and an end of either side leaves one whole node. A predecessor that hangs is gone without: the port is shared.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -33,6 +33,7 @@
 
 if TYPE_CHECKING:
     from flinthatch.attempts import Attempts, Ticket
+    from flinthatch.halves import Part
     from flinthatch.routes.table import Policy
 
 # Caps. LEVEL is how many requests all nodes together keep at one backend. It
@@ -108,7 +109,7 @@
         "backoff", "boot", "bucket", "cap", "cell", "cold_until", "cost", "deal", "errors",
         "fulls", "held",
         "id", "index", "kind", "lat", "local", "offset", "rating", "rest_until", "seen", "since",
-        "state", "stalled", "takers", "trial", "zone", "down_until", "strikes",
+        "state", "stalled", "takers", "trial", "whole", "zone", "down_until", "strikes",
     )  # fmt: skip
 
     def __init__(self, row: Listing, local: bool) -> None:
@@ -122,6 +123,7 @@
         self.local = local
         self.held = 0
         self.cap = 0
+        self.whole = 0  # the cap of all processes that are this node
         self.deal = 0  # this node's place in the deal of this backend's slots
         self.offset = 0.0  # where this backend's level rounds up
         self.bucket: list[Backend] | None = None
@@ -306,6 +308,7 @@
         self.credit_at = [0] * tenants
         self.retry_credit = RETRY_BURST
         self.policies: Attempts | None = None  # the host's, where it has a routes file
+        self.part: Part | None = None  # the host's, while two processes are this node
         # Since the last cycle.
         self.outcomes = 0
         self.fulls = 0
@@ -442,6 +445,9 @@
             backend.takers = max(1, min(int(depth + 1.0), nodes))
             depth = int(depth + backend.offset)
             cap = -(-(depth - backend.deal) // nodes) if depth > backend.deal else 0
+            backend.whole = cap
+            if self.part is not None:
+                cap = self.part.of(backend.id, cap)
             backend.cap = cap
             total += cap
             self.settle(backend)
--- a/windrelay/__main__.py
+++ b/windrelay/__main__.py
@@ -27,21 +27,29 @@
 
 import asyncio  # noqa: E402
 import contextlib  # noqa: E402
+import errno  # noqa: E402
 import gc  # noqa: E402
 import os  # noqa: E402
 import time  # noqa: E402
+from typing import TYPE_CHECKING  # noqa: E402
 
 import uvloop  # noqa: E402
 
 from flinthatch.model import SECOND  # noqa: E402
 from windrelay.admin import Admin, Reply, Route  # noqa: E402
-from windrelay.config import Config, ConfigError, load, reload  # noqa: E402
+from windrelay.config import Address, Config, ConfigError, load, reload  # noqa: E402
 from windrelay.discovery import ListError  # noqa: E402
 from windrelay.errors import RoutesError, SourceError  # noqa: E402
 from windrelay.node import Node  # noqa: E402
 from windrelay.server import SWEEP_S, Server  # noqa: E402
 from windrelay.service import TICK, Service  # noqa: E402
 
+if TYPE_CHECKING:
+    from windrelay.upgrade.handing import Predecessor, Successor
+
+# For the port, where a process holds it that neither hands it over nor shares it.
+SHARE_S = 15.0
+SHARE_EVERY_S = 0.05
 # A stop. Connections go on coming for 0.4 s; the longest deadline and 0.7 s
 # after SIGTERM the node may be killed.
 ACCEPT_S = 0.5
@@ -62,22 +70,15 @@
         self.ended = loop.create_future()
         self.give_up_at = 0.0
         self.away: asyncio.TimerHandle | None = None
+        # The process before this one and the one after it, where there is a second address.
+        self.successor: Successor | None = None
+        self.predecessor: Predecessor | None = None
 
     async def run(self) -> None:
-        if self.config.admin is not None:
-            routes = {
-                "/status": Route("GET", self.status),
-                "/standby": Route("POST", self.standby),
-                "/active": Route("POST", self.active),
-            }
-            port = Admin(self.loop, routes, self.node.log).listen(self.config.admin)
-            self.node.log(f"calls at {self.config.admin.host}:{port}")
-        self.node.route(self.config.routes)
-        self.node.start()
+        port = await self.begin()
         for number in STOPS:
             self.loop.add_signal_handler(number, self.stop)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
-        port = self.server.listen(self.config.listen)
         self.service.serving = True
         self.node.log(f"listening on {self.config.listen.host}:{port}")
         # What stands now stands for good: later collections need not look at it.
@@ -91,8 +92,51 @@
             self.stop()
         await self.ended
 
-    def reload(self) -> None:
-        """Take over a replaced configuration; one that can't be used changes nothing."""
+    async def begin(self) -> int:
+        """Listen, taking over from a running process where there is one; returns the port."""
+        admin = self.config.admin
+        if admin is None:
+            self.node.route(self.config.routes)
+            self.node.start()
+            return self.server.listen(self.config.listen)
+        # Here and not above: without a second address the node is as small as ever.
+        from windrelay.upgrade.handing import Predecessor, Successor
+
+        successor = self.successor = Successor(self)
+        await successor.find()
+        self.answer_calls(admin)
+        left = await successor.meet()
+        self.node.route(self.config.routes)
+        self.node.start(left)
+        if left is not None and left.standby:
+            self.service.begin_standby(time.monotonic_ns())
+        await successor.serve()
+        if successor.listener is not None:
+            port = self.server.adopt(successor.listener)
+        else:
+            port = await self.listen_shared()
+        self.predecessor = Predecessor(self)
+        self.predecessor.open()
+        return port
+
+    async def listen_shared(self) -> int:
+        """Listen beside a process that can't hand over; wait for one that does not share."""
+        give_up_at = self.loop.time() + SHARE_S
+        while True:
+            try:
+                return self.server.listen(self.config.listen, shared=True)
+            except OSError as err:
+                if err.errno != errno.EADDRINUSE or self.loop.time() > give_up_at:
+                    raise
+            await asyncio.sleep(SHARE_EVERY_S)
+
+    def reload(self, passed_on: bool = False) -> None:
+        """Take over a replaced configuration; one that can't be used changes nothing.
+
+        Two processes that are one node take it over together, whichever was told.
+        """
+        if not passed_on:
+            self.pass_on({"reload": True})
         try:
             self.config = reload(os.environ, self.config)
         except ConfigError as err:
@@ -108,6 +152,22 @@
 
     # ---- calls on the second address ------------------------------------
 
+    def answer_calls(self, address: Address) -> None:
+        routes = {
+            "/status": Route("GET", self.status),
+            "/standby": Route("POST", self.standby),
+            "/active": Route("POST", self.active),
+        }
+        port = Admin(self.loop, routes, self.node.log).listen(address)
+        self.node.log(f"calls at {address.host}:{port}")
+
+    def pass_on(self, frame: dict[str, bool]) -> None:
+        """Tell the other process of this node, where there is one."""
+        if self.successor is not None:
+            self.successor.pass_on(frame)
+        if self.predecessor is not None:
+            self.predecessor.pass_on(frame)
+
     def status(self) -> Reply:
         state = self.service
         if state.can_serve:
@@ -116,21 +176,31 @@
 
     def standby(self) -> Reply:
         """Send clients away; a stop does so too, and the answer is the same."""
-        if not self.service.standby:
-            self.node.log("standby: sending clients away")
-            self.service.begin_standby(time.monotonic_ns())
-            if self.away is not None:
-                self.away.cancel()  # of a drain that has only just ended
-            self.send_away()
+        self.pass_on({"standby": True})
+        self.set_standby(True)
         return Reply(200, "standby")
 
     def active(self) -> Reply:
-        if self.service.standby:
-            self.node.log("active: the drain has ended")
-        if not self.service.end_standby():
+        self.pass_on({"standby": False})
+        self.set_standby(False)
+        if self.service.stopping and not self.service.relieved:
             return Reply(409, "stopping: this process takes no clients any more")
         return Reply(200, "active")
 
+    def set_standby(self, on: bool) -> None:
+        """Begin or end a drain, by a call here or at the other process of this node."""
+        if on == self.service.standby:
+            return
+        if not on:
+            self.node.log("active: the drain has ended")
+            self.service.end_standby()
+            return
+        self.node.log("standby: sending clients away")
+        self.service.begin_standby(time.monotonic_ns())
+        if self.away is not None:
+            self.away.cancel()  # of a drain that has only just ended
+        self.send_away()
+
     def send_away(self) -> None:
         """While clients are sent away, look at the idle ones each TICK."""
         if self.service.standby and not self.service.stopping:
@@ -155,6 +225,8 @@
         self.loop.call_later(ACCEPT_S, self.close)
 
     def close(self) -> None:
+        if self.predecessor is not None and not self.predecessor.relieved:
+            self.predecessor.close()
         self.server.stop_accepting()
         self.wait()
 
--- a/windrelay/consul/source.py
+++ b/windrelay/consul/source.py
@@ -34,7 +34,7 @@
 
     __slots__ = (
         "_alive", "_config", "_ids", "_merged", "_platform", "_started", "_states", "_told",
-        "_zones", "log", "roster",
+        "_zones", "log", "pass_on", "roster",
     )  # fmt: skip
 
     def __init__(
@@ -60,6 +60,7 @@
             self._platform = Discovery(config, self._platform_told, log)
         self._started = False
         self.log = log
+        self.pass_on: Callable[[bytes], None] | None = None  # Consul's rows are not passed on
         self.roster = Roster(config)
 
     def _answers(self, uid: str) -> bool | None:
@@ -96,6 +97,12 @@
         if self._platform is not None:
             self._platform.move(address)
 
+    def rest(self) -> None:
+        """Another process of this node reads for itself; this one goes on until it ends."""
+
+    def hear(self, body: bytes) -> None:
+        """Nothing is heard from that process: its rows are its own reader's."""
+
     def close(self) -> None:
         self._merged.close()
         if self._platform is not None:
--- a/windrelay/discovery.py
+++ b/windrelay/discovery.py
@@ -6,12 +6,15 @@
 import time
 from collections.abc import Callable
 from hashlib import blake2b
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from flinthatch import Listing, State, Update
 from windrelay.config import Address, Config, parse_address
 from windrelay.httpcall import Answer, Call
 
+if TYPE_CHECKING:
+    from windrelay.upgrade.state import Inheritance
+
 LIST = "/registry/instances"
 HOLD_MS = 20_000  # how long a watch may wait for news
 CALL_S = 4.0  # for a call's answer, beyond the time it may wait
@@ -81,6 +84,19 @@
         self._boots[backend] = (boot_ms, boot)
         return boot
 
+    def boot_ms(self, backend: int) -> int:
+        """What discovery last gave as this backend's start, 0 where it gave none."""
+        return self._boots.get(backend, (0, 0))[0]
+
+    def inherit(self, left: Inheritance) -> list[Listing]:
+        """A predecessor's list in place of whatever is in hand."""
+        self.endpoints = {m.listing.backend: m.address for m in left.members}
+        self._boots = {
+            m.listing.backend: (m.boot_ms, m.listing.boot) for m in left.members if m.boot_ms > 0
+        }
+        self.rev = left.rev
+        return [m.listing for m in left.members]
+
     def apply(
         self, rev: int, update: Update, rows: list[Listing], endpoints: dict[int, Address]
     ) -> list[int]:
@@ -110,7 +126,7 @@
 
     old_after = 30_000_000_000  # ns without a word: a watch answers within HOLD_MS
 
-    __slots__ = ("_address", "_calls", "_old", "_told", "_watching", "log", "roster")
+    __slots__ = ("_address", "_calls", "_old", "_told", "_watching", "log", "pass_on", "roster")
 
     def __init__(
         self,
@@ -124,6 +140,7 @@
         self._watching = False
         self._calls: set[Call] = set()
         self.log = log
+        self.pass_on: Callable[[bytes], None] | None = None  # each answer that was used
         self.roster = Roster(config)
 
     def known(self, raw: Any) -> list[Listing]:
@@ -163,6 +180,16 @@
         self._watching = False
         self._drop_calls()
 
+    rest = close  # the same while another process of this node watches for both
+
+    def hear(self, body: bytes) -> None:
+        """An answer that another process of this node was given."""
+        self._take(body)
+
+    def inherit(self, left: Inheritance) -> list[Listing]:
+        """The list as the process before this one had it."""
+        return self.roster.inherit(left)
+
     def _drop_calls(self) -> None:
         for call in self._calls:
             call.drop()
@@ -215,5 +242,7 @@
             return False
         self._old = 0
         stale = roster.apply(rev, update, rows, endpoints)
+        if self.pass_on is not None and body is not None:
+            self.pass_on(body)
         self._told(update, rows, stale)
         return True
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -18,6 +18,7 @@
 from typing import TYPE_CHECKING
 
 from flinthatch import Balancer, Listing, Outcome, Update
+from flinthatch.legacy import take_over
 from flinthatch.model import MS, SECOND
 from windrelay.admin import DESCRIPTORS
 from windrelay.config import Config
@@ -25,9 +26,11 @@
 from windrelay.upstream import Upstream
 
 if TYPE_CHECKING:
+    from flinthatch.halves import Part
     from windrelay.consul.source import ConsulMembers
     from windrelay.routing import Routing
     from windrelay.server import ClientConnection, Incoming
+    from windrelay.upgrade.state import Inheritance
     from windrelay.upstream import BackendConnection
 
 
@@ -39,6 +42,7 @@
 RESERVED = 24  # descriptors for the listener, the loop, discovery and the log
 OVERLAP = 8  # of them, for connections that replace one just given up
 UPSTREAM_PART = 4  # one in so many descriptors is kept for backends
+LINKS = 8  # descriptors to find and be found by another process of this node
 BASE_MB = 32  # what the program itself takes, connections included
 
 
@@ -137,12 +141,14 @@
         self.budget = Budget(config.memory_mb)
         self.clients = 0
         self.freed: Callable[[], None] = lambda: None  # the server's, once it listens
-        self.sockets = config.sockets - RESERVED - (DESCRIPTORS if config.admin else 0)
+        self.reserved = RESERVED + (DESCRIPTORS + LINKS if config.admin else 0)
+        self.sockets = config.sockets - self.reserved
         self.upstream = Upstream(self)
         self.discovery: Discovery | ConsulMembers = self._members()
         self.requests: dict[int, Request] = {}
         self.open = 0
         self.labels: set[bytes] = set()  # ids that clients gave, of the open ones
+        self.others: set[bytes] = set()  # the same of the process before or after this one
         self.last_id = 0
         self.inside = False
         self.outcomes: deque[tuple[Attempt, Outcome, int, Sequence[float]]] = deque()
@@ -170,16 +176,58 @@
 
         return ConsulMembers(Path(config.consul), config, self.members_told, self.log, answers)
 
-    def start(self) -> None:
-        """Begin from the list in the configuration; ListError if it is malformed."""
+    def start(self, left: Inheritance | None = None) -> None:
+        """Begin from the list in the configuration; ListError if it is malformed.
+
+        A predecessor's list goes before that one, with what it had learned, and is
+        watched at once: the two processes are to have one watch.
+        """
         rows = self.discovery.known(self.config.known)
+        if left is not None and left.members and isinstance(self.discovery, Discovery):
+            rows = self.discovery.inherit(left)
         self.enter()
         self.balancer.start(self.now)
         self.balancer.on_members(self.now, Update.CACHED, rows)
+        if left is not None:
+            take_over(self.balancer, self.now, left.learned)
         self.leave()
-        if self.config.consul:
+        if self.config.consul or (left is not None and self.config.settings.ask):
             self.discovery.watch()
 
+    # ---- two processes as one node --------------------------------------
+
+    def divide(self, part: Part) -> None:
+        """Use this part of the caps from now on."""
+        self.enter()
+        self.balancer.part = part
+        self.balancer.recap()
+        self.balancer.dispatch(self.now)
+        self.leave()
+
+    def lend_descriptors(self, others: int) -> None:
+        """Leave so many of the node's descriptors to the other process."""
+        self.sockets = self.config.sockets - self.reserved - others
+
+    def descriptors(self) -> int:
+        """The most that this process uses while it lends no further ones back."""
+        return self.reserved + max(self.sockets, self.clients + self.upstream.count)
+
+    def most_needed(self) -> int:
+        """How many an emptying process can leave to its successor."""
+        used = self.clients + self.upstream.count + OVERLAP
+        return max(self.config.sockets - self.reserved - used, 0)
+
+    def be_whole(self) -> None:
+        """The other process has gone."""
+        self.others = set()
+        self.lend_descriptors(0)
+        if self.balancer.part is not None:
+            self.enter()
+            self.balancer.part = None
+            self.balancer.recap()
+            self.balancer.dispatch(self.now)
+            self.leave()
+
     def route(self, path: str) -> None:
         """Take over the routes file at `path`, or none; RoutesError changes nothing."""
         if not path:
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -273,7 +273,7 @@
             ready = self._server.service.asked_ready(time.monotonic_ns())
             self._write_head(READY if ready else EMPTY[503])
             return
-        if incoming.label in node.labels:
+        if incoming.label in node.labels or incoming.label in node.others:
             # Another client's, still open: with two under one id a backend could
             # take either's answer for the other's.
             node.budget.give(incoming.size)
@@ -477,6 +477,7 @@
         self.fresh: dict[ClientConnection, None] = {}
         self.sweeps = 0
         self._paused = False
+        self._held_back = False  # a successor accepts
         self._tasks: set[asyncio.Task[None]] = set()
         self._sock: socket.socket | None = None
         self.most_at_rest = int(REST_PART * node.config.sockets)
@@ -487,10 +488,36 @@
         self._methods = [b"GET" if c.effect == Effect.PURE else b"POST" for c in settings.classes]
         node.freed = self.freed
 
-    def listen(self, address: Address) -> int:
-        """Take connections at this address; returns the port."""
+    @property
+    def listener(self) -> socket.socket | None:
+        """The listening socket, None once it is closed."""
+        return self._sock
+
+    def adopt(self, sock: socket.socket) -> int:
+        """Take connections from a listening socket that another process made; returns the port."""
+        sock.setblocking(False)
+        self._sock = sock
+        self.node.loop.add_reader(sock, self._accept)
+        return int(sock.getsockname()[1])
+
+    def hold_back(self) -> None:
+        """Accept no more; whoever shares the socket gets what waits."""
+        self._held_back = True
+        self._pause()
+
+    def accept_again(self) -> None:
+        self._held_back = False
+        self.freed()
+
+    def listen(self, address: Address, shared: bool = False) -> int:
+        """Take connections at this address; returns the port.
+
+        `shared`: where one process succeeds another and can't be handed its socket.
+        """
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         try:
+            if shared:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             sock.bind(address)
             sock.listen(BACKLOG)
@@ -552,6 +579,8 @@
 
     def freed(self) -> None:
         """A descriptor has come free: accept again."""
+        if self._held_back:
+            return
         if self._paused and self._sock is not None and self.node.room_for_client():
             self._paused = False
             self.node.loop.add_reader(self._sock, self._accept)
@@ -609,7 +638,7 @@
             conn.sweep(self.sweeps)
         self.make_room()
         self.freed()
-        if self._paused:
+        if self._paused and not self._held_back:
             self._give_way()
 
     # ---- sending clients away, stopping -------------------------------
@@ -630,9 +659,10 @@
         sock = self._sock
         if sock is None:
             return
-        self.close_resting()
-        for _ in range(BACKLOG // ACCEPTS):
-            self._accept()
+        if not self._held_back:
+            self.close_resting()
+            for _ in range(BACKLOG // ACCEPTS):
+                self._accept()
         self._pause()
         self._sock = None
         sock.close()
@@ -644,7 +674,10 @@
 
     def finished(self) -> bool:
         """Whether nothing is held, and nothing lies unread, that a stop must wait for."""
-        self.close_resting()
+        if self.service.relieved:
+            self.send_away(time.monotonic_ns())  # spread: nobody waits for the place
+        else:
+            self.close_resting()
         if self.idle or self.fresh:
             return False
         return not self._tasks and all(conn.finished() for conn in self.connections)
--- /dev/null
+++ b/windrelay/upgrade/__init__.py
@@ -0,0 +1,1 @@
+"""One process succeeding another at the same addresses, the two being one node meanwhile."""
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -513,6 +513,15 @@
         for conn in list(self.idle.get(backend, ())):
             conn.abandon()
 
+    def resting(self) -> int:
+        """How many connections wait for an attempt."""
+        return len(self.by_age)
+
+    def trim(self, most: int) -> None:
+        """Keep at most so many of them, the newest."""
+        while len(self.by_age) > most and self.drop_oldest():
+            pass
+
     def drop_oldest(self) -> bool:
         """Give up the connection that has been idle longest; False where none is."""
         conn = next(iter(self.by_age), None)
