Take new settings over under load, whole or not at all

Need: on retune clients name classes that SIGHUP brought, and got 404. Change: Balancer.on_settings keeps classes that are the same, begins changed ones with what their name learned, lets dropped ones finish; open requests keep effect, window, deadline and attempts; class numbers are looked up when used. The file is checked whole first, also for keys it had. Absolute targets are taken by their path.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -91,6 +91,7 @@
 WORST = 10.0  # predicted times are bounded at this many aims
 REFUSED_AS = 10.0  # a refusal enters the mean response time as this many aims
 LEAST_SERVED = 0.02  # of a class's requests, for the share that serving all would take
+LATE = 2 * SECOND  # clients may name a class by its old rules so long after it has changed
 # Slow start: part of the stated budget that is used, the rest is for views
 # that differ and for requests heavier than the mean.
 COLD_SAFETY = 0.5
@@ -161,12 +162,14 @@
 
 class Request:
     __slots__ = (
-        "aim_at", "arrived", "attempts", "cls", "effect", "ended", "give_up", "hint", "id", "live",
-        "over", "queued", "ran", "scope", "spent", "streaming", "tenant", "ticket", "wait_by",
+        "aim_at", "allowed", "arrived", "attempts", "cls", "effect", "ended", "give_up", "hint",
+        "id", "live", "over", "queued", "ran", "scope", "spent", "streaming", "tenant", "ticket", "wait_by",
         "window",
     )  # fmt: skip
 
-    def __init__(self, rid: int, cls: ClassState, now: int, left: int, tenant: int) -> None:
+    def __init__(
+        self, rid: int, cls: ClassState, now: int, left: int, tenant: int, allowed: int
+    ) -> None:
         self.id = rid
         self.cls = cls
         self.tenant = tenant
@@ -175,6 +178,7 @@
         self.aim_at = now + cls.aim
         self.wait_by = 0
         self.attempts: list[Attempt] = []
+        self.allowed = allowed  # attempts, by the settings of its admission
         self.live = 0  # attempts still out
         self.ran: Attempt | None = None  # the first attempt that may have run
         self.queued = False
@@ -196,11 +200,12 @@
     __slots__ = (
         "aim", "arrivals", "asked", "base", "clock", "counts", "cycles", "effect", "lat", "lat_n",
         "lefts", "lines", "number", "over", "passes", "refused", "responses", "running", "share",
-        "share_sum", "spec", "total", "usual", "waiting", "waiting_over",
+        "share_sum", "spec", "total", "until", "usual", "waiting", "waiting_over",
     )  # fmt: skip
 
     def __init__(self, number: int, spec: RequestClass, tenants: int) -> None:
-        self.number = number
+        self.number = number  # its place among those that count, -1 once it has gone
+        self.until = 0  # for a class that the settings lack by now: named no more from then on
         self.spec = spec
         self.aim = spec.aim
         self.effect = spec.effect
@@ -227,6 +232,14 @@
         self.share_sum = 0.0
         self.cycles = 0.0
 
+    def learn_from(self, old: ClassState) -> None:
+        """Begin with what a class of the same name has learned."""
+        self.lat, self.lat_n, self.base = old.lat, old.lat_n, old.base
+        self.share = old.share
+
+    def waits(self) -> int:
+        return self.waiting + self.waiting_over
+
     def elapsed(self, left: int) -> int:
         """How long ago a try's client began, 0 where the time left does not tell.
 
@@ -332,6 +345,10 @@
         self.list_tries = 0
         self.asking = False
         self.quiet_until = 0
+        self.place(settings)
+
+    def place(self, settings: Settings) -> None:
+        """This node's place among the others."""
         columns = settings.load_columns
         self.queue_column = columns.index("q") if "q" in columns else -1
         own = settings.node % settings.zones == settings.zone % settings.zones
@@ -339,7 +356,7 @@
         self.peers = max(1, len(same) or -(-settings.balancers // settings.zones))
         self.place_among = settings.node // settings.zones
 
-    # ---- start, list --------------------------------------------------
+    # ---- start, settings, list ----------------------------------------
 
     def start(self, now: int) -> None:
         self.now = now
@@ -350,6 +367,64 @@
             spread = min(self.settings.ask_within // 4, self.settings.balancers * 100 * MS)
             self.actions.set_timer(TIMER_LIST, now + self.random.randrange(1, spread + 2))
 
+    def on_settings(self, now: int, settings: Settings) -> None:
+        """Go by other settings from now on; tenants stay as they are.
+
+        A class that is the same in every word goes on as it is. A changed one begins
+        anew with what its name had learned, and the old one, like one that is dropped,
+        finishes what it holds under its own rules. For LATE its clients may not know yet.
+        """
+        if settings.tenants != self.settings.tenants:
+            raise ValueError("tenants can't change while requests of theirs are open")
+        self.now = now
+        old = {c.spec.name: c for c in self.classes if not c.until}
+        classes = []
+        for spec in settings.classes:
+            c = old.get(spec.name)
+            if c is None or c.spec != spec:
+                fresh = ClassState(0, spec, len(settings.tenants))
+                if c is not None:
+                    fresh.learn_from(c)
+                c = fresh
+            classes.append(c)
+        for c in self.classes:
+            if c not in classes:
+                c.until = c.until or now + LATE
+                c.arrivals = 0.0
+                classes.append(c)
+        self.settings = settings
+        self.place(settings)
+        self.renumber(classes)
+        self.redeal()
+        self.solve_shares()
+        self.dispatch(now)
+
+    def renumber(self, classes: list[ClassState]) -> None:
+        """These count from now on, in this order; what is counted of each goes along."""
+        sums = {id(c): (self.ratio_sum[c.number], self.ratio_n[c.number]) for c in self.classes}
+        for c in self.classes:
+            c.number = -1
+        self.classes = classes
+        self.ratio_sum, self.ratio_n = [], []
+        for i, c in enumerate(classes):
+            c.number = i
+            ratio, n = sums.get(id(c), (0.0, 0.0))
+            self.ratio_sum.append(ratio)
+            self.ratio_n.append(n)
+        self.pointer = self.left_in_turn = 0
+
+    def class_named(self, now: int, name: str, safe: bool, keyed: bool) -> ClassState | None:
+        """The class that a client means who names it, None where there is none.
+
+        Where one has just changed, its method and key tell whether the client knows.
+        """
+        named = [c for c in self.classes if c.spec.name == name and (not c.until or now < c.until)]
+        for c in named:
+            effect = c.effect
+            if safe == (effect == Effect.PURE) and (keyed or effect != Effect.TOKEN):
+                return c
+        return named[0] if named else None
+
     def on_members(self, now: int, update: Update, rows: Sequence[Listing] = ()) -> None:
         self.now = now
         if update == Update.FAILED:
@@ -510,7 +585,7 @@
         if request in self.requests:
             return  # told twice: one answer is owed, not two
         c = self.classes[cls]
-        r = Request(request, c, now, left, tenant)
+        r = Request(request, c, now, left, tenant, self.settings.max_attempts)
         if c.spec.aim_stretch and hint:
             r.aim_at = now + min(c.aim + int(c.spec.aim_stretch * hint), c.spec.deadline)
         r.hint = hint
@@ -789,7 +864,7 @@
     def most(self, r: Request) -> int:
         """The most attempts that a request may have."""
         granted = r.ticket.policy.attempts if r.ticket is not None else 0
-        return min(granted or self.settings.max_attempts, self.settings.max_attempts)
+        return min(granted or r.allowed, r.allowed)
 
     def stay_away(self, r: Request) -> int:
         """How long a refused client should wait.
@@ -1176,6 +1251,9 @@
             carry = DECAY if seen < JUDGED and not cut else 0.0
             self.ratio_sum[i] *= carry
             self.ratio_n[i] *= carry
+        left = [c for c in self.classes if not c.until or now < c.until or c.waits() or c.running]
+        if len(left) < len(self.classes):
+            self.renumber(left)
         self.recap()
         self.solve_shares()
         self.dispatch(now)
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,282 @@
+"""New settings under load: what is open keeps its rules, and a bad file changes nothing."""
+
+from __future__ import annotations
+
+import copy
+import json
+import signal
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+
+from flinthatch import Effect, Outcome, RequestClass, Settings
+from flinthatch.balancer import LATE, TIMER_CYCLE
+from flinthatch.model import MS, SECOND, Tenant
+
+from .fakes import PURE, UNSAFE, build
+from .harness import Peer, accept, answer, listen, node, request, roster, target
+from .test_reload import replace_config
+
+NEW = RequestClass("new", 300 * MS, 900 * MS)
+TWO = Settings(classes=(PURE, UNSAFE), max_attempts=4)
+
+
+def names(balancer: Any) -> list[str]:
+    return [c.spec.name for c in balancer.classes if not c.until]
+
+
+def test_a_class_that_is_the_same_goes_on_as_it_is_wherever_it_stands() -> None:
+    balancer, _ = build(TWO)
+    pure, unsafe = balancer.classes
+    balancer.on_settings(1, replace(TWO, classes=(NEW, UNSAFE, PURE)))
+    assert names(balancer) == ["new", "unsafe", "pure"]
+    assert balancer.classes[1] is unsafe and balancer.classes[2] is pure
+    assert [c.number for c in balancer.classes] == [0, 1, 2]
+
+
+def test_open_requests_keep_effect_and_attempts_of_their_admission() -> None:
+    """credit becomes safe while one is out: that one may have run and is not sent again."""
+    balancer, host = build(TWO)
+    balancer.on_request(0, 1, 1, 900 * MS)  # unsafe
+    balancer.on_request(0, 2, 0, 900 * MS)  # safe, with four attempts
+    safe = replace(UNSAFE, effect=Effect.PURE)
+    balancer.on_settings(1, replace(TWO, classes=(safe, PURE), max_attempts=1))
+    balancer.on_request(2, 3, 1, 900 * MS)
+    for rid in (1, 2, 3):
+        balancer.on_outcome(3 * MS, rid, 0, Outcome.RESET, MS, False)
+    sent = [call[1] for call in host.named("send")]
+    assert (sent.count(1), sent.count(2), sent.count(3)) == (1, 2, 1)
+    assert ("fail", 1) in host.calls
+    assert ("refuse", 3) in host.calls  # safe, and its one attempt is used up
+
+
+def test_a_dropped_class_finishes_what_waits_and_goes() -> None:
+    balancer, host = build(TWO, count=1)
+    unsafe = balancer.classes[1]
+    cap = balancer.total
+    for rid in range(1, cap + 3):
+        balancer.on_request(0, rid, 1, 900 * MS)
+    assert unsafe.waiting == 2
+    balancer.on_settings(1, replace(TWO, classes=(PURE,)))
+    for rid in range(1, cap + 3):
+        balancer.on_outcome(2 * MS, rid, 0, Outcome.OK, MS, True)
+    assert {call[1] for call in host.named("send")} == set(range(1, cap + 3))
+    balancer.on_timer(LATE, TIMER_CYCLE)
+    assert unsafe in balancer.classes
+    balancer.on_timer(LATE + SECOND, TIMER_CYCLE)
+    assert balancer.classes == [balancer.classes[0]] and unsafe.number == -1
+
+
+def test_a_class_that_comes_back_is_a_new_one_with_what_it_still_knows() -> None:
+    balancer, _ = build(TWO)
+    balancer.on_settings(1, replace(TWO, classes=(PURE,)))
+    balancer.on_settings(2, TWO)
+    assert names(balancer) == ["pure", "unsafe"]
+    assert len([c for c in balancer.classes if c.spec.name == "unsafe"]) == 2
+    balancer.on_timer(10 * SECOND, TIMER_CYCLE)
+    assert len(balancer.classes) == 2
+
+
+def test_clients_that_do_not_know_yet_are_told_by_method_and_key() -> None:
+    keyed = replace(UNSAFE, effect=Effect.TOKEN, window=SECOND)
+    balancer, _ = build(TWO)
+    balancer.on_settings(0, replace(TWO, classes=(PURE, keyed)))
+
+    def effect(now: int, safe: bool, key: bool) -> Effect:
+        c = balancer.class_named(now, "unsafe", safe, key)
+        assert c is not None
+        return c.effect
+
+    assert effect(1, False, True) == Effect.TOKEN
+    assert effect(1, False, False) == Effect.SIDE_EFFECT  # as it was told a moment ago
+    assert effect(LATE, False, False) == Effect.TOKEN
+    assert balancer.class_named(1, "none", True, False) is None
+    balancer.on_settings(1, replace(TWO, classes=(PURE,)))
+    assert balancer.class_named(2, "unsafe", False, False) is not None
+    assert balancer.class_named(1 + LATE, "unsafe", False, False) is None
+
+
+def test_tenants_can_not_change_and_nothing_is_taken_over_then() -> None:
+    balancer, _ = build(TWO)
+    with pytest.raises(ValueError, match="tenants"):
+        balancer.on_settings(1, replace(TWO, classes=(NEW,), tenants=(Tenant("a"),)))
+    assert names(balancer) == ["pure", "unsafe"]
+
+
+def test_whatever_comes_in_whatever_order_each_request_ends_once() -> None:
+    """Random settings, several within a moment, among requests, ends and time."""
+    specs = [PURE, UNSAFE, NEW, replace(UNSAFE, effect=Effect.PURE), replace(PURE, aim=90 * MS)]
+    for seed in range(25):
+        random = Random(seed)
+        balancer, host = build(TWO, count=2, seed=seed)
+        now, rid = 0, 0
+        out: list[tuple[int, int]] = []
+        once: set[int] = set()  # unsafe by their admission
+        for _ in range(400):
+            now += random.randrange(20 * MS)
+            act = random.randrange(10)
+            if act == 0:
+                chosen: dict[str, RequestClass] = {}
+                for spec in random.sample(specs, random.randrange(1, 5)):
+                    chosen[spec.name] = spec
+                most = random.randrange(1, 5)
+                classes = tuple(chosen.values())
+                balancer.on_settings(now, Settings(classes=classes, max_attempts=most))
+            elif act < 6:
+                rid += 1
+                cls = random.randrange(len(balancer.settings.classes))
+                if balancer.classes[cls].effect == Effect.SIDE_EFFECT:
+                    once.add(rid)
+                balancer.on_request(now, rid, cls, 900 * MS)
+            elif act == 6:
+                balancer.on_timer(now, random.choice((1, TIMER_CYCLE)))
+            elif out:
+                r, attempt = random.choice(out)
+                outcome = random.choice((Outcome.OK, Outcome.OK, Outcome.RESET, Outcome.FULL))
+                done = outcome == Outcome.OK
+                if done:
+                    host.calls.append(("ok", r))
+                tries = len(balancer.requests[r].attempts)
+                balancer.on_outcome(now, r, attempt, outcome, 5 * MS, done)
+                if outcome == Outcome.RESET and r in once:
+                    assert r not in balancer.requests and tries == attempt + 1
+            running = sum(c.running for c in balancer.classes)
+            assert running == balancer.running == sum(b.held for b in balancer.backends.values())
+            waiting = sum(c.waiting for c in balancer.classes)
+            assert waiting == balancer.waiting
+            out = _open(balancer)
+        ended = [c[1] for c in host.calls if c[0] in ("refuse", "fail", "ok")]
+        assert len(ended) == len(set(ended))
+
+
+def _open(balancer: Any) -> list[tuple[int, int]]:
+    return [
+        (r.id, i) for r in balancer.requests.values() for i, a in enumerate(r.attempts) if a.open
+    ]
+
+
+# ---- the real program -----------------------------------------------------
+
+
+def changed(tmp_path: Path, change: Any) -> str:
+    raw = json.loads((tmp_path / "config.json").read_text())
+    raw["settings"] = copy.deepcopy(raw["settings"])
+    change(raw)
+    return json.dumps(raw)
+
+
+def serve(backend_or_peer: Any, client: Peer) -> Peer:
+    peer = backend_or_peer if isinstance(backend_or_peer, Peer) else accept(backend_or_peer)
+    peer.message()
+    peer.send(answer(b"served"))
+    assert client.message()[2] == b"served"
+    return peer
+
+
+def test_a_reload_brings_a_class_and_drops_another(tmp_path: Path) -> None:
+    with listen() as backend, node(tmp_path, roster(target("s-1", backend.getsockname()[1]))) as n:
+        client = n.connect()
+        client.send(request("/fresh/1"))
+        assert client.message()[0] == "HTTP/1.1 404 Not Found"
+        held = n.connect()
+        held.send(request("/credit/7", b"x", rid="held"))
+        peer = accept(backend)
+        peer.message()
+
+        def bring(raw: dict[str, Any]) -> None:
+            classes = raw["settings"]["classes"]
+            raw["settings"]["classes"] = [classes[0] | {"name": "fresh"}, classes[0]]
+
+        replace_config(tmp_path, changed(tmp_path, bring))
+        n.process.send_signal(signal.SIGHUP)
+        n.says("new settings: classes fresh, balance")
+        peer.reset()  # may have run: by the rules of its admission it is not sent again
+        assert held.message()[0] == "HTTP/1.1 502 Bad Gateway"
+        client = n.connect()
+        client.send(request("/fresh/1", rid="f"))
+        peer = serve(backend, client)
+        client.send(request("/balance/1", rid="b"))
+        serve(peer, client)
+        assert n.stop() == 0
+
+
+def drop(*path: Any) -> Any:
+    def change(raw: Any) -> None:
+        for key in path[:-1]:
+            raw = raw[key]
+        del raw[path[-1]]
+
+    return change
+
+
+def put(value: Any, *path: Any) -> Any:
+    def change(raw: Any) -> None:
+        for key in path[:-1]:
+            raw = raw[key]
+        raw[path[-1]] = value
+
+    return change
+
+
+BAD: dict[str, Any] = {
+    "name": drop("name"),
+    "limits": drop("limits"),
+    "lacks 'settings'": drop("settings"),
+    "settings.rules.cold": drop("settings", "rules", "cold"),
+    "settings.limits.max_attempts": drop("settings", "limits", "max_attempts"),
+    "lack 'deadline'": drop("settings", "classes", 1, "deadline"),
+    "settings.classes.credit": drop("settings", "classes", 1, "credit"),
+    "lack 'effect'": drop("settings", "classes", 0, "effect"),
+    "'balance' needs": put(0, "settings", "classes", 0, "deadline"),
+    "'credit' needs": put(-5, "settings", "classes", 1, "target"),
+    "max_attempts must": put(0, "settings", "limits", "max_attempts"),
+    "stands twice": put("credit", "settings", "classes", 0, "name"),
+    "unusable value": put("soon", "settings", "classes", 0, "deadline"),
+    "drain_grace": put(-1, "settings", "rules", "drain_grace"),
+    "settings.realms": put([{"name": "a"}], "settings", "realms"),
+    "at least one": put([], "settings", "classes"),
+    "no host:port": put("nowhere", "discovery"),
+}
+
+
+@pytest.mark.parametrize("says", BAD)
+def test_a_file_with_a_fault_is_one_line_and_changes_nothing(tmp_path: Path, says: str) -> None:
+    with listen() as backend, node(tmp_path, roster(target("s-1", backend.getsockname()[1]))) as n:
+        replace_config(tmp_path, changed(tmp_path, BAD[says]))
+        n.process.send_signal(signal.SIGHUP)
+        n.says(says)
+        client = n.connect()
+        client.send(request())
+        peer = serve(backend, client)
+        client.send(request("/credit/1", b"x", rid="c"))
+        serve(peer, client)
+        assert n.stop() == 0
+
+
+def test_files_that_are_empty_or_cut_off_change_nothing(tmp_path: Path) -> None:
+    with listen() as backend, node(tmp_path, roster(target("s-1", backend.getsockname()[1]))) as n:
+        whole = (tmp_path / "config.json").read_text()
+        for text in ("", whole[: len(whole) // 2], "\0", "null"):
+            replace_config(tmp_path, text)
+            n.process.send_signal(signal.SIGHUP)
+            n.says("going on as before")
+        replace_config(tmp_path, whole)
+        n.process.send_signal(signal.SIGHUP)
+        n.says("reloaded the configuration")
+        client = n.connect()
+        client.send(request())
+        serve(backend, client)
+        assert n.stop() == 0
+
+
+def test_an_absolute_target_is_taken_for_its_path(tmp_path: Path) -> None:
+    with listen() as backend, node(tmp_path, roster(target("s-1", backend.getsockname()[1]))) as n:
+        client = n.connect()
+        client.send(request().replace(b"GET /", b"GET http://app.svc/"))
+        peer = accept(backend)
+        assert peer.message()[0] == "GET /balance/7f3a HTTP/1.1"
+        peer.send(answer(b"served"))
+        assert client.message()[2] == b"served"
--- a/windrelay/__main__.py
+++ b/windrelay/__main__.py
@@ -138,16 +138,13 @@
         if not passed_on:
             self.pass_on({"reload": True})
         try:
-            self.config = reload(os.environ, self.config)
-        except ConfigError as err:
+            config = reload(os.environ, self.config)
+            self.node.take_over(config)
+        except (ConfigError, RoutesError) as err:
             self.node.log(f"reload: {err}; going on as before")
             return
-        self.node.discovery.move(self.config.discovery)
-        try:
-            self.node.route(self.config.routes)
-        except RoutesError as err:
-            self.node.log(f"reload: {err}; going on with the routes as before")
-            return
+        self.config = config
+        self.node.discovery.move(config.discovery)
         self.node.log("reloaded the configuration")
 
     # ---- calls on the second address ------------------------------------
@@ -220,7 +217,7 @@
         self.service.stopping = True
         self.node.log("stopping")
         self.node.tell_routes()
-        longest = max(c.deadline for c in self.config.settings.classes) / 1e9
+        longest = max(c.spec.deadline for c in self.node.balancer.classes) / 1e9
         self.give_up_at = self.loop.time() + longest + KILL_S - LAST_CALL_S
         self.loop.call_later(ACCEPT_S, self.close)
 
--- a/windrelay/config.py
+++ b/windrelay/config.py
@@ -13,6 +13,7 @@
 DEFAULT_MEMORY_MB = 128
 DEFAULT_SOCKETS = 1024
 MIN_SOCKETS = 64
+OPTIONAL = {"aim_stretch"}  # of a class: one that has none is whole
 
 
 class ConfigError(Exception):
@@ -47,6 +48,7 @@
     routes: str  # the routes file's path, empty where there is none
     consul: str  # likewise of the consul file
     admin: Address | None  # the second address, where there is one
+    keys: frozenset[str]  # what the file had, for a reload to miss what has gone
 
 
 def parse_address(text: object) -> Address:
@@ -73,10 +75,11 @@
         raise ConfigError(f"{path} is not JSON: {err}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"{path} is not a JSON object")
+    keys = _keys(raw)
     for key in ("name", "listen", "discovery", "routes", "consul", "admin"):
         raw[key] = environ.get(f"PROXY_{key.upper()}") or raw.get(key)
     try:
-        return _config(raw)
+        return _config(raw, keys)
     except KeyError as err:
         raise ConfigError(f"the configuration lacks {err.args[0]!r}") from None
     except WireError as err:
@@ -88,16 +91,72 @@
 def reload(environ: Mapping[str, str], old: Config) -> Config:
     """Read a replaced file: the old configuration with what may change in flight.
 
-    That is where discovery and the routes are. For discovery the file goes before
-    the variable, which still says what held at the start. ConfigError where the
-    file can't be used.
+    That is where discovery and the routes are, and the settings but for what open
+    requests and backends are counted by. For discovery the file goes before the
+    variable, which still says what held at the start. ConfigError where the file can't
+    be used: also where it is short of a key that it had.
     """
     at_start = {name: value for name, value in environ.items() if name != "PROXY_DISCOVERY"}
     new = load(at_start)
-    return replace(old, discovery=new.discovery, routes=new.routes)
+    missing = sorted(old.keys - new.keys)
+    if missing:
+        raise ConfigError(f"the configuration lacks {missing[0]!r}, which it had")
+    for name, was, now in (
+        ("settings.realms", old.settings.tenants, new.settings.tenants),
+        ("settings.areas", old.zones, new.zones),
+        ("settings.skus", old.kinds, new.kinds),
+    ):
+        if was != now:
+            raise ConfigError(f"{name} can't change without a restart")
+    return replace(
+        old,
+        discovery=new.discovery,
+        routes=new.routes,
+        settings=new.settings,
+        idle_close=new.idle_close,
+        max_open=new.max_open,
+        reports=new.reports,
+        keys=new.keys,
+    )
 
 
-def _config(raw: dict[str, Any]) -> Config:
+def _keys(raw: dict[str, Any]) -> frozenset[str]:
+    """The paths of all keys; of classes those that each of them has."""
+    found = set()
+
+    def walk(at: str, value: Any) -> None:
+        if isinstance(value, dict):
+            for key, inner in value.items():
+                found.add(f"{at}{key}")
+                if key not in ("known", "classes"):
+                    walk(f"{at}{key}.", inner)
+
+    walk("", raw)
+    settings = raw.get("settings")
+    classes = settings.get("classes") if isinstance(settings, dict) else None
+    if isinstance(classes, list) and classes and all(isinstance(c, dict) for c in classes):
+        shared = set.intersection(*(set(c) for c in classes)) - OPTIONAL
+        found.update(f"settings.classes.{key}" for key in shared)
+    return frozenset(found)
+
+
+def _check(settings: Settings) -> None:
+    """What would make a node of no use, or break a rule: ValueError names the key."""
+    if settings.max_attempts < 1:
+        raise ValueError("limits.max_attempts must be over 0")
+    names = [c.name for c in settings.classes]
+    for name in names:
+        if names.count(name) > 1:
+            raise ValueError(f"class {name!r} stands twice")
+    for c in settings.classes:
+        if c.window < 0:
+            raise ValueError(f"class {c.name!r}: repeat_window must not be under 0")
+    for key in ("ask_within", "drain_grace", "cold", "fall", "answer_slack", "connect_timeout"):
+        if getattr(settings, key) < 0:
+            raise ValueError(f"{key} must not be under 0")
+
+
+def _config(raw: dict[str, Any], keys: frozenset[str]) -> Config:
     for key in ("name", "listen", "discovery"):
         if not raw[key]:
             raise KeyError(key)
@@ -106,6 +165,8 @@
     known = raw.get("known") or {"rev": 0, "all": True, "targets": []}
     if not isinstance(known, dict):
         raise ValueError("known is no list of backends")
+    checked = settings_from_json(json.dumps(settings).encode())
+    _check(checked)
     sockets = int(limits.get("sockets", DEFAULT_SOCKETS))
     if sockets < MIN_SOCKETS:
         raise ValueError(f"sockets must be at least {MIN_SOCKETS}")
@@ -117,7 +178,7 @@
         memory_mb=int(limits.get("memory_mb", DEFAULT_MEMORY_MB)),
         sockets=sockets,
         known=known,
-        settings=settings_from_json(json.dumps(settings).encode()),
+        settings=checked,
         zones=tuple(str(z) for z in settings.get("areas", ())),
         kinds=tuple(str(k) for k in settings.get("skus", ())),
         idle_close=int(settings.get("limits", {}).get("idle_close", 15_000_000_000)),
@@ -126,4 +187,5 @@
         routes=str(raw["routes"] or ""),
         consul=str(raw["consul"] or ""),
         admin=parse_address(raw["admin"]) if raw["admin"] else None,
+        keys=keys,
     )
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -48,12 +48,18 @@
 
 class Request:
     __slots__ = (
-        "arrived", "attempts", "body", "chunked", "client", "deadline", "ended", "flow",
+        "allowed", "arrived", "attempts", "body", "chunked", "client", "deadline", "ended", "flow",
         "head", "id", "label", "live", "once", "size", "started", "timeout",
     )  # fmt: skip
 
     def __init__(
-        self, rid: int, client: ClientConnection, incoming: Incoming, now: int, left: int
+        self,
+        rid: int,
+        client: ClientConnection,
+        incoming: Incoming,
+        now: int,
+        left: int,
+        allowed: int,
     ) -> None:
         self.id = rid
         self.client: ClientConnection | None = client
@@ -65,6 +71,7 @@
         self.arrived = now
         self.deadline = now + left
         self.timeout = left
+        self.allowed = allowed  # attempts, by the settings of its admission
         self.flow: Flow | None = incoming.flow  # of a body too long to hold
         self.chunked = incoming.chunked  # and of a length that nobody knows yet
         self.started = False  # an answer has begun to go to the client
@@ -206,7 +213,7 @@
         if self.routing is None:
             self.routing = Routing(path, self.config.settings)
         else:
-            self.routing.reload(path)
+            self.routing.reload(path, self.config.settings)
         table = self.routing.table
         policies = self.balancer.policies
         if policies is None:
@@ -216,6 +223,25 @@
         else:
             policies.replace(table.node_budget, table.names())
 
+    def take_over(self, config: Config) -> None:
+        """Go by a replaced configuration, whole; RoutesError changes nothing.
+
+        A routes file is checked against the new settings before any of them counts.
+        """
+        if config.routes:
+            from windrelay.routing import Routing
+
+            Routing.check(config.routes, config.settings)
+        changed = config.settings != self.config.settings
+        self.config = config
+        if changed:
+            now = self.enter()
+            self.balancer.on_settings(now, config.settings)
+            self.leave()
+            names = ", ".join(c.name for c in config.settings.classes)
+            self.log(f"new settings: classes {names}")
+        self.route(config.routes)
+
     def tell_routes(self) -> None:
         """Log what the routes refused, by reason, and what the policies sent."""
         if self.routing is None:
@@ -245,14 +271,17 @@
             self.arm(timers[0][0])
 
     def request(self, client: ClientConnection, incoming: Incoming, waited: int) -> Request | None:
-        """Take a client's request; None where as many are open as the settings allow."""
-        if self.open >= self.config.max_open:
+        """Take a client's request; None where as many are open as the settings allow.
+
+        Also where its class has gone while it was read: its client is to come again.
+        """
+        if self.open >= self.config.max_open or incoming.cls.number < 0:
             return None
         now = self.enter()
         self.last_id += 1
         rid = self.last_id
         left = incoming.timeout - waited
-        r = Request(rid, client, incoming, now, left)
+        r = Request(rid, client, incoming, now, left, self.config.settings.max_attempts)
         self.requests[rid] = r
         self.open += 1
         self.labels.add(r.label)
@@ -261,7 +290,7 @@
             self.balancer.on_request(
                 now,
                 rid,
-                incoming.cls,
+                incoming.cls.number,
                 left,
                 incoming.tenant,
                 incoming.key,
@@ -433,7 +462,7 @@
         r.live += 1
         left = r.deadline - now
         limit = min(timeout, left) if timeout else left
-        if r.ended or left <= 0 or len(r.attempts) > self.config.settings.max_attempts:
+        if r.ended or left <= 0 or len(r.attempts) > r.allowed:
             self.conclude(a, Outcome.MOOT)
         elif limit <= 0:
             self.conclude(a, Outcome.TIMEOUT)
--- a/windrelay/routing.py
+++ b/windrelay/routing.py
@@ -55,15 +55,21 @@
         self.table = self._load(path)
 
     def _load(self, path: str) -> Table:
-        result = check_file(path, self._settings)
+        return self.check(path, self._settings)
+
+    @staticmethod
+    def check(path: str, settings: Settings) -> Table:
+        """The table of a file under these settings; RoutesError names its first fault."""
+        result = check_file(path, settings)
         if result.table is None:
             faults = result.faults
             raise RoutesError(f"{path}:{faults[0]} (faults: {len(faults)})")
         return result.table
 
-    def reload(self, path: str) -> None:
+    def reload(self, path: str, settings: Settings) -> None:
         """Take a replaced file over whole; RoutesError where it can't be, with nothing changed."""
-        self.table = self._load(path)
+        self.table = self.check(path, settings)
+        self._settings = settings
         self.path = path
         self._hosts.clear()
 
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import fcntl
+import re
 import socket
 import struct
 import termios
@@ -15,7 +16,8 @@
 import httptools
 
 from flinthatch import Effect
-from flinthatch.model import MS
+from flinthatch.balancer import ClassState
+from flinthatch.model import MS, RequestClass
 from windrelay.errors import BadRequest
 from windrelay.flow import MOST, WHOLE, WINDOW, Flow
 from windrelay.upstream import disown
@@ -86,13 +88,17 @@
 )  # fmt: skip
 
 
+ABSOLUTE = re.compile(rb"^[Hh][Tt][Tt][Pp]://[^/?#]*")
+NO_CLASS = ClassState(-1, RequestClass("", 1, 1), 0)  # of what is no request for a backend
+
+
 class Incoming:
     """A request as it is read; `head` is what each attempt starts with."""
 
     __slots__ = (
-        "body", "chunked", "cls", "fields", "flow", "head", "hint", "keep_alive", "key", "label",
-        "length", "lines", "long", "method", "old", "path", "policy", "probe", "received",
-        "retried", "size", "tenant", "timeout", "url",
+        "body", "chunked", "cls", "fields", "flow", "head", "hint", "keep_alive", "key", "keyed",
+        "label", "length", "lines", "long", "method", "old", "path", "policy", "probe",
+        "received", "retried", "size", "tenant", "timeout", "url",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -113,9 +119,10 @@
         self.label = b""  # the id the client gave it
         self.keep_alive = True
         self.probe = False
-        self.cls = 0
+        self.cls: ClassState = NO_CLASS
         self.tenant = 0
         self.key = 0
+        self.keyed = False  # it carries a key that backends drop its repeats by
         self.hint = 0
         self.retried = False
         self.timeout = 0
@@ -241,6 +248,8 @@
             if lower in incoming.fields:
                 raise BadRequest(400)  # which of the two would be meant?
             incoming.fields[lower] = value
+        elif lower == b"idempotency-key":
+            incoming.keyed = True
         if lower not in NOT_PASSED_ON:
             incoming.lines.append(b"%s: %s\r\n" % (name, value))
 
@@ -666,10 +675,7 @@
         self._sock: socket.socket | None = None
         self.most_at_rest = int(REST_PART * node.config.sockets)
         settings = node.config.settings
-        self._classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
         self._tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
-        self._deadlines = [c.deadline for c in settings.classes]
-        self._methods = [b"GET" if c.effect == Effect.PURE else b"POST" for c in settings.classes]
         node.freed = self.freed
 
     @property
@@ -872,6 +878,10 @@
     def read_head(self, incoming: Incoming) -> None:
         """Check a head and fill in what the module wants to know; BadRequest if it is unfit."""
         fields = incoming.fields
+        if self.node.routing is None and not incoming.url.startswith(b"/"):
+            incoming.url = ABSOLUTE.sub(b"", incoming.url, 1)  # RFC 9112, section 3.2.2
+            if not incoming.url.startswith(b"/"):
+                incoming.url = b"/" + incoming.url
         path = incoming.path = incoming.url.partition(b"?")[0]
         incoming.chunked = b"transfer-encoding" in fields
         if incoming.chunked and b"content-length" in fields:
@@ -885,7 +895,7 @@
         if b"host" not in fields:
             raise BadRequest(400)
         cls = self._class_of(incoming)
-        if incoming.method != self._methods[cls]:
+        if incoming.method != (b"GET" if cls.effect == Effect.PURE else b"POST"):
             raise BadRequest(405)
         if incoming.method == b"GET" and (incoming.length or incoming.chunked):
             raise BadRequest(400)
@@ -902,7 +912,7 @@
         if not timeout.isdigit() or len(timeout) > 12 or not int(timeout):
             raise BadRequest(400)
         incoming.cls = cls
-        incoming.timeout = min(int(timeout) * MS, self._deadlines[cls])
+        incoming.timeout = min(int(timeout) * MS, cls.spec.deadline)
         head, _, last = incoming.path.rpartition(b"/")
         if head and last:
             incoming.key = crc32(last) or 1
@@ -911,16 +921,23 @@
             incoming.hint = int(cost) * 1000
         incoming.retried = fields.get(b"x-retried") == b"1"
 
-    def _class_of(self, incoming: Incoming) -> int:
+    def _class_of(self, incoming: Incoming) -> ClassState:
         """The class that a request falls under, by its route where there are routes."""
         routing = self.node.routing
         if routing is not None:
             incoming.policy = routing.place(incoming)
-            return incoming.policy.number
+            return self._named(incoming, incoming.policy.cls)
         parts = incoming.path.split(b"/", 2)
-        cls = self._classes.get(parts[1]) if len(parts) > 1 and not parts[0] else None
-        if cls is None:
-            raise BadRequest(404)
+        name = parts[1].decode("latin-1") if len(parts) > 1 and not parts[0] else ""
+        cls = self._named(incoming, name)
         if incoming.fields.get(b"x-priority-class", parts[1]) != parts[1]:
             raise BadRequest(400)
         return cls
+
+    def _named(self, incoming: Incoming, name: str) -> ClassState:
+        """The class of this name that the request's method and key fit; BadRequest for none."""
+        safe, keyed = incoming.method == b"GET", incoming.keyed
+        cls = self.node.balancer.class_named(time.monotonic_ns(), name, safe, keyed)
+        if cls is None:
+            raise BadRequest(404)
+        return cls
