--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -111,9 +111,9 @@
 class Backend:
     __slots__ = (
         "backoff", "boot", "bucket", "cap", "cell", "cold_until", "cost", "deal", "errors",
-        "fulls", "held", "id", "index", "kind", "lat", "local", "moving",
-        "offset", "rating", "rest_until", "seen", "since", "state", "stalled", "takers",
-        "trial", "whole", "zone", "down_until", "strikes",
+        "fulls", "held", "id", "index", "kind", "lat", "local", "moving", "offset", "rating",
+        "rest_until", "seen", "since", "state", "stalled", "takers", "trial", "whole", "zone",
+        "down_until", "strikes",
     )  # fmt: skip
 
     def __init__(self, row: Listing, local: bool) -> None:
@@ -163,8 +163,8 @@
 class Request:
     __slots__ = (
         "aim_at", "allowed", "arrived", "attempts", "cls", "effect", "ended", "give_up", "hint",
-        "id", "live", "over", "queued", "ran", "scope", "spent", "streaming", "tenant", "ticket", "wait_by",
-        "window",
+        "id", "live", "over", "queued", "ran", "scope", "spent", "streaming", "tenant", "ticket",
+        "wait_by", "window",
     )  # fmt: skip
 
     def __init__(
