--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import threading
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -114,6 +115,41 @@
         assert n.stop() == 0
 
 
+def test_a_standby_cuts_neither_a_long_body_nor_requests_that_wait(tmp_path: Path) -> None:
+    """What was taken before the call is answered, then its connection ends."""
+    long = b"z" * 1_000_000
+    with (
+        listen() as backend,
+        node(tmp_path, roster(target("s-1", backend.getsockname()[1])), admin=ADMIN) as n,
+    ):
+        uploading, behind = n.connect(), n.connect()
+        whole = request("/credit/1", long, rid="long")
+        uploading.send(whole[:200_000])
+        first = accept(backend)
+        while len(first.buffer) < 100_000:
+            assert first.more()
+        behind.send(request(rid="p1") + request(rid="p2"))
+        second = accept(backend)
+        assert second.message()[1]["x-request-id"] == "p1"
+        n.call("POST /standby")
+        thread = threading.Thread(target=uploading.sock.sendall, args=(whole[200_000:],))
+        thread.start()
+        second.send(answer(b"p1"))
+        assert second.message()[1]["x-request-id"] == "p2"
+        second.send(answer(b"p2"))
+        line, headers, body = behind.message()
+        assert body == b"p1" and "connection" not in headers  # the other one is owed its answer
+        line, headers, body = behind.message()
+        assert (body, headers["connection"]) == (b"p2", "close")
+        assert first.message()[2] == long
+        thread.join()
+        first.send(answer(b"done"))
+        line, headers, body = uploading.message()
+        assert (line, body, headers["connection"]) == ("HTTP/1.1 200 OK", b"done", "close")
+        assert uploading.ends() == b"" and behind.ends() == b""
+        assert n.stop() == 0
+
+
 def test_a_drain_that_ends_at_once_and_begins_again_keeps_its_word(served: Running) -> None:
     assert served.call("POST /active")[0] == "HTTP/1.1 200 OK"  # without a standby
     for _ in range(3):
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -186,6 +186,22 @@
         assert again.message()[2] == b"served"
 
 
+@pytest.mark.parametrize("way", ["stalls", "ends early"])
+def test_an_answer_that_stalls_or_ends_early_is_cut_so_that_it_shows(
+    tmp_path: Path, way: str
+) -> None:
+    with behind(tmp_path) as (n, backend):
+        client = n.connect()
+        client.send(request())
+        peer = accept(backend)
+        peer.message()
+        peer.send(answer(LONG)[: 3 * WHOLE])
+        if way == "ends early":
+            peer.sock.shutdown(socket.SHUT_WR)
+        got = client.ends()
+        assert got.startswith(b"HTTP/1.1 200") and len(got) < SIZE
+
+
 @pytest.mark.parametrize("way", ["resets", "answers"])
 def test_a_long_body_whose_server_goes_is_refused_while_it_can_not_have_run(
     tmp_path: Path, way: str
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import socket
+import threading
 from pathlib import Path
 
 import pytest
@@ -218,6 +219,72 @@
                 assert new.stop() == 0
 
 
+def test_a_sigterm_before_the_yes_ends_the_old_one_and_the_new_one_is_whole(
+    tmp_path: Path,
+) -> None:
+    """The socket was handed on: what comes between the two waits in its queue."""
+    with listen() as backend, started(environ(tmp_path, backend)) as old:
+        path = tmp_path / place.path_for(Address("127.0.0.1", 0)).name
+        caller = place.Place(path).connect(LIMIT)
+        assert caller is not None
+        caller.sendall(b"windrelay upgrade    1\n")
+        _, fds, _, _ = socket.recv_fds(caller, 100, 1)
+        assert old.stop() == 0
+        between = ask(old, "between")
+        listener = socket.socket(fileno=fds[0])
+        listener.settimeout(LIMIT)
+        assert Peer(listener.accept()[0]).message()[1]["x-request-id"] == "between"
+        between.close()
+        listener.close()
+        caller.close()
+
+
+def test_the_new_process_is_whole_when_the_old_one_is_killed(tmp_path: Path) -> None:
+    with listen() as backend, started(environ(tmp_path, backend)) as old:
+        held = ask(old, "held")
+        peer = accept(backend)
+        peer.message()
+        with started(environ(tmp_path, backend)) as new:
+            stops_accepting(old)
+            old.process.kill()
+            old.process.wait(LIMIT)
+            old.process.returncode = 0
+            assert held.ends() == b""
+            new.says("the predecessor has gone")
+            clients = [ask(new, f"c{i}") for i in range(3)]  # three slots, none kept by anybody
+            peers = [accept(backend) for _ in clients]
+            for peer in peers:
+                peer.message()
+                peer.send(answer(b"served"))
+            assert [c.message()[2] for c in clients] == [b"served"] * 3
+            assert new.stop() == 0
+
+
+def test_a_long_body_at_the_old_process_is_finished_there(tmp_path: Path) -> None:
+    long = b"z" * 2_000_000
+    with listen() as backend, started(environ(tmp_path, backend)) as old:
+        client = old.connect()
+        whole = request("/credit/1", long, rid="long")
+        client.send(whole[:300_000])
+        peer = accept(backend)
+        while len(peer.buffer) < 100_000:
+            assert peer.more()
+        with started(environ(tmp_path, backend)) as new:
+            stops_accepting(old)
+            old.process.send_signal(signal.SIGTERM)
+            old.says("stopping")
+            client.sock.settimeout(LIMIT)
+            thread = threading.Thread(target=client.sock.sendall, args=(whole[300_000:],))
+            thread.start()
+            assert peer.message()[2] == long
+            thread.join()
+            peer.send(answer(b"served"))
+            line, headers, body = client.message()
+            assert (line, headers["connection"], body) == ("HTTP/1.1 200 OK", "close", b"served")
+            assert old.process.wait(LIMIT) == 0
+            assert new.stop() == 0
+
+
 def test_a_third_process_takes_over_from_the_second(tmp_path: Path) -> None:
     with listen() as backend, started(environ(tmp_path, backend)) as first:
         held = ask(first, "held")
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -97,7 +97,7 @@
 
     __slots__ = (
         "body", "chunked", "cls", "fields", "flow", "head", "hint", "keep_alive", "key", "keyed",
-        "label", "length", "lines", "long", "method", "old", "path", "policy", "probe",
+        "label", "length", "lines", "method", "old", "path", "policy", "probe",
         "received", "retried", "size", "tenant", "timeout", "url",
     )  # fmt: skip
 
@@ -110,7 +110,6 @@
         self.size = 0
         self.length = 0
         self.chunked = False
-        self.long = False  # longer than is held whole
         self.flow: Flow | None = None  # once its bytes go on as they come
         self.old = False  # of a client that speaks HTTP/1.0
         self.head = b""
@@ -269,9 +268,8 @@
         self._server.read_head(incoming)
         if incoming.length > MOST:
             raise BadRequest(413)
-        incoming.long = incoming.length > WHOLE
         if incoming.length or incoming.chunked:
-            if incoming.long:
+            if incoming.length > WHOLE:
                 self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW)
             elif incoming.length > SMALL_BODY or incoming.chunked:
                 self._server.node.budget.unfinished[self] = None
