--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -128,6 +128,27 @@
         assert got == LONG
 
 
+def test_a_slow_answer_without_a_length_goes_on_before_it_ends(tmp_path: Path) -> None:
+    """Far under 64 KiB, but it might become longer: its first bytes do not wait for that."""
+    with behind(tmp_path) as (n, backend):
+        client = n.connect()
+        client.send(request())
+        peer = accept(backend)
+        peer.message()
+        peer.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        sent = 0
+        client.sock.settimeout(0.01)
+        while not client.buffer:
+            peer.send(b"1\r\nx\r\n")
+            sent += 1
+            assert sent < 1000
+            with contextlib.suppress(TimeoutError):
+                client.more()
+        client.sock.settimeout(20.0)
+        peer.send(b"0\r\n\r\n")
+        assert body(client)[2] == b"x" * sent
+
+
 def test_pieces_of_one_byte_in_both_directions(tmp_path: Path) -> None:
     with behind(tmp_path) as (n, backend):
         client = n.connect()
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -28,6 +28,10 @@
 # and its body, whose sender may be slow.
 HEAD_PART = 1.0
 BODY_PART = 3.0
+# An answer that does not say how long it is may be a long one whose sender is slow: what
+# has not ended so long after its first bytes goes on as it comes. Held back until it
+# passed WHOLE, it would come after its aim. Costs a spoilt one that trickles its retry.
+UNSAID_S = 0.03
 STALL_S = 5.0  # the same of a long one, of which the client has a part already
 # What a backend says of the request, not of itself: no other would say otherwise,
 # so it is no reason for a further attempt. Not those that ask for another time.
@@ -75,7 +79,7 @@
     __slots__ = (
         "_begun", "_chunked", "_chunks", "_client", "_closed", "_closes", "_complete", "_connected",
         "_dirty",
-        "_flow", "_held_back",
+        "_first_at", "_flow", "_held_back",
         "_head_size", "_headers_done", "_interim", "_keep_alive", "_length", "_let", "_not_run",
         "_paused", "_piece", "_pieces", "_report", "_size", "_sock", "_spoilt", "_status", "_task",
         "_timer", "_type", "address", "attempt", "backend", "idle_since", "parser", "transport",
@@ -112,6 +116,7 @@
 
     def _begin_answer(self) -> None:
         self._status = 0
+        self._first_at = 0.0  # when the first bytes of a body without a length came
         self._head_size = 0
         self._headers_done = False
         self._length = -1
@@ -325,12 +330,20 @@
             and self._status == 200
             and not self._spoilt
             and self.written
-            and max(self._length, self._size) > WHOLE
+            and (max(self._length, self._size) > WHOLE or self._unsaid())
             and attempt is not None
             and attempt.request is not None
             and attempt.request.client is not None
         )
 
+    def _unsaid(self) -> bool:
+        """Whether an answer of no stated length has been under way for long."""
+        if self._length >= 0 or not self._size:
+            return False
+        now = self.upstream.node.loop.time()
+        self._first_at = self._first_at or now
+        return now - self._first_at >= UNSAID_S
+
     def _begin_long(self) -> None:
         """Pass on what has come; from here on the answer is this one or none."""
         attempt, node = self.attempt, self.upstream.node
