--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -10,7 +10,7 @@
 
 import uvloop
 
-from windrelay.upstream import disown
+from windrelay.sockets import disown
 
 from .harness import listen
 
--- a/windrelay/admin.py
+++ b/windrelay/admin.py
@@ -16,6 +16,7 @@
 import httptools
 
 from windrelay.config import Address
+from windrelay.sockets import listening
 
 MOST_CALLERS = 8
 MOST_BYTES = 4 << 10  # of one call, head and body
@@ -58,14 +59,7 @@
 
     def listen(self, address: Address) -> int:
         """Take calls at this address; returns the port. OSError where it can't be had."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        try:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.bind(address)
-            sock.listen(BACKLOG)
-        except OSError:
-            sock.close()
-            raise
+        sock = listening(address, BACKLOG)
         self._sock = sock
         self.loop.add_reader(sock, self._accept)
         return int(sock.getsockname()[1])
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -20,7 +20,7 @@
 from flinthatch.model import MS, RequestClass
 from windrelay.errors import BadRequest
 from windrelay.flow import MOST, WHOLE, WINDOW, Flow
-from windrelay.upstream import disown
+from windrelay.sockets import disown, listening
 
 if TYPE_CHECKING:
     from flinthatch.routes.table import Policy
@@ -702,16 +702,7 @@
 
         `shared`: where one process succeeds another and can't be handed its socket.
         """
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        try:
-            if shared:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.bind(address)
-            sock.listen(BACKLOG)
-        except OSError:
-            sock.close()
-            raise
+        sock = listening(address, BACKLOG, shared)
         self._sock = sock
         self.node.loop.add_reader(sock, self._accept)
         return int(sock.getsockname()[1])
--- a/windrelay/upgrade/handing.py
+++ b/windrelay/upgrade/handing.py
@@ -19,10 +19,10 @@
 from windrelay.node import Node
 from windrelay.server import Server
 from windrelay.service import TICK, Service
+from windrelay.sockets import disown
 from windrelay.upgrade.link import HELLO, Frame, Link, be_greeted, greet
 from windrelay.upgrade.place import Place, path_for, trusted
 from windrelay.upgrade.state import Inheritance, read, write
-from windrelay.upstream import disown
 
 GREET_S = 0.8  # for a predecessor's greeting; one that hangs is gone without
 MEET_S = 0.8  # for its state
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -15,6 +15,7 @@
 from flinthatch.model import MS
 from windrelay.config import Address
 from windrelay.flow import MOST, WHOLE, WINDOW, Flow
+from windrelay.sockets import disown
 
 if TYPE_CHECKING:
     from windrelay.node import Attempt, Node
@@ -50,19 +51,6 @@
 }
 
 
-def disown(transport: asyncio.BaseTransport, sock: socket.socket) -> None:
-    """Take a socket from an owner that does not know that it is closed.
-
-    The loop takes a socket over only a turn after its connection was told of. One that
-    is closed in that turn (a first write that fails does) stays Python's as well, and
-    is closed again with its object: by then its number is often another connection's,
-    which so ended without an answer (seen: accepted under the number of a server's
-    connection that had just been reset, and closed at once).
-    """
-    if transport.is_closing():
-        sock.detach()
-
-
 class BackendConnection(asyncio.Protocol):
     """One connection to one backend; it carries one attempt at a time.
 
