Mend what a second reading found: errors inside answers, drains and moves at upgrades

Found by reading the change again, each with a test but the Expect one: noise behind a long answer put a 400 into its middle (_reject); a drain that was in force at an upgrade closed nothing idle at the successor (begin set the state and not the ticker); a reload at an upgrade made the old process ask discovery again beside the new one's watch (move); a dropped class could leave its figures under the name of one that counts (legacy.write); a body cut off by its client's FIN held its server for seconds (eof_received); 100 Continue could stand inside another request's answer. Plainer: class_named builds no list for each request; first bytes are known from the flow and not twice; events go by method and not by name.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -418,12 +418,14 @@
 
         Where one has just changed, its method and key tell whether the client knows.
         """
-        named = [c for c in self.classes if c.spec.name == name and (not c.until or now < c.until)]
-        for c in named:
-            effect = c.effect
-            if safe == (effect == Effect.PURE) and (keyed or effect != Effect.TOKEN):
-                return c
-        return named[0] if named else None
+        first = None
+        for c in self.classes:
+            if c.spec.name == name and (not c.until or now < c.until):
+                effect = c.effect
+                if safe == (effect == Effect.PURE) and (keyed or effect != Effect.TOKEN):
+                    return c
+                first = first or c
+        return first
 
     def on_members(self, now: int, update: Update, rows: Sequence[Listing] = ()) -> None:
         self.now = now
--- a/flinthatch/legacy.py
+++ b/flinthatch/legacy.py
@@ -54,7 +54,9 @@
         "send_rate": balancer.send_rate,
         "retry_credit": balancer.retry_credit,
         "classes": {
-            c.spec.name: [c.lat, c.lat_n, c.base, c.share, c.lefts] for c in balancer.classes
+            c.spec.name: [c.lat, c.lat_n, c.base, c.share, c.lefts]
+            for c in balancer.classes
+            if not c.until  # one that was dropped may have the name of one that counts
         },
         "backends": {
             str(b.id): [
--- a/tests/test_halves.py
+++ b/tests/test_halves.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 from random import Random
 
 import pytest
 
-from flinthatch import Listing, Outcome, State, Update, halves, legacy
+from flinthatch import Listing, Outcome, Settings, State, Update, halves, legacy
 from flinthatch.halves import Kept, Left, Standing
 from flinthatch.model import MS, SECOND
 
-from .fakes import build, rows
+from .fakes import KEYED, PURE, build, rows
 
 
 def test_the_two_stay_within_one_cap_whatever_the_order_of_words() -> None:
@@ -100,6 +101,16 @@
     assert heir.down == 0 and not heir.backends[101].down_until
 
 
+def test_of_two_classes_of_one_name_the_one_that_counts_is_left() -> None:
+    balancer, _ = build(Settings(classes=(KEYED, PURE)))
+    balancer.classes[1].lat = 77.0 * MS
+    balancer.on_settings(1, Settings(classes=(replace(PURE, aim=150 * MS),)))
+    balancer.classes[0].lat = 33.0 * MS
+    assert legacy.write(balancer, 2)["classes"] == {
+        "pure": [33.0 * MS, 0.0, 0.0, balancer.classes[0].share, [0] * 65]
+    }
+
+
 def test_what_is_not_known_any_more_is_passed_over() -> None:
     heir, _ = build(count=1)
     heir.on_members(0, Update.FULL, rows(1, first=500))
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -262,6 +262,32 @@
         thread.join()
 
 
+def test_noise_behind_a_long_answer_puts_nothing_into_it(tmp_path: Path) -> None:
+    with behind(tmp_path) as (n, backend):
+        client = n.connect()
+        client.send(request())
+        peer = accept(backend)
+        peer.message()
+        peer.send(answer(LONG)[: 2 * WHOLE])
+        while len(client.buffer) < WHOLE:
+            assert client.more()
+        client.send(b"\x8a\xff\r\n\r\n")
+        got = client.ends()
+        assert got.count(b"HTTP/1.1") == 1 and len(got) < SIZE
+        assert peer.ends() == b""
+
+
+def test_a_body_that_is_cut_off_frees_its_server_at_once(tmp_path: Path) -> None:
+    with behind(tmp_path) as (n, backend):
+        client = n.connect()
+        client.send(request("/credit", LONG)[: 4 * WHOLE])
+        peer = accept(backend)
+        while len(peer.buffer) < WHOLE:
+            assert peer.more()
+        client.sock.shutdown(socket.SHUT_WR)
+        assert len(peer.ends()) < SIZE
+
+
 @pytest.mark.parametrize("when", ["body", "answer"])
 def test_a_client_that_leaves_in_the_middle_frees_its_server(tmp_path: Path, when: str) -> None:
     with behind(tmp_path) as (n, backend):
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -29,6 +29,7 @@
     target,
     until,
 )
+from .test_reload import replace_config
 
 ADMIN = "127.0.0.1:0"
 
@@ -309,6 +310,7 @@
         with started(environ(tmp_path, backend)) as new:
             assert new.call("GET /status")[2] == b"standby\n"
             assert not new.ready()
+            assert new.connect().ends() == b""  # what rests is closed there as well
             assert old.call("POST /active")[0] == "HTTP/1.1 200 OK"
             until(new.ready)
             new.call("POST /standby")
@@ -363,6 +365,29 @@
         assert old.stop() == 0 and new.stop() == 0
 
 
+def test_a_reload_moves_the_one_watch_and_the_old_process_asks_nobody(tmp_path: Path) -> None:
+    with listen() as backend, listen() as first, listen() as second:
+        ports = [s.getsockname()[1] for s in (first, second)]
+        where = environ(tmp_path, backend, ports[0])
+        with started(where) as old, started(where) as new:
+            stops_accepting(old)
+            raw = json.loads((tmp_path / "config.json").read_text())
+            replace_config(tmp_path, json.dumps(raw | {"discovery": f"127.0.0.1:{ports[1]}"}))
+            new.process.send_signal(signal.SIGHUP)
+            new.says("reloaded")
+            old.says("reloaded")
+            asked = accept(second)
+            asked.message()
+            known = roster(target("s-1", backend.getsockname()[1]), rev=9)
+            asked.send(answer(json.dumps(known).encode()))
+            assert "from=9" in accept(second).message()[0]
+            assert old.stop() == 0
+            second.setblocking(False)
+            with pytest.raises(BlockingIOError):
+                second.accept()
+            assert new.stop() == 0
+
+
 def test_without_a_second_address_nothing_of_it_is_opened(tmp_path: Path) -> None:
     with node(tmp_path, roster()) as n:
         assert not list(tmp_path.glob("*.sock"))
--- a/windrelay/__main__.py
+++ b/windrelay/__main__.py
@@ -109,7 +109,7 @@
         self.node.route(self.config.routes)
         self.node.start(left)
         if left is not None and left.standby:
-            self.service.begin_standby(time.monotonic_ns())
+            self.set_standby(True)
         await successor.serve()
         if successor.listener is not None:
             port = self.server.adopt(successor.listener)
--- a/windrelay/consul/source.py
+++ b/windrelay/consul/source.py
@@ -100,6 +100,9 @@
     def rest(self) -> None:
         """Another process of this node reads for itself; this one goes on until it ends."""
 
+    def go_on(self) -> None:
+        """It never rested."""
+
     def hear(self, body: bytes) -> None:
         """Nothing is heard from that process: its rows are its own reader's."""
 
--- a/windrelay/discovery.py
+++ b/windrelay/discovery.py
@@ -126,7 +126,8 @@
 
     old_after = 30_000_000_000  # ns without a word: a watch answers within HOLD_MS
 
-    __slots__ = ("_address", "_calls", "_old", "_told", "_watching", "log", "pass_on", "roster")
+    __slots__ = ("_address", "_calls", "_old", "_resting", "_told", "_watching", "log", "pass_on",
+                 "roster")  # fmt: skip
 
     def __init__(
         self,
@@ -138,6 +139,7 @@
         self._told = told
         self._old = 0
         self._watching = False
+        self._resting = False  # another process of this node watches for both
         self._calls: set[Call] = set()
         self.log = log
         self.pass_on: Callable[[bytes], None] | None = None  # each answer that was used
@@ -151,7 +153,7 @@
 
     def watch(self) -> None:
         """Ask for changes from the version in hand on; goes on until a call fails."""
-        if self._watching:
+        if self._watching or self._resting:
             return
         self._watching = True
         self._next_watch()
@@ -173,6 +175,8 @@
         self._address = address
         self._drop_calls()
         self._old = OLD_TRIES
+        if self._resting:
+            return
         self._watching = True
         self._call(LIST, CALL_S, self._watched)
 
@@ -180,7 +184,15 @@
         self._watching = False
         self._drop_calls()
 
-    rest = close  # the same while another process of this node watches for both
+    def rest(self) -> None:
+        """Ask nothing while another process of this node watches for both."""
+        self._resting = True
+        self.close()
+
+    def go_on(self) -> None:
+        """That process has gone: watch again, from the version in hand."""
+        self._resting = False
+        self.watch()
 
     def hear(self, body: bytes) -> None:
         """An answer that another process of this node was given."""
--- a/windrelay/flow.py
+++ b/windrelay/flow.py
@@ -162,8 +162,8 @@
         while chunks and self._sink is not None and not self._blocked:
             data = chunks.popleft()
             self.held -= len(data)
-            self.moved = True
             self._sink.flow_write(data)
+            self.moved = True
             self._budget.give(len(data))
         if self.whole and not chunks and self._sink is not None and not self._blocked:
             sink, self._sink = self._sink, None
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -326,7 +326,7 @@
     def uploading(self, a: Attempt) -> None:
         """Bytes of a long body leave for the first time: they can't be sent again."""
         assert a.request is not None
-        self.moves("on_spent", a.request.id, a.number)
+        self.moves(self.balancer.on_spent, a.request.id, a.number)
 
     def uploaded(self, r: Request, a: Attempt | None) -> None:
         """A long body has been read to its end, or written: its time runs from here."""
@@ -342,7 +342,7 @@
         a.limit = max(r.deadline - now, 0)
         a.sent = now
         self.later(r.deadline, a)
-        self.moves("on_written", r.id, a.number)
+        self.moves(self.balancer.on_written, r.id, a.number)
 
     def stalled(self, r: Request) -> None:
         """A server takes no more of a long body: the attempt never runs."""
@@ -357,14 +357,14 @@
         assert r is not None
         r.started = True
         self.labels.discard(r.label)
-        self.moves("on_started", r.id, a.number, time.monotonic_ns() - a.sent)
+        self.moves(self.balancer.on_started, r.id, a.number, time.monotonic_ns() - a.sent)
 
-    def moves(self, event: str, *args: int) -> None:
+    def moves(self, event: Callable[..., None], *args: int) -> None:
         """Tell the Balancer how a long message gets on."""
         inside = self.inside
         now = self.now if inside else self.enter()
         try:
-            getattr(self.balancer, event)(now, *args)
+            event(now, *args)
         except Exception:
             self.broken()
         if not inside:
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -273,7 +273,9 @@
                 self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW)
             elif incoming.length > SMALL_BODY or incoming.chunked:
                 self._server.node.budget.unfinished[self] = None
-            if incoming.fields.get(b"expect", b"").lower() == b"100-continue":
+            # Where another's answer is still to go out first, this would stand in it.
+            free = self._request is None and not self._waiting
+            if free and incoming.fields.get(b"expect", b"").lower() == b"100-continue":
                 assert self._transport is not None
                 self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -500,6 +502,10 @@
         request, self._request = self._request, None
         if request is not None:
             self._server.node.client_gone(request)
+        if self._flow is not None:
+            # Part of an answer has gone: an error now would pass for more of it.
+            self.cut()
+            return
         transport = self._transport
         if transport is not None and not transport.is_closing():
             head = TEXT % (status, REASONS[status], len(text)) if text else EMPTY[status]
@@ -552,6 +558,8 @@
         # that has closed costs an answer that nobody reads. Taking the first for
         # the second would lose a request.
         self._eof = True
+        if self._half_read():
+            return False  # a body that was cut off never becomes whole
         return self._request is not None or bool(self._waiting)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/windrelay/upgrade/handing.py
+++ b/windrelay/upgrade/handing.py
@@ -209,7 +209,7 @@
             return
         host.node.log("upgrade: the successor has gone; serving again")
         host.server.accept_again()
-        host.node.discovery.watch()
+        host.node.discovery.go_on()
         self.open()
 
 
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -65,9 +65,8 @@
     """
 
     __slots__ = (
-        "_begun", "_chunked", "_chunks", "_client", "_closed", "_closes", "_complete", "_connected",
-        "_dirty",
-        "_first_at", "_flow", "_held_back",
+        "_chunked", "_chunks", "_client", "_closed", "_closes", "_complete", "_connected",
+        "_dirty", "_first_at", "_flow", "_held_back",
         "_head_size", "_headers_done", "_interim", "_keep_alive", "_length", "_let", "_not_run",
         "_paused", "_piece", "_pieces", "_report", "_size", "_sock", "_spoilt", "_status", "_task",
         "_timer", "_type", "address", "attempt", "backend", "idle_since", "parser", "transport",
@@ -92,7 +91,6 @@
 
     def _reset(self) -> None:
         self.written = False
-        self._begun = False  # bytes of a long body have left
         self._flow: Flow | None = None  # of a long body, then of a long answer
         self._client: ClientConnection | None = None  # who has a part of the answer
         self._pieces: Sequence[bytes] = ()
@@ -258,8 +256,8 @@
         attempt, transport = self.attempt, self.transport
         if attempt is None or transport is None or attempt.request is None:
             return
-        if not self._begun:
-            self._begun = True
+        flow = attempt.request.flow
+        if flow is not None and not flow.moved:
             self.upstream.node.uploading(attempt)
         if attempt.request.chunked:
             data = b"%x\r\n%s\r\n" % (len(data), data)
