--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -187,6 +187,22 @@
         thread.join()
 
 
+def test_a_continue_that_waits_behind_an_answer_stands_nowhere_in_it(tmp_path: Path) -> None:
+    with behind(tmp_path) as (n, backend):
+        client = n.connect()
+        asks = request("/credit", b"", rid="a2", Content_Length="4", Expect="100-continue")
+        client.send(request(rid="a1") + asks)
+        peer = accept(backend)
+        assert peer.message()[1]["x-request-id"] == "a1"
+        peer.send(answer(b"first"))
+        line, _, got = client.message()
+        assert (line, got) == ("HTTP/1.1 200 OK", b"first")
+        client.send(b"body")
+        assert peer.message()[2] == b"body"
+        peer.send(answer(b"second"))
+        assert client.message()[2] == b"second"
+
+
 def test_an_answer_that_breaks_off_is_cut_and_not_replaced(tmp_path: Path) -> None:
     with behind(tmp_path) as (n, backend):
         client = n.connect()
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -184,8 +184,8 @@
         """The most that this process uses while it lends no further ones back."""
         return self.reserved + max(self.sockets, self.clients + self.upstream.count)
 
-    def most_needed(self) -> int:
-        """How many an emptying process can leave to its successor."""
+    def spare_descriptors(self) -> int:
+        """How many an emptying process can leave to its successor by now."""
         used = self.clients + self.upstream.count + OVERLAP
         return max(self.config.sockets - self.reserved - used, 0)
 
--- a/windrelay/upgrade/handing.py
+++ b/windrelay/upgrade/handing.py
@@ -57,6 +57,7 @@
         self._clients = 1  # when the successor began
         self._idle = 0
         self._need = 1.0
+        self._lent = 0  # descriptors; like slots they are only ever given up
 
     @property
     def relieved(self) -> bool:
@@ -163,6 +164,7 @@
         self._clients = max(node.clients, 1)
         self._idle = node.upstream.resting()
         self._need = 1.0
+        self._lent = 0
         kept = self._kept.begin(halves.standing(node.balancer, time.monotonic_ns()))
         node.divide(self._kept)
         node.log(f"upgrade: the successor serves; {node.clients} connections to empty")
@@ -185,7 +187,8 @@
     def _tell(self, kept: dict[int, int]) -> None:
         assert self._link is not None
         node = self.host.node
-        node.lend_descriptors(node.most_needed())
+        self._lent = max(self._lent, node.spare_descriptors())
+        node.lend_descriptors(self._lent)
         self._link.send(
             {
                 "keeps": {str(backend): slots for backend, slots in kept.items()},
