Lend seats between nodes by need, as leases whose two ends need no common clock

Change: flinthatch/fleet/loans.py: seats of the upper half, by eighths of the servers; the borrower counts 2 s from its question, the lender 2.5 s from its word. A start leaves alone what an earlier one may have lent. Seats answer with a cap; the Desk says what is spare (1.25 of the peak is kept) and who is short.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -532,9 +532,9 @@
             nodes = self.peers if backend.local else others
             backend.takers = max(1, min(int(depth + 1.0), nodes))
             depth = int(depth + backend.offset)
-            if self.seats is not None and backend.local and backend.cold_until <= self.now:
-                depth = self.seats.depth(backend.deal, depth, local)
             cap = -(-(depth - backend.deal) // nodes) if depth > backend.deal else 0
+            if self.seats is not None and backend.local and backend.cold_until <= self.now:
+                cap = self.seats.cap(backend.id, backend.deal, depth, local)
             backend.whole = cap
             if self.part is not None:
                 cap = self.part.of(backend.id, cap)
--- a/flinthatch/fleet/desk.py
+++ b/flinthatch/fleet/desk.py
@@ -11,7 +11,11 @@
 from flinthatch.balancer import Balancer
 from flinthatch.fleet.fleet import Change, Fleet
 from flinthatch.fleet.seats import Seats
-from flinthatch.model import Listing, State, Told, Update
+from flinthatch.model import SECOND, Listing, State, Told, Update
+
+PEAK = SECOND // 2  # the most in flight counts for one to two of these
+HEADROOM = 1.25  # of it, that a lender keeps, and ...
+KEPT = 1  # ... so many seats beside
 
 
 class Tidings(NamedTuple):
@@ -19,7 +23,7 @@
 
     changes: list[Change]
     draining: list[Listing]
-    deal: bool  # others live now than did
+    deal: bool  # others live now than did, or loans are others
 
 
 class Desk:
@@ -31,6 +35,10 @@
         self.balancer = balancer
         self.seats = Seats(s.node // s.zones, balancer.peers, fleet.terms.seats, self._living_at)
         self.living = 0  # as of the last deal
+        self.seats.out = fleet.loans.out()
+        self._pressed = False
+        self._peaks = [0, 0]  # most in flight in this span and the one before
+        self._span = 0
         self._zone, self._zones = s.node % s.zones, s.zones
         balancer.seats = self.seats
 
@@ -41,20 +49,45 @@
 
     def look(self, now: int) -> None:
         """Say what this node's own attempts have come to, where there is something to say."""
+        self.need(now)
         own = self.fleet.own
         for b in self.balancer.backends.values():
             if b.strikes or b.fulls > 1 or b.lat > 1.5 or b.id in own:
                 self.fleet.saw(now, b.id, b.strikes, b.gone, b.fulls, b.lat, b.seen)
 
+    def need(self, now: int) -> None:
+        """Say how many classes this node can lend, and whether it needs to borrow."""
+        b, fleet = self.balancer, self.fleet
+        self._peaks[0] = max(self._peaks[0], b.running)
+        self._pressed = self._pressed or b.pressed
+        if now < self._span:
+            return
+        self._span = now + PEAK
+        peak = max(self._peaks)
+        self._peaks = [b.running, self._peaks[0]]
+        ready = [x for x in b.backends.values() if x.local and x.state == State.READY]
+        rows = [(x.deal, int(b.level + x.offset)) for x in ready if x.cold_until <= b.now]
+        own = sum(self.seats.own(deal, depth, len(ready), False) for deal, depth in rows)
+        deep = b.level >= self.seats.most(len(ready))
+        fleet.wants = self._pressed and deep
+        fleet.keeps = deep and peak > own
+        needy = self._pressed or fleet.keeps
+        need = peak * HEADROOM + KEPT
+        fleet.spare = 0 if needy else self.seats.spare(rows, len(ready), need)
+        self._pressed = False
+
     def collect(self, now: int) -> Tidings | None:
         """What is new for the Balancer by now."""
         changes = [c for c in self.fleet.changes(now) if not self._known_better(c)]
         draining = self._draining()
         living = self.fleet.members.count()
-        deal = living != self.living
+        loans = self.fleet.loans
+        deal = living != self.living or loans.changed
         if deal:
-            self.living = living
+            self.living, loans.changed = living, False
             self.seats.look()
+            self.seats.out = loans.out()
+            self.seats.borrowed = [(n // self._zones, c) for n, c in self.fleet.borrowed(now)]
         return Tidings(changes, draining, deal) if changes or draining or deal else None
 
     def tell(self, now: int, tidings: Tidings) -> None:
--- a/flinthatch/fleet/fleet.py
+++ b/flinthatch/fleet/fleet.py
@@ -15,6 +15,7 @@
 from zlib import crc32
 
 from flinthatch.fleet.beliefs import KEEP_SEEN, PARTS, Beliefs, Key
+from flinthatch.fleet.loans import Loans
 from flinthatch.fleet.members import STALLED, Members
 from flinthatch.fleet.rumours import Rumours
 from flinthatch.fleet.words import (
@@ -100,6 +101,9 @@
         self.members = Members(terms.me, terms.nodes, incarnation, seed)
         self.beliefs = Beliefs(terms.nodes, terms.zones)
         self.rumours: Rumours[Key] = Rumours(terms.nodes)
+        self.loans = Loans(seed ^ 0x10A25)
+        self.spare = 0  # classes that this node can lend
+        self.keeps = self.wants = False  # whether it needs the seats it has borrowed, and more
         self.counts: Counter[str] = Counter()
         self.due = now
         self.rev = 0  # of this node's own list
@@ -213,6 +217,7 @@
                 news = True
         out = m.answer(now, word)
         out += self._catching(now, word)
+        out += self._lending(now, word)
         if news or m.news:
             self._soon(now)
         self._spend(now, len(out))  # answers come first, and leave less for news
@@ -255,6 +260,36 @@
         self._flush = True
         self.due = min(self.due, now + SOON)
 
+    # ---- loans ----------------------------------------------------------------------
+
+    def _lending(self, now: int, word: Word) -> list[Out]:
+        """What is asked of us, and what others have answered; between nodes of one zone."""
+        m, zones = self.members, self.terms.zones
+        if word.origin % zones != m.me % zones:
+            return []
+        if word.kind == Kind.BORROW:
+            # To one held for dead nothing: the others go past its seats already.
+            spare = self.spare if m.living(word.origin) else 0
+            classes = self.loans.lend(now, word.origin, spare)
+            return [Out(word.origin, Word(Kind.LEND, m.me, m.incarnation, word.serial, classes))]
+        if word.kind == Kind.LEND:
+            self.loans.granted(now, word.origin, word.serial, word.subject)
+        return []
+
+    def _borrow(self, now: int) -> list[Out]:
+        m, zones = self.members, self.terms.zones
+        if not (self.keeps or self.wants) or self._pace.fill(now) < 1:
+            return []
+        others = [n for n in m.others() if n % zones == m.me % zones]
+        return [
+            Out(lender, Word(Kind.BORROW, m.me, m.incarnation, serial))
+            for lender, serial in self.loans.asks(now, others, self.wants)
+        ]
+
+    def borrowed(self, now: int) -> list[tuple[int, int]]:
+        """Lenders and classes; a dead one's end at once, since others go on past its seats."""
+        return [(n, c) for n, c in self.loans.borrowed(now) if self.members.living(n)]
+
     # ---- catch-up -------------------------------------------------------------------
 
     def _digest(self) -> tuple[int, ...]:
@@ -339,6 +374,7 @@
         self.counts["stalls"] += 1
         self.members.stalled(now)
         self.beliefs.expire(now)
+        self.loans.expire(now)
         self.own.clear()
         self._last = now
         self._learn_anew(now)
@@ -360,6 +396,9 @@
         m = self.members
         out = m.tick(now)
         self.beliefs.expire(now)
+        self.loans.begin(now)
+        self.loans.expire(now)
+        out += self._borrow(now)
         if not self.caught_up:
             out += self._catch_up(now)
         if now >= self._digest_at:
--- a/flinthatch/fleet/seats.py
+++ b/flinthatch/fleet/seats.py
@@ -1,26 +1,29 @@
-"""Which of a server's slots are this node's, among the living.
+"""Which of a server's slots are this node's, among the living, and which are lent.
 
 The slots of a server stand in one order of seats, each of which is one node's for good
-(`Balancer.redeal`). What words change is only how deep into that order the living go: past
+(`Balancer.redeal`). What words change is how deep into that order the living go: past
 seats whose nodes are dead, for as many living ones as the level asks, and never beyond
 `most` seats. Among nodes with one list no two own one seat, so whatever words come, are lost
 or lie, and whoever believes what of the nodes, deepening keeps all together within `most` at
 every server. (Lists that differ shift the order, with words or without, until they agree.)
 A level that pressure has raised beyond `most` is cut where the living alone would pass it:
-words then only ever take seats away from what each node would use without them.
+what a node needs beyond its own seats it borrows of others (`loans.py`), which leave them
+alone meanwhile. Only seats of the upper half are lent, so that every node keeps the lower.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
+from flinthatch.fleet.loans import CLASSES
+
 LEAST = 3  # slots that a node needs to serve at all: with fewer seats than that none are cut
 
 
 class Seats:
     """For servers of this node's own zone; the others' are dealt as without words."""
 
-    __slots__ = ("_living", "_most", "_nodes", "_place", "_whole")
+    __slots__ = ("_living", "_most", "_nodes", "_place", "_whole", "borrowed", "out")
 
     def __init__(self, place: int, nodes: int, most: int, living: Callable[[int], bool]) -> None:
         """`living` tells of a place among the `nodes` of the zone."""
@@ -29,17 +32,23 @@
         self._most = most
         self._living = living
         self._whole = True
+        self.out = 0  # classes of servers where our upper seats are lent
+        self.borrowed: list[tuple[int, int]] = []  # the lender's place, classes
 
     def look(self) -> None:
         """Take in who lives by now, once before the servers are gone through."""
         self._whole = all(self._living(place) for place in range(self._nodes))
 
+    def most(self, servers: int) -> int:
+        """Seats of one server in all. Few nodes before few servers each keep LEAST."""
+        return max(self._most, -(-LEAST * self._nodes // max(servers, 1)))
+
     def depth(self, deal: int, depth: int, servers: int) -> int:
         """How many seats of a server the living use, where the level asks for `depth`.
 
-        `deal` is this node's first seat there. Few nodes before few servers each keep LEAST.
+        `deal` is this node's first seat there.
         """
-        most = max(self._most, -(-LEAST * self._nodes // max(servers, 1)))
+        most = self.most(servers)
         if self._whole or depth <= 0:
             return min(depth, most)
         first = self._place - deal
@@ -51,3 +60,34 @@
             lived += self._living((first + seat) % self._nodes)
             seat += 1
         return seat
+
+    def cap(self, server: int, deal: int, depth: int, servers: int) -> int:
+        """How many requests this node may have at a server, its own seats and borrowed ones."""
+        most = self.most(servers)
+        bit = 1 << server % CLASSES
+        own = self.own(deal, depth, servers, bool(self.out & bit))
+        # Where a slow server or a jam asks for less than its own seats, none of others.
+        if depth >= most:
+            for place, classes in self.borrowed:
+                if classes & bit:
+                    theirs = (place - self._place + deal) % self._nodes
+                    own += self._taken(theirs, most) - self._taken(theirs, most // 2)
+        return own
+
+    def own(self, deal: int, depth: int, servers: int, lent: bool) -> int:
+        """Of these, its own, with or without the upper ones."""
+        depth = self.depth(deal, depth, servers)
+        return self._taken(deal, min(depth, self.most(servers) // 2) if lent else depth)
+
+    def _taken(self, deal: int, depth: int) -> int:
+        """Seats from `deal` on, each as many on as there are nodes, before `depth`."""
+        return -(-(depth - deal) // self._nodes) if depth > deal else 0
+
+    def spare(self, rows: list[tuple[int, int]], servers: int, need: float) -> int:
+        """Classes that this node can lend and still have `need` seats of these (deal, depth)."""
+        whole = sum(self.own(deal, depth, servers, False) for deal, depth in rows)
+        least = sum(self.own(deal, depth, servers, True) for deal, depth in rows)
+        if whole < need:
+            return 0
+        each = (whole - least) / CLASSES
+        return min(int((whole - need) / each), CLASSES) if each else CLASSES
--- a/flinthatch/fleet/words.py
+++ b/flinthatch/fleet/words.py
@@ -71,6 +71,8 @@
     NEWS = 3
     DIGEST = 4  # here is what I hold, by parts: send what differs
     DONE = 5  # that was all of it
+    BORROW = 6  # lend me seats, for as long as loans last
+    LEND = 7  # these classes, a bit each, as the subject
 
 
 class Word(NamedTuple):
--- a/flinthatch/ports.py
+++ b/flinthatch/ports.py
@@ -18,9 +18,9 @@
 
 
 class Depths(Protocol):
-    """How many of a backend's slots the living nodes use (see fleet/seats.py)."""
+    """How many of a backend's slots are this node's among the living (see fleet/seats.py)."""
 
-    def depth(self, deal: int, depth: int, servers: int) -> int: ...
+    def cap(self, backend: int, deal: int, depth: int, servers: int) -> int: ...
 
 
 class Policies(Protocol[R]):
--- a/standins/load.py
+++ b/standins/load.py
@@ -36,19 +36,20 @@
         self.port = int(port)
         self.name = host
         self.random = Random(seed)
+        self.seed = seed  # in ids too: those of several clients' requests differ
         self.idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
         self.seen: dict[str, Seen] = {}
         self.count = 0
 
-    async def one(self, cls: str) -> None:
-        """One request and its answer, counted."""
+    async def one(self, cls: str) -> int:
+        """One request and its answer, counted; its status, 0 where none came."""
         self.count += 1
         seen = self.seen.setdefault(cls, Seen())
         method = "GET" if cls == "balance" else "POST"
         body = "" if cls == "balance" else "amount=5"
         head = (
             f"{method} /{cls}/{self.random.randrange(10**9)} HTTP/1.1\r\nHost: {self.name}\r\n"
-            f"X-Request-ID: r{self.count}\r\nX-Priority-Class: {cls}\r\n"
+            f"X-Request-ID: r{self.seed}-{self.count}\r\nX-Priority-Class: {cls}\r\n"
             f"X-Timeout-Ms: {TIMEOUTS[cls]}\r\n"
         )
         if body:
@@ -61,6 +62,7 @@
         seen.statuses[status] += 1
         if status == 200:
             seen.times.append(time.perf_counter() - began)
+        return status
 
     async def _exchange(self, text: str) -> int:
         if self.idle:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -12,6 +12,7 @@
 from flinthatch.balancer import Balancer
 from flinthatch.fleet.beliefs import KEEP_SEEN, Beliefs
 from flinthatch.fleet.fleet import DIGEST_SIZE, HEAD, SIZES, Fleet, Terms
+from flinthatch.fleet.loans import SLACK, SPAN, Loans
 from flinthatch.fleet.members import DOUBTED_FOR, Members
 from flinthatch.fleet.rumours import Rumours
 from flinthatch.fleet.seats import Seats
@@ -311,6 +312,101 @@
     assert whole.depth(0, 60, 1) == 30  # one server for ten: each needs its few
 
 
+class Lender:
+    """One node of the loans' proof: its caps are as of its last turn, up to SLACK ago."""
+
+    def __init__(self, place: int, skew: int, seed: int) -> None:
+        self.place, self.skew, self.starts, self.seed = place, skew, 0, seed
+        self.start(0)
+
+    def start(self, now: int) -> None:
+        self.starts += 1
+        self.loans = Loans(self.seed + 7 * self.starts)
+        self.loans.begin(now + self.skew)
+        self.seats = Seats(self.place, 4, 5, lambda _p: True)
+        self.turn(now)
+
+    def turn(self, now: int) -> None:
+        self.turned = now
+        self.loans.expire(now + self.skew)
+        self.seats.out = self.loans.out()
+        self.seats.borrowed = self.loans.borrowed(now + self.skew)
+
+    def cap(self, server: int) -> int:
+        return self.seats.cap(server, (self.place - server) % 4, 20, 9)
+
+
+def test_whatever_happens_to_words_nobody_uses_a_seat_that_is_lent() -> None:
+    assert max(lending(seed) for seed in range(60)) > 3  # two seats at a server are its own
+
+
+def lending(seed: int) -> int:
+    """Words are lost, late, doubled, of an earlier start; nodes restart and turn late.
+
+    The most that one node had at a server.
+    """
+    draw = Random(seed)
+    nodes = [Lender(place, draw.randrange(10 * SECOND), place) for place in range(4)]
+    asked: list[tuple[int, int, int]] = []
+    answers: list[tuple[int, int, int, int]] = []
+    now = most = 0
+    for _ in range(250):
+        now += draw.choice((0, 20 * MS, 250 * MS))
+        node = draw.choice(nodes)
+        what = draw.random()
+        if what < 0.35:
+            others = [n.place for n in nodes if n is not node]
+            for lender, serial in node.loans.asks(now + node.skew, others, True):
+                asked.append((node.place, lender, serial))
+        elif what < 0.65 and asked:
+            borrower, to, serial = draw.choice(asked[-draw.choice((2, 30)) :])
+            classes = nodes[to].loans.lend(now + nodes[to].skew, borrower, draw.randrange(9))
+            nodes[to].turn(now)
+            answers.append((borrower, to, serial, classes))
+        elif what < 0.97 and answers:
+            borrower, of, serial, classes = draw.choice(answers[-draw.choice((2, 30)) :])
+            nodes[borrower].loans.granted(now + nodes[borrower].skew, of, serial, classes)
+            nodes[borrower].turn(now)
+        elif what > 0.995:
+            node.start(now)
+        for n in nodes:
+            if now - n.turned > SLACK - 250 * MS:
+                n.turn(now)
+        for server in range(9):
+            held = sum(n.cap(server) for n in nodes)
+            assert held <= 5
+            most = max(most, *(n.cap(server) for n in nodes))
+    return most
+
+
+def test_a_lender_keeps_what_it_needs_and_a_borrower_counts_from_its_own_question() -> None:
+    seats = Seats(0, 4, 8, lambda _p: True)
+    rows = [(server % 4, 8) for server in range(16)]  # two seats at each, one of them lent
+    assert [seats.spare(rows, 16, need) for need in (0, 16, 20, 31.9, 32.5)] == [8, 8, 6, 0, 0]
+    lender, borrower = Loans(1), Loans(2)
+    lender.begin(0)
+    assert lender.lend(SPAN, 1, 8) == 0 and lender.out() == 255  # an earlier start may have lent
+    lender.expire(SPAN + SLACK)
+    ((_, serial),) = borrower.asks(0, [5], True)
+    assert lender.lend(3 * SECOND, 1, 3).bit_count() == lender.out().bit_count() == 3
+    assert lender.lend(3 * SECOND, 2, 4).bit_count() == 1  # the others are lent already
+    borrower.granted(SPAN - 1, 5, serial + 1, 7)
+    borrower.granted(SPAN - 1, 4, serial, 7)  # neither is an answer to what was asked
+    assert borrower.held == {}
+    borrower.granted(SPAN - 1, 5, serial, 7)
+    assert borrower.borrowed(SPAN - 1) == [(5, 7)] and borrower.borrowed(SPAN) == []
+    (first,) = borrower.asks(SPAN, [5], True)
+    (second,) = borrower.asks(SPAN + SECOND, [5], True)
+    borrower.granted(2 * SPAN, 5, second[1], 7)
+    borrower.granted(2 * SPAN, 5, first[1], 255)  # overtaken by the one after it
+    assert borrower.borrowed(3 * SPAN - SECOND - 1) == [(5, 7)]
+    ((_, late),) = Loans(3).asks(0, [5], True)
+    stale = Loans(3)
+    stale.asks(0, [5], True)
+    stale.granted(SPAN, 5, late, 7)  # longer under way than it would have lasted
+    assert stale.held == {} and stale.asks(SPAN + SECOND, [5], True) == []
+
+
 # ---- bytes -----------------------------------------------------------------
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -24,7 +24,7 @@
 from windrelay.discovery import backend_id
 from windrelay.operator.check import main as check
 from windrelay.operator.peers import main as show
-from windrelay.peers.codec import encode
+from windrelay.peers.codec import decode, encode
 from windrelay.peers.codec import tier as tier_number
 
 from .harness import ROOT, answer, listen, node, request, roster
@@ -291,6 +291,36 @@
         assert served(n, server) == "HTTP/1.1 200 OK"  # gone was another start of that server
 
 
+def test_an_idle_node_lends_its_upper_seats_once_and_says_so(tmp_path: Path) -> None:
+    number = tier_number("nodes")
+    with by_hand(tmp_path, 5) as (n, peers, to, server):
+
+        def asked(node: int, serial: int) -> int:
+            """What this node, which lives, is lent; an answer names its question."""
+            peers[node].settimeout(0.1)
+            peers[node].sendto(encode(Word(Kind.BORROW, node, 50, serial), number), to)
+            with contextlib.suppress(TimeoutError):
+                while True:
+                    word = decode(peers[node].recv(2048), number)
+                    assert word is not None
+                    if word.kind == Kind.LEND and word.serial == serial:
+                        return word.subject
+                    if word.kind == Kind.ASK:
+                        back = Word(Kind.ANSWER, node, 50, word.serial, node)
+                        peers[node].sendto(encode(back, number), to)
+            return -1
+
+        def told() -> bool:
+            said = StringIO()
+            show([f"127.0.0.1:{n.admin}"], said)
+            return "seats lent: at 8 in 8 servers to node 2" in said.getvalue()
+
+        # Nothing at first: an earlier start of this node may have lent what is its own.
+        wait_until(lambda: asked(2, 77) == 255 and asked(4, 78) == 0 and told())
+        assert asked(1, 79) == -1  # of another zone: it has no seats at these servers
+        assert served(n, server) == "HTTP/1.1 200 OK"
+
+
 def test_without_the_settings_word_there_is_no_socket_and_no_import(tmp_path: Path) -> None:
     off = {"balancers": 3, "limits": LIMITS}
     with by_hand(tmp_path, settings=off) as (n, _peers, to, server):
--- a/windrelay/operator/peers.py
+++ b/windrelay/operator/peers.py
@@ -56,6 +56,11 @@
         two = "; two processes speak under its name" if doubted else ""
         out.append(f"  node {node} {standing}, incarnation {incarnation}, {since}{two}")
     out.append(f"  {usual} others alive and heard")
+    for way, word in (("lent", "to"), ("borrowed", "from")):
+        for node, eighths, left in status[way]:
+            out.append(
+                f"  seats {way}: at {eighths} in 8 servers {word} node {node}, for {left} ms more"
+            )
     servers: dict[str, list[str]] = {}
     for server, who, age, text, verdict in status["servers"]:
         source = "the list" if who == "list" else f"node {who}"
--- a/windrelay/peers/link.py
+++ b/windrelay/peers/link.py
@@ -242,4 +242,5 @@
             "counts": dict(sorted((self.counts + fleet.counts).items())),
             "health": m.health, "refuted": m.refuted,
         }  # fmt: skip
+        found |= fleet.loans.report(now)
         return json.dumps(found)
