--- a/flinthatch/fleet/desk.py
+++ b/flinthatch/fleet/desk.py
@@ -70,9 +70,9 @@
         own = sum(self.seats.own(deal, depth, len(ready), False) for deal, depth in rows)
         deep = b.level >= self.seats.most(len(ready))
         fleet.wants = self._pressed and deep
-        fleet.keeps = deep and peak > own
-        needy = self._pressed or fleet.keeps
         need = peak * HEADROOM + KEPT
+        fleet.keeps = deep and need > own
+        needy = self._pressed or fleet.keeps
         fleet.spare = 0 if needy else self.seats.spare(rows, len(ready), need)
         self._pressed = False
 
@@ -82,9 +82,11 @@
         draining = self._draining()
         living = self.fleet.members.count()
         loans = self.fleet.loans
-        deal = living != self.living or loans.changed
+        free = self.fleet.members.unheard(now)
+        deal = living != self.living or loans.changed or free != self.seats.free
         if deal:
             self.living, loans.changed = living, False
+            self.seats.free = free
             self.seats.look()
             self.seats.out = loans.out()
             self.seats.borrowed = [(n // self._zones, c) for n, c in self.fleet.borrowed(now)]
--- a/flinthatch/fleet/seats.py
+++ b/flinthatch/fleet/seats.py
@@ -9,6 +9,9 @@
 A level that pressure has raised beyond `most` is cut where the living alone would pass it:
 what a node needs beyond its own seats it borrows of others (`loans.py`), which leave them
 alone meanwhile. Only seats of the upper half are lent, so that every node keeps the lower.
+
+A node that hears nobody (`Members.unheard`, ALONE, which is longer than any loan) can borrow
+nothing, and goes as deep as it would without words: pressure and jams alone bound it then.
 """
 
 from __future__ import annotations
@@ -23,7 +26,7 @@
 class Seats:
     """For servers of this node's own zone; the others' are dealt as without words."""
 
-    __slots__ = ("_living", "_most", "_nodes", "_place", "_whole", "borrowed", "out")
+    __slots__ = ("_living", "_most", "_nodes", "_place", "_whole", "borrowed", "free", "out")
 
     def __init__(self, place: int, nodes: int, most: int, living: Callable[[int], bool]) -> None:
         """`living` tells of a place among the `nodes` of the zone."""
@@ -32,6 +35,7 @@
         self._most = most
         self._living = living
         self._whole = True
+        self.free = False  # nobody is heard: at least what there would be without words
         self.out = 0  # classes of servers where our upper seats are lent
         self.borrowed: list[tuple[int, int]] = []  # the lender's place, classes
 
@@ -76,8 +80,10 @@
 
     def own(self, deal: int, depth: int, servers: int, lent: bool) -> int:
         """Of these, its own, with or without the upper ones."""
-        depth = self.depth(deal, depth, servers)
-        return self._taken(deal, min(depth, self.most(servers) // 2) if lent else depth)
+        seats = self.depth(deal, depth, servers)
+        if self.free:
+            return self._taken(deal, max(seats, depth))
+        return self._taken(deal, min(seats, self.most(servers) // 2) if lent else seats)
 
     def _taken(self, deal: int, depth: int) -> int:
         """Seats from `deal` on, each as many on as there are nodes, before `depth`."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -310,6 +310,9 @@
     assert whole.depth(0, 4, 24) == 4
     assert whole.depth(0, 60, 24) == 15  # a level beyond what a server takes
     assert whole.depth(0, 60, 1) == 30  # one server for ten: each needs its few
+    assert whole.cap(7, 0, 60, 24) == 2
+    whole.free = True  # nobody is heard: at least what there is without words
+    assert whole.cap(7, 0, 60, 24) == 6 and whole.cap(7, 0, 4, 24) == 1
 
 
 class Lender:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -258,6 +258,21 @@
             peers[1].sendto(good, to)
         assert served(n, server) == "HTTP/1.1 200 OK"
         wait_until(lambda: counts().get("too many", 0) > 0)
+        # Stopped, it reads none of them: the socket's buffer is full, and the rest is lost.
+        before = sum(counts().values())
+        n.process.send_signal(signal.SIGSTOP)
+        for _ in range(10_000):
+            peers[1].sendto(good, to)
+        n.process.send_signal(signal.SIGCONT)
+        assert served(n, server) == "HTTP/1.1 200 OK"
+        later = encode(word._replace(incarnation=51), number)
+
+        def heard() -> bool:
+            peers[1].sendto(later, to)
+            return any(r[2] == 51 for r in json.loads(n.call("GET /peers")[2])["nodes"])
+
+        wait_until(heard)
+        assert sum(counts().values()) - before < 5_000
         stranger.close()
 
 
