Ready means that there is a list to go by, at the front and at the second address

Cause: a node with an empty known list and no answer from the list service said yes at GET /health/ready once it listened (service.py asked only for a stop or a drain), and answered every request 503 while the front could have sent clients to others.

Change: no until the Balancer has a server that may be used, or the list service itself has said that there is none; /status tells no list of servers yet, the log when it is there. It stays yes when a list is lost later: all nodes would leave the front at once.

Test: real node, list service that has not answered, one server, none, then none left; seen to fail without.

--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -30,7 +30,7 @@
 
 @pytest.fixture
 def served(tmp_path: Path) -> Iterator[Running]:
-    with node(tmp_path, roster(), admin=ADMIN) as n:
+    with node(tmp_path, roster(target("s-1", 9)), admin=ADMIN) as n:
         yield n
         assert n.stop() == 0
 
@@ -196,6 +196,7 @@
 
 def test_idle_connections_are_closed_spread_over_the_time_after_the_first_no() -> None:
     s = Service()
+    s.listed = True
     assert s.to_close(0, 5) == 0 and s.asked_ready(5)
     s.begin_standby(1000 * MS)
     assert not s.asked_ready(1100 * MS) and not s.asked_ready(1200 * MS)
@@ -212,6 +213,7 @@
 
 def test_a_drain_that_no_front_asks_about_begins_by_itself_and_is_not_put_off() -> None:
     s = Service()
+    s.listed = True
     s.begin_standby(1000 * MS)
     s.begin_standby(1500 * MS)
     assert s.to_close(1000 * MS + UNASKED - 1, 10) == 0
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import signal
 import subprocess
 from pathlib import Path
@@ -33,13 +34,37 @@
 
 
 def test_ready_and_a_stop_with_status_0(tmp_path: Path) -> None:
-    with node(tmp_path, roster()) as n:
+    with node(tmp_path, roster(target("s-1", 9))) as n:
         client = n.connect()
         client.send(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
         assert client.message()[0] == "HTTP/1.1 200 OK"
         assert n.stop() == 0
 
 
+@pytest.mark.parametrize("servers", [1, 0])
+def test_ready_means_that_there_is_a_list_to_go_by(tmp_path: Path, servers: int) -> None:
+    """With none yet the front has others; one that says that there are no servers is one."""
+    with listen() as discovery, listen() as backend:
+        port = discovery.getsockname()[1]
+        settings = {"registry_mode": "ask"}
+        with node(tmp_path, roster(), port, admin="127.0.0.1:0", settings=settings) as n:
+            asked = accept(discovery)
+            asked.message()
+            assert not n.ready()
+            line, _, body = n.call("GET /status")
+            assert (line[9:12], body) == ("503", b"no list of servers yet\n")
+            rows = [target("s-1", backend.getsockname()[1])] * servers
+            asked.send(answer(json.dumps(roster(*rows, rev=2)).encode()))
+            n.says("ready: a list has been taken over")
+            assert n.ready() and n.call("GET /status")[2] == b"active\n"
+            again = accept(discovery)
+            again.message()
+            # Its servers leave: for good, or clients would be sent nowhere by all nodes at once.
+            again.send(answer(json.dumps(roster(rev=3)).encode()))
+            accept(discovery).message()
+            assert n.ready()
+
+
 def test_a_stop_finishes_what_is_held(tmp_path: Path) -> None:
     with listen() as backend, node(tmp_path, roster(target("s-1", backend.getsockname()[1]))) as n:
         client = n.connect()
--- a/windrelay/__main__.py
+++ b/windrelay/__main__.py
@@ -66,6 +66,7 @@
         self.loop = loop
         self.node = Node(config, loop)
         self.service = Service()
+        self.node.usable = self.listed
         self.server = Server(self.node, self.service)
         self.ended = loop.create_future()
         self.give_up_at = 0.0
@@ -92,6 +93,12 @@
             self.stop()
         await self.ended
 
+    def listed(self) -> None:
+        """There are servers to send to, or the list service itself says that there are none."""
+        if not self.service.listed:
+            self.service.listed = True
+            self.node.log("ready: a list has been taken over")
+
     async def begin(self) -> int:
         """Listen, taking over from a running process where there is one; returns the port."""
         admin = self.config.admin
@@ -170,6 +177,8 @@
         state = self.service
         if state.can_serve:
             return Reply(200, "standby" if state.standby else "active")
+        if state.serving and not state.stopping:
+            return Reply(503, "no list of servers yet")
         return Reply(503, "stopping" if state.stopping else "not serving yet")
 
     def peers(self) -> Reply:
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -58,6 +58,7 @@
         self.budget = Budget(config.memory_mb)
         self.clients = 0
         self.freed: Callable[[], None] = lambda: None  # the server's, once it listens
+        self.usable: Callable[[], None] = lambda: None  # told of each list that can be gone by
         self.reserved = RESERVED + (DESCRIPTORS + LINKS if config.admin else 0)
         self.sockets = config.sockets - self.reserved
         self.upstream = Upstream(self)
@@ -110,6 +111,8 @@
         self.enter()
         self.balancer.start(self.now)
         self.balancer.on_members(self.now, Update.CACHED, rows)
+        if self.balancer.ready:
+            self.usable()
         if left is not None:
             take_over(self.balancer, self.now, left.learned)
         self.leave()
@@ -347,6 +350,8 @@
             self.balancer.on_members(now, update, rows)
         except Exception:
             self.broken()
+        if self.balancer.ready or update == Update.FULL:
+            self.usable()
         self.leave()
 
     def conclude(self, a: Attempt, outcome: Outcome, load: Sequence[float] = ()) -> None:
--- a/windrelay/service.py
+++ b/windrelay/service.py
@@ -22,10 +22,14 @@
 class Service:
     """Active, standby, relieved by a successor, or stopping, which alone is for good."""
 
-    __slots__ = ("_no_at", "_relieved_at", "_standby_at", "serving", "stopping")
+    __slots__ = ("_no_at", "_relieved_at", "_standby_at", "listed", "serving", "stopping")
 
     def __init__(self) -> None:
-        self.serving = False  # listening, with a list taken over
+        self.serving = False  # listening
+        # A list with a server to send to has come once, or one by which there is none. For
+        # good: a node that loses its servers later answers for itself, with a Retry-After,
+        # and a front that took every node out at once would leave its clients nobody.
+        self.listed = False
         self.stopping = False
         self._standby_at = 0
         self._no_at = 0  # the first no that was given, 0 before
@@ -38,7 +42,7 @@
     @property
     def can_serve(self) -> bool:
         """What `GET /status` is told."""
-        return self.serving and not self.stopping
+        return self.serving and self.listed and not self.stopping
 
     @property
     def closes(self) -> bool:
@@ -70,7 +74,9 @@
     def asked_ready(self, now: int) -> bool:
         """The answer to the front; the first no is remembered."""
         if not self.standby and (self.relieved or not self.stopping):
-            return True  # relieved, the successor serves, and the two are one node
+            # Relieved, the successor serves, and the two are one node. With no list yet
+            # the front has others to send clients to, who would get a 503 here.
+            return self.listed
         self._no_at = self._no_at or now
         return False
 
