World: lists come whole, servers are replaced; with words nodes run out of known servers

The world told one server's change at a time, so a node that had a later version missed the earlier ones; a version now comes whole, and servers leave after their grace.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -271,6 +271,7 @@
         "silent": (100, 135, 10000.0, 0),
         "kill": (10, 24, 4560.0, 0),
         "uneven": (100, 135, 0.8 * 135 * 200, 3),
+        "replaced": (100, 135, 0.5 * 135 * 200, 0),
         "cut": (100, 135, 0.8 * 135 * 200, 3),
         "slow": (100, 135, 0.5 * 135 * 200, 0),
     }.get(what, (40, 40, 2500.0, 0))
@@ -288,7 +289,10 @@
     w.run(18 * SECOND)
     if w.breaches:
         raise RuntimeError(w.breaches[0])
-    bad = {"drain": "sent to a drained server", "silent": "sent to a silent server"}.get(what, "")
+    bad = {
+        "drain": "sent to a drained server", "silent": "sent to a silent server",
+        "replaced": "sent to a server that is gone",
+    }.get(what, "")  # fmt: skip
     return {
         "served": w.counts["served"] / w.counts["asked"], "to_the_bad": w.counts[bad],
         "unmet": w.counts["sent to a silent server unmet"],
@@ -297,7 +301,7 @@
 
 def service(seeds: int) -> dict[str, Any]:
     found: dict[str, Any] = {}
-    for what in ("drain", "silent", "slow", "kill", "uneven", "cut"):
+    for what in ("drain", "silent", "replaced", "slow", "kill", "uneven", "cut"):
         with Pool() as pool:
             runs = pool.starmap(served, [(w, s, what) for s in range(seeds) for w in (False, True)])
         rows = list(zip(runs[::2], runs[1::2], strict=True))
@@ -305,7 +309,7 @@
             "served_without": spread([a["served"] for a, _ in rows], 4),
             "served_with": spread([b["served"] for _, b in rows], 4),
         }
-        if what in ("drain", "silent"):
+        if what in ("drain", "silent", "replaced"):
             ratios = [b["to_the_bad"] / max(a["to_the_bad"], 1) for a, b in rows]
             found[what]["sent_to_the_bad_with_over_without"] = spread(ratios)
         if what == "silent":
--- a/lab/service.py
+++ b/lab/service.py
@@ -29,13 +29,20 @@
 
 def trouble(world: Service, what: str) -> None:
     """`drain`: of 3 servers, told to node 0 first; `silent`, `slow`: one in eight is; `kill`: 3
-    are silent, and 7 nodes in 10 are killed with them; `cut`: every word is lost."""
+    are silent, and 7 nodes in 10 are killed with them; `cut`: every word is lost; `replaced`:
+    6 servers in 10 within 7 s, each told to one node first."""
     if what == "kill":
         for node in range(len(world.terms) * 7 // 10):
             world.kill(node)
     if what == "cut":
         world.links.loss = 1.0
         return
+    if what == "replaced":
+        for server in range(len(world.pool) * 6 // 10):
+            at = world.now + server * 7 * SECOND // (len(world.pool) * 6 // 10)
+            first = world.random.randrange(len(world.terms))
+            world.later(at, world.replace, server, [first])
+        return
     few = len(world.pool) // 8 if what in ("silent", "slow") else 3
     for server in range(1, 1 + few):
         if what == "drain":
@@ -51,6 +58,7 @@
 
     def __init__(self) -> None:
         self.silent = False
+        self.gone = False
         self.slow = 1  # times the usual work
         self.boot = 0
         self.held = 0
@@ -79,6 +87,7 @@
             max_attempts=4, max_retry_after=2 * SECOND,
         )  # fmt: skip
         self.balancer = Balancer(settings, world.random.getrandbits(32), self)
+        self.listed = dict(enumerate(world.states))
         self.attempts: dict[int, list[Sent]] = {}
         self.open: dict[tuple[int, int], Sent] = {}
         self.ended: set[int] = set()
@@ -258,27 +267,42 @@
         """A change that the list service tells these nodes now and the others 5 s later."""
         self.rev += 1
         self.states[server] = state
+        states = tuple(self.states)
         for node in list(self.hosts):
             wait = 0 if node in nodes else 5 * SECOND
-            self.later(self.now + wait, self._told, node, self.rev, server, state)
+            self.later(self.now + wait, self._told, node, self.rev, states)
+
+    def replace(self, server: int, nodes: Sequence[int]) -> None:
+        """A server is to leave, another has come, and the first is gone once its grace is over."""
+        self.pool.append(Server())
+        self.states.append(State.READY)
+        self.relist(server, State.DRAINING, nodes)
+        self.later(self.now + GRACE, self._leave, server)
+
+    def _leave(self, server: int) -> None:
+        self.pool[server].gone = True
 
-    def _told(self, node: int, rev: int, server: int, state: State) -> None:
+    def _told(self, node: int, rev: int, states: tuple[State, ...]) -> None:
+        """A version comes whole: what of it the node had not heard is news."""
         host = self.hosts.get(node)
         if host is None or self.nodes[node].rev >= rev:
             return
         if node in self.stopped:
-            self.later(self.now + 100 * MS, self._told, node, rev, server, state)
+            self.later(self.now + 100 * MS, self._told, node, rev, states)
             return
         now = self.clock(node)
         fleet = self.nodes[node]
-        fleet.listed(now, rev, [(server, 0, state)], False)
-        if state == State.READY:
-            self.pool[server].told.pop(node, None)
-        else:
-            self.pool[server].told[node] = self.now
-        if self.words:
-            state = fleet.over(server, 0, state)
-        host.balancer.on_members(now, Update.DELTA, [Listing(server, state)])
+        known = host.listed
+        news = [(s, state) for s, state in enumerate(states) if known.get(s) != state]
+        known.update(news)
+        fleet.listed(now, rev, [(s, 0, state) for s, state in news], False)
+        for server, state in news:
+            if state == State.READY:
+                self.pool[server].told.pop(node, None)
+            else:
+                self.pool[server].told[node] = self.now
+        rows = [Listing(s, fleet.over(s, 0, state) if self.words else state) for s, state in news]
+        host.balancer.on_members(now, Update.DELTA, rows)
 
     # ---- requests ---------------------------------------------------------------
 
@@ -314,6 +338,12 @@
         self.later(self.now + limit, self._timed_out, host, request, number)
         server.held += 1
         server.most = max(server.most, server.held)
+        if server.gone:
+            self.count("sent to a server that is gone")
+            self.later(
+                self.now + MS, self._done, host, request, number, server, Outcome.CONNECT_FAILED
+            )
+            return
         if server.silent:
             self.count("sent to a silent server")
             if not host.balancer.backends[backend].strikes:
