--- a/flinthatch/fleet/desk.py
+++ b/flinthatch/fleet/desk.py
@@ -128,7 +128,11 @@
         for server in orders:
             b = self.balancer.backends.get(server)
             if b is not None and b.state == State.READY:
-                state = self.fleet.over(server, self.fleet.boots.get(server, 0), State.READY)
-                if state != State.READY:
+                boot = self.fleet.boots.get(server, 0)
+                state = self.fleet.over(server, boot, State.READY)
+                if state == State.READY:
+                    if self.fleet.waits(server, boot):
+                        self.fleet.orders.add(server)  # no room for it yet
+                else:
                     rows.append(Listing(server, state, b.zone, b.cell, b.kind, 0, b.rating))
         return rows
--- a/flinthatch/fleet/fleet.py
+++ b/flinthatch/fleet/fleet.py
@@ -38,6 +38,7 @@
 DIGEST_EVERY = SECOND  # with one other by chance
 DIGEST_SLACK = 3  # parts that may differ for news under way, before a difference is fetched
 AGAIN = 5 * SECOND  # a sight that still holds is told anew, well before it counts no more
+OUT_OF = 3  # as many witnesses are believed against: a third may be wrong, not more
 JUDGE_EVERY = 500 * MS  # what is told and still holds is said anew to the Balancer
 # Catch-up.
 TEACHERS = 2
@@ -111,6 +112,7 @@
         self.boots: dict[int, int] = {}  # of the servers on it
         self.caught_up = False
         self.orders: set[int] = set()  # servers of which others' lists told news: see `over`
+        self.out: set[int] = set()  # of those, the ones that words alone have taken out
         self._random = Random(seed ^ 0x5EA75)
         self._pace = Bucket(terms.words, max(terms.words / 2, FANOUT + 1), now)
         self._bulk = Bucket(BULK, BULK / 4, now)
@@ -168,6 +170,7 @@
         named = set()
         for server, boot, state in rows:
             named.add(server)
+            self.out.discard(server)
             if state == State.GONE:
                 # The start that we knew is the one that has ended: its row may lack it.
                 if server in self.boots:
@@ -178,15 +181,29 @@
                 self._take(now, Listed(server, boot, rev, state, 0))
         if whole:
             for server in [s for s in self.boots if s not in named]:
+                self.out.discard(server)
                 self._take(now, Listed(server, self.boots.pop(server), rev, State.GONE, 0))
 
     def over(self, server: int, boot: int, state: State) -> State:
-        """A server's state by the list's latest word that any node has, never a milder one."""
-        if state == State.READY and self.beliefs.listed(server, boot, self.rev) is not None:
+        """A server's state by the list's latest word that any node has, never a milder one.
+
+        Of the servers on our own list words take out one in OUT_OF: what comes in their place
+        is not told on, and who lies must not take all. The others wait for our own list.
+        """
+        room = server in self.out or len(self.out) < self.most_out()
+        if state == State.READY and room and self.waits(server, boot):
+            self.out.add(server)
             # GONE too: what is out there is finished, and the list itself will tell.
             return State.DRAINING
         return state
 
+    def waits(self, server: int, boot: int) -> bool:
+        """Whether others' lists tell of this start what ours has yet to come to."""
+        return self.beliefs.listed(server, boot, self.rev) is not None
+
+    def most_out(self) -> int:
+        return max(len(self.boots) // OUT_OF, 1)
+
     def leave(self) -> list[Out]:
         """This node stops on purpose: whoever hears it need not find out."""
         m = self.members
--- a/lab/play.py
+++ b/lab/play.py
@@ -88,6 +88,7 @@
         self.world = world
         self.first: dict[tuple[int, ...], int] = {}  # when a sight was first held by anyone
         self.drained: dict[tuple[int, int], int] = {}  # (node, server) -> its life then
+        self.used: dict[tuple[int, int], int] = {}  # since when though known to drain
         self.world.later(LOOK, self.look)
 
     def sights(self, node: int, server: int) -> None:
@@ -118,7 +119,11 @@
                 elif self.drained.get(key) == host.life:
                     # No server here is ever listed as ready again.
                     world.breach(f"server {server} came back at node {node}")
-                elif known and node not in world.stopped:
+                used = known and backend.state == State.READY and node not in world.stopped
+                if not used or len(fleet.out) >= fleet.most_out():
+                    self.used.pop(key, None)
+                # Room that our own list has made is taken up with the next turn.
+                elif world.now - self.used.setdefault(key, world.now) > 3 * LOOK:
                     world.breach(f"node {node} knows that {server} drains and uses it")
         world.later(world.now + LOOK, self.look)
 
