--- a/flinthatch/fleet/fleet.py
+++ b/flinthatch/fleet/fleet.py
@@ -20,6 +20,7 @@
 from flinthatch.fleet.rumours import Rumours
 from flinthatch.fleet.words import (
     MOST_INCARNATION,
+    MOST_SERIAL,
     Kind,
     Life,
     Listed,
@@ -99,8 +100,7 @@
 
     def __init__(self, terms: Terms, seed: int, incarnation: int, now: int) -> None:
         self.terms = terms
-        self.members = Members(terms.me, terms.nodes, incarnation, seed)
-        self.members.began = now
+        self.members = Members(terms.me, terms.nodes, incarnation, seed, now)
         self.beliefs = Beliefs(terms.nodes, terms.zones)
         self.rumours: Rumours[Key] = Rumours(terms.nodes)
         self.loans = Loans(seed ^ 0x10A25)
@@ -170,7 +170,8 @@
         named = set()
         for server, boot, state in rows:
             named.add(server)
-            self.out.discard(server)
+            if state != State.READY:
+                self.out.discard(server)
             if state == State.GONE:
                 # The start that we knew is the one that has ended: its row may lack it.
                 if server in self.boots:
@@ -181,8 +182,9 @@
                 self._take(now, Listed(server, boot, rev, state, 0))
         if whole:
             for server in [s for s in self.boots if s not in named]:
-                self.out.discard(server)
                 self._take(now, Listed(server, self.boots.pop(server), rev, State.GONE, 0))
+        # Those that our own list has not come to yet stay out, before any other is taken.
+        self.out = {s for s in self.out if s in self.boots and self.waits(s, self.boots[s])}
 
     def over(self, server: int, boot: int, state: State) -> State:
         """A server's state by the list's latest word that any node has, never a milder one.
@@ -221,7 +223,7 @@
             # before it tells: 200 nodes would have to say otherwise, one by one.
             m.forgive(now)
             self._learn_anew(now)
-        if not 0 <= word.incarnation < MOST_INCARNATION:
+        if not (0 <= word.incarnation < MOST_INCARNATION and 0 <= word.serial < MOST_SERIAL):
             self.counts["unsound"] += 1
             return []
         if not m.hear(now, word.origin, word.incarnation):
@@ -286,8 +288,10 @@
         if word.origin % zones != m.me % zones:
             return []
         if word.kind == Kind.BORROW:
-            # To one held for dead nothing: the others go past its seats already.
-            spare = self.spare if m.living(word.origin) else 0
+            # To one held for dead nothing: the others go past its seats already. Nor to a
+            # name of two processes, each of which would use what the other was lent.
+            fit = m.living(word.origin) and word.origin in m.believed(now)
+            spare = self.spare if fit else 0
             classes = self.loans.lend(now, word.origin, spare)
             return [Out(word.origin, Word(Kind.LEND, m.me, m.incarnation, word.serial, classes))]
         if word.kind == Kind.LEND:
@@ -298,7 +302,7 @@
         m, zones = self.members, self.terms.zones
         if not (self.keeps or self.wants) or self._pace.fill(now) < 1:
             return []
-        others = [n for n in m.others() if n % zones == m.me % zones]
+        others = [n for n in m.believed(now) if m.living(n) and n % zones == m.me % zones]
         return [
             Out(lender, Word(Kind.BORROW, m.me, m.incarnation, serial))
             for lender, serial in self.loans.asks(now, others, self.wants)
--- a/flinthatch/fleet/members.py
+++ b/flinthatch/fleet/members.py
@@ -65,7 +65,7 @@
 class Members:
     """The other nodes of the tier, by their numbers, and this one's own incarnation."""
 
-    def __init__(self, me: int, nodes: int, incarnation: int, seed: int) -> None:
+    def __init__(self, me: int, nodes: int, incarnation: int, seed: int, now: int = 0) -> None:
         self.me = me
         self.incarnation = incarnation
         self.peers = {n: Peer() for n in range(nodes) if n != me}
@@ -81,7 +81,7 @@
         self._wide = 1  # new ones a period: doubled while they fail, as after a mass kill
         self._next = 0
         self._heard = 0  # the last word from anyone
-        self.began = 0
+        self._began = now  # or went on, after a stop
         self._suspects: set[int] = set()
         # The ASKs sent for others: serial of ours -> (who asked, its serial, of whom, when).
         self._errands: dict[int, tuple[int, int, int, int]] = {}
@@ -219,6 +219,7 @@
         """We were not running: whoever seemed silent meanwhile was not."""
         self._probes.clear()
         self._errands.clear()
+        self._began = now
         self.health = min(self.health + 1, HEALTH_MOST)
         self._next = now + PERIOD
         for node in self._suspects:
@@ -308,7 +309,7 @@
 
     def unheard(self, now: int) -> bool:
         """The same, also of a node that has heard nobody since it began."""
-        return now - max(self._heard, self.began) > ALONE
+        return now - max(self._heard, self._began) > ALONE
 
     def forgive(self, now: int) -> None:
         """Hold for living again whoever has not left: we were the one cut off."""
--- a/flinthatch/fleet/words.py
+++ b/flinthatch/fleet/words.py
@@ -13,6 +13,7 @@
 from flinthatch.model import State
 
 MOST_INCARNATION = 1 << 48  # milliseconds since 1970 stay under it for some thousands of years
+MOST_SERIAL = 1 << 32  # an answer repeats it, and has room for five bytes of it
 MOST_STRUCK = 15
 MOST_RATIO = 160  # sixteenths
 
--- a/lab/service.py
+++ b/lab/service.py
@@ -54,13 +54,12 @@
 
 
 class Server:
-    """One server's books; `boot` is counted up at each start."""
+    """One server's books."""
 
     def __init__(self) -> None:
         self.silent = False
         self.gone = False
         self.slow = 1  # times the usual work
-        self.boot = 0
         self.held = 0
         self.most = 0
         self.free = [0] * WORKERS  # when each worker is done with what it has been given
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -14,7 +14,7 @@
 from flinthatch.fleet.desk import Desk, Tidings
 from flinthatch.fleet.fleet import DIGEST_SIZE, HEAD, SIZES, Fleet, Terms
 from flinthatch.fleet.loans import SLACK, SPAN, Loans
-from flinthatch.fleet.members import DOUBTED_FOR, Members
+from flinthatch.fleet.members import ALONE, DOUBTED_FOR, Members
 from flinthatch.fleet.rumours import Rumours
 from flinthatch.fleet.seats import Seats
 from flinthatch.fleet.words import Kind, Life, Listed, Record, Seen, Standing, Word, sound
@@ -214,9 +214,14 @@
     assert tidings is not None and len(tidings.draining) == 3
     desk.tell(20, tidings)
     assert sum(b.state == State.READY for b in balancer.backends.values()) == 6
-    # Our own list says so of one of the three: there is room for another.
+    # Our own list, still older than the words, takes none back and no other in its place.
+    whole = [(b, 7, State.READY) for b in reversed(range(9))]
+    fleet.listed(25, 2, whole, True)
+    out = {server for server, boot, state in whole if fleet.over(server, boot, state) != state}
+    assert out == {row.backend for row in tidings.draining}
+    # It says so of one of the three: there is room for another.
     first = tidings.draining[0].backend
-    fleet.listed(30, 2, [(first, 7, DRAINING)], False)
+    fleet.listed(30, 3, [(first, 7, DRAINING)], False)
     later = desk.collect(30)
     assert later is not None and len(later.draining) == 1 and len(fleet.out) == 3
 
@@ -271,6 +276,12 @@
         fleet.hear(i, Word(Kind.NEWS, 1, 20, records=(sight(9, 1, 10 + i, struck=3),)))
         fleet.hear(i, Word(Kind.NEWS, 1, 10, records=()))
     assert 1 not in fleet.members.believed(10)
+    fleet.spare = 8
+    fleet.loans.begin(0)
+    fleet.loans.expire(SPAN + SLACK)
+    assert fleet.hear(11, Word(Kind.BORROW, 1, 20, 5))[0].word.subject == 0
+    assert fleet.hear(11, Word(Kind.BORROW, 2, 20, 5))[0].word.subject == 255
+    assert fleet.hear(11, Word(Kind.BORROW, 2, 20, 1 << 40)) == []  # no room to repeat it
     assert not fleet.changes(10)
     assert 1 in fleet.members.believed(10 + DOUBTED_FOR)
     assert fleet.counts["old"] == 4
@@ -289,6 +300,7 @@
     out = fleet.turn(60 * SECOND)
     assert not fleet.caught_up and fleet.counts["stalls"] == 1
     assert Kind.DIGEST in {o.word.kind for o in out}
+    assert not fleet.members.unheard(60 * SECOND)  # it was we who were silent
     assert not any(o.word.records for o in out)  # nothing of what it believed
     assert fleet.members.living(3)  # the suspicion did not run out while it stood
 
@@ -360,6 +372,7 @@
     assert whole.depth(0, 60, 24) == 15  # a level beyond what a server takes
     assert whole.depth(0, 60, 1) == 30  # one server for ten: each needs its few
     assert whole.cap(7, 0, 60, 24) == 2
+    assert ALONE > SPAN + SLACK  # whatever we have lent has ended by the time we are free
     whole.free = True  # nobody is heard: at least what there is without words
     assert whole.cap(7, 0, 60, 24) == 6 and whole.cap(7, 0, 4, 24) == 1
 
--- a/windrelay/peers/link.py
+++ b/windrelay/peers/link.py
@@ -80,6 +80,7 @@
         self.desk = Desk(self.fleet, host.balancer)
         self.counts: Counter[str] = Counter()
         self._caught_up = False
+        self._living = 0  # as last logged
         self._sock: socket.socket | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._armed = 0
@@ -198,8 +199,9 @@
         tidings = self.desk.collect(now)
         if tidings is not None:
             self._host.moves(self.desk.tell, tidings)
-            if tidings.deal:
-                self._host.log(f"{self.desk.living} of {len(self._addresses)} nodes live")
+        if self.desk.living != self._living:
+            self._living = self.desk.living
+            self._host.log(f"{self._living} of {len(self._addresses)} nodes live")
         if fleet.caught_up != self._caught_up:
             self._caught_up = fleet.caught_up
             if fleet.caught_up:
