--- a/windrelay/operator/peers.py
+++ b/windrelay/operator/peers.py
@@ -82,7 +82,8 @@
     itself = ", which asks for it" if held["reads"] else ""
     out = [f"  list: {held['rows']} rows, version {held['rev']} of epoch {held['epoch']}{itself}"]
     for node, how, epoch, rev, age in held["readers"]:
-        out.append(f"    node {node}: {how}, version {rev} of epoch {epoch}, {age / 1000:.1f} s ago")
+        when = f"{age / 1000:.1f} s ago"
+        out.append(f"    node {node}: {how}, version {rev} of epoch {epoch}, {when}")
     counts = ", ".join(f"{name} {n}" for name, n in sorted(held["counts"].items()) if n)
     return [*out, f"    {counts}"] if counts else out
 
