A cold server's answer lets the next waiting request go: a black start serves what it can

To blame: Balancer.rest spaces what a cold server gets by the usual rate, which it takes from its own sends; with none seen yet each node sends one request to a server in each fall window, and so sees no rate ever.

An answer of a cold server now ends that wait where requests wait. Its slots are few (COLD_LEVEL or its warm part of the level, dealt among all nodes), so it is never sent more than it does plus those few, which is under the rule's budget for any rate and window. Where nothing waits all is as before.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -824,7 +824,9 @@
         self.actions.send(r.id, b.id, limit)
 
     def rest(self, now: int, b: Backend) -> None:
-        """Space out what a cold backend gets, to this node's part of its budget."""
+        """Space out what a cold backend gets, to this node's part of its budget.
+
+        Where requests wait its answers lift that: a black start has no usual rate."""
         s = self.settings
         usual = self.send_rate * s.balancers / max(self.ready, 1)
         rate = COLD_SAFETY * s.fall_multiple * self.warmth(b) * usual
@@ -981,15 +983,15 @@
         self, now: int, c: ClassState, b: Backend, taken: int, load: Sequence[float]
     ) -> None:
         ratio = self.timed(c, b, taken)
-        cost = 0.5 * b.lat + 0.5 * ratio
+        b.cost = 0.5 * b.lat + 0.5 * ratio
         if 0 <= self.queue_column < len(load):
-            cost = b.lat * (1.0 + max(load[self.queue_column], 0.0))
-        b.cost = cost
+            b.cost = b.lat * (1.0 + max(load[self.queue_column], 0.0))
         self.heard(now, b)
-        b.fulls = 0
-        b.errors = 0
+        b.fulls = b.errors = 0
         b.trial = False
         b.backoff = BACKOFF
+        if b.cold_until > now and self.waiting:
+            b.rest_until = now  # no more than its few slots are out: it is sent what it does
 
     def timed(self, c: ClassState, b: Backend, taken: int) -> float:
         """Learn from how long an attempt was out; returns it against the class's mean."""
--- a/lab/lists.py
+++ b/lab/lists.py
@@ -9,8 +9,9 @@
 
 import json
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
+from functools import lru_cache
 from typing import NamedTuple
 
 from flinthatch import Balancer, Listing, RequestClass, Settings, State, Update
@@ -30,35 +31,52 @@
 CLASS = RequestClass("balance", 800 * MS, 2 * SECOND)
 
 
-def row(server: int, life: int = 0) -> str:
+def row(server: int, life: int = 0, state: str = "active", boot_ms: int = 0) -> str:
     """A server as discovery tells of it, some of it drawn so that it packs as real rows do."""
     drawn = (server * 2654435761 + life * 40503) & 0xFFFFFFFF
     return json.dumps(
         {
             "uid": f"s-{drawn:08x}", "endpoint": f"10.{server % 7}.{drawn % 251}.18:8080",
-            "az": "abc"[server % 3], "model": "m2", "pod_group": server % 5, "state": "active",
-            "capacity_hint": 1.0, "boot_ms": 1_700_000_000_000 + drawn,
+            "az": "abc"[server % 3], "model": "m2", "pod_group": server % 5, "state": state,
+            "capacity_hint": 1.0, "boot_ms": boot_ms,
         },
         sort_keys=True, separators=(",", ":"),
     )  # fmt: skip
 
 
+@lru_cache(1 << 16)
+def _read(text: str) -> tuple[State, int]:
+    found = json.loads(text)
+    return (State.READY if found["state"] == "active" else State.DRAINING), found["boot_ms"]
+
+
+def listing(uid: str, text: str | None, skew: int) -> Listing:
+    """A row as a node's host reads it, whose clock is that far on."""
+    if text is None:
+        return Listing(int(uid[1:]), State.GONE)
+    state, boot_ms = _read(text)
+    return Listing(int(uid[1:]), state, boot=boot_ms * MS + skew if boot_ms else 0)
+
+
 class Asked(NamedTuple):
     """One call as it waits."""
 
-    asker: Asker
+    asker: ListClient
     number: int
     since: int  # the version asked from, -1 for the whole list
-    at: int
+    hold: int
+
+
+Answer = tuple[int, Mapping[str, str | None], bool]  # version, rows, whether these are all
 
 
 class ListService:
-    """One service for all; `down` refuses, `refusing` turns away that part, `behind` lies."""
+    """One service for all; `down` refuses, `refusing` turns away that part, `old` lies."""
 
-    def __init__(self, world: ListWorld, servers: int) -> None:
+    def __init__(self, world: World, rows: Mapping[str, str]) -> None:
         self.world = world
         self.rev = 41
-        self.rows: dict[str, str] = {f"s{i}": row(i) for i in range(servers)}
+        self.rows = dict(rows)
         self.old: tuple[int, dict[str, str]] | None = None  # what it answers instead
         self.down = False
         self.refusing = 0.0
@@ -68,7 +86,7 @@
         self._changes: list[tuple[int, str]] = []
         self._watching: list[Asked] = []
 
-    def change(self, rows: dict[str, str | None], rev: int = 0) -> None:
+    def change(self, rows: Mapping[str, str | None], rev: int = 0) -> None:
         """These rows are others by now; watches are answered."""
         self.rev = rev or self.rev + 1
         for uid, text in rows.items():
@@ -88,8 +106,7 @@
             self._end(asked, self.world.now + TRIP, None)
         elif 0 <= asked.since == self._said()[0]:
             self._watching.append(asked)
-            hold = HOLD_MS * MS if self.world.terms[0].readers else HOLD
-            self.world.later(self.world.now + hold, self._nothing, asked)
+            self.world.later(self.world.now + asked.hold, self._nothing, asked)
         else:
             self._serve(asked)
 
@@ -121,127 +138,143 @@
         said: dict[str, str | None] = dict(rows) if whole else {u: rows.get(u) for u in changed}
         self._end(asked, self.free + TRIP, (rev, said, whole))
 
-    def _end(
-        self, asked: Asked, due: int, answer: tuple[int, dict[str, str | None], bool] | None
-    ) -> None:
+    def _end(self, asked: Asked, due: int, answer: Answer | None) -> None:
         self.world.later(due, asked.asker.answered, asked.number, answer)
 
-    def forget(self, asker: Asker) -> None:
+    def forget(self, asker: ListClient) -> None:
+        """Its connection has gone."""
         self._watching = [a for a in self._watching if a.asker is not asker]
 
 
-class Asker:
-    """One node's Balancer and its list; implements what of a host's actions concerns the list."""
+class ListClient:
+    """One node's list, and its calls for it, as the program's discovery makes them."""
 
-    def __init__(self, world: ListWorld, node: int, known: tuple[int, dict[str, str]]) -> None:
-        self.world, self.node = world, node
+    def __init__(
+        self,
+        world: World,
+        node: int,
+        service: ListService,
+        known: tuple[int, dict[str, str]],
+        told: Callable[[Update, Mapping[str, str | None]], None],
+    ) -> None:
+        """`told`: the update and its rows, as the host is to hear them."""
+        self.world, self.node, self.service = world, node, service
         self.rev, self.rows = known
-        self.ready = -1  # when it first could serve
         self.older = 0
+        self._told = told
         self._watching = False
         self._calls = 0
         self._reads = False
-        terms = world.terms[node]
-        settings = Settings((CLASS,), node=node, balancers=terms.nodes, ask=True)
-        self.balancer = Balancer(settings, world.random.getrandbits(32), self)
+        self._fleet = world.nodes[node]
+        self._hold = HOLD_MS * MS if world.terms[node].readers else HOLD
 
-    @property
-    def fleet(self) -> Fleet | None:
-        return self.world.nodes.get(self.node) if self.world.askers[self.node] is self else None
+    def _alive(self) -> bool:
+        return self.world.nodes.get(self.node) is self._fleet
 
     def begin(self) -> None:
-        now = self.world.clock(self.node)
-        fleet = self.fleet
-        assert fleet is not None
-        if fleet.shared is not None and self.rows:
-            fleet.shared.copy.begin(self.rev, self.rows)
-        self.balancer.start(now)
-        self._listed(Update.CACHED)
-
-    def _listed(self, update: Update) -> None:
-        if self.ready < 0 and self.rows:
-            self.ready = self.world.now
-        rows = [Listing(int(uid[1:]), State.READY) for uid in self.rows]
-        self.balancer.on_members(self.world.clock(self.node), update, rows)
-
-    # ---- actions -------------------------------------------------------------
+        shared = self._fleet.shared
+        if shared is not None and self.rows:
+            shared.copy.begin(self.rev, self.rows)
+        self._told(Update.CACHED, self.rows)
 
     def watch(self) -> None:
-        fleet = self.fleet
-        if self._watching or fleet is None or (fleet.shared and not fleet.shared.reads):
+        shared = self._fleet.shared
+        if self._watching or not self._alive() or (shared is not None and not shared.reads):
             return
         self._watching = True
         self._next()
 
-    def fetch(self) -> None:
-        """Not used."""
-
-    def set_timer(self, token: int, due: int) -> None:
-        self.world.later(due - self.world.skew[self.node], self._timer, token)
-
-    def _timer(self, token: int) -> None:
-        if self.fleet is not None and self.node not in self.world.stopped:
-            self.balancer.on_timer(self.world.clock(self.node), token)
-
-    def __getattr__(self, action: str) -> Callable[..., None]:
-        return lambda *_: None  # no requests here
-
-    # ---- calls -----------------------------------------------------------------
-
     def _next(self) -> None:
         self._calls += 1
-        asked = Asked(self, self._calls, self.rev if self.rows else 0, self.world.now)
-        self.world.later(self.world.now + TRIP, self.world.service.call, asked)
-        hold = HOLD_MS * MS if self.world.terms[0].readers else HOLD
-        self.world.later(self.world.now + hold + CALL, self.answered, self._calls, None)
+        asked = Asked(self, self._calls, self.rev if self.rows else 0, self._hold)
+        self.world.later(self.world.now + TRIP, self.service.call, asked)
+        self.world.later(self.world.now + self._hold + CALL, self.answered, self._calls, None)
 
-    def answered(self, number: int, answer: tuple[int, dict[str, str | None], bool] | None) -> None:
+    def answered(self, number: int, answer: Answer | None) -> None:
         """What the program's discovery does with it."""
-        fleet = self.fleet
-        if fleet is None or not self._watching or number != self._calls:
+        if not (self._alive() and self._watching) or number != self._calls:
+            return
+        if self.node in self.world.stopped:
+            self.world.later(self.world.now + 100 * MS, self.answered, number, answer)
             return
         now = self.world.clock(self.node)
+        shared = self._fleet.shared
         older = answer is not None and answer[0] < self.rev
         self.older = self.older + 1 if older else 0
         if answer is None or (older and (self.older < OLD_TRIES or not answer[2])):
             self._watching = False
             self._calls += 1
-            if fleet.shared is not None:
-                fleet.shared.failed(now, older)
-            self.balancer.on_members(now, Update.FAILED)
+            if shared is not None:
+                shared.failed(now, older)
+            self._told(Update.FAILED, {})
             return
         rev, rows, whole = answer
         self.older = 0
-        self.take(Taken(rev, rows, whole))
-        if fleet.shared is not None:
-            fleet.shared.read(now, rev, rows, whole)
+        if shared is not None:
+            shared.read(now, rev, rows, whole)
             self.world.poke(self.node)
+        self._take(Taken(rev, rows, whole))
         self._next()
 
-    def take(self, taken: Taken) -> None:
+    def _take(self, taken: Taken) -> None:
         before = {} if taken.whole else self.rows
         merged = dict[str, str | None](before) | dict(taken.rows)
         self.rows = {u: r for u, r in merged.items() if r is not None}
         self.rev = taken.rev
-        self._listed(Update.FULL)
+        self._told(Update.FULL if taken.whole else Update.DELTA, taken.rows)
 
     def after(self) -> None:
         """What `windrelay/peers/lists.py` does after each turn and word."""
-        fleet = self.fleet
-        if fleet is None or fleet.shared is None:
+        shared = self._fleet.shared
+        if shared is None or not self._alive():
             return
-        shared = fleet.shared
         if shared.reads != self._reads:
             self._reads = shared.reads
             if self._reads:
                 self.watch()
             else:
                 self._watching = False
-                self.world.service.forget(self)
+                self.service.forget(self)
         news, shared.news = shared.news, []
         for taken in news:
             self.older = 0
-            self.take(taken)
+            self._take(taken)
+
+
+class Starter:
+    """One node's Balancer without requests: it says when the list is asked for."""
+
+    def __init__(self, world: ListWorld, node: int) -> None:
+        self.world, self.node = world, node
+        self.ready = -1  # when it first could serve
+        terms = world.terms[node]
+        settings = Settings((CLASS,), node=node, balancers=terms.nodes, ask=True)
+        self.balancer = Balancer(settings, world.random.getrandbits(32), self)
+        self.list = ListClient(world, node, world.service, world.known(node), self._told)
+
+    def begin(self) -> None:
+        self.balancer.start(self.world.clock(self.node))
+        self.list.begin()
+
+    def _told(self, update: Update, rows: Mapping[str, str | None]) -> None:
+        if self.ready < 0 and rows:
+            self.ready = self.world.now
+        skew = self.world.skew[self.node]
+        found = [listing(uid, text, skew) for uid, text in rows.items()]
+        self.balancer.on_members(self.world.clock(self.node), update, found)
+
+    def watch(self) -> None:
+        self.list.watch()
+
+    def set_timer(self, token: int, due: int) -> None:
+        self.world.later(due - self.world.skew[self.node], self._timer, token)
+
+    def _timer(self, token: int) -> None:
+        if self.world.starters.get(self.node) is self and self.node in self.world.nodes:
+            self.balancer.on_timer(self.world.clock(self.node), token)
+
+    def __getattr__(self, action: str) -> Callable[..., None]:
+        return lambda *_: None  # no requests here
 
 
 class ListWorld(World):
@@ -250,23 +283,19 @@
     def __init__(self, nodes: int, servers: int, seed: int, readers: int) -> None:
         super().__init__(nodes, 0, seed)
         self.terms = [replace(t, readers=readers) for t in self.terms]
-        self.service = ListService(self, servers)
-        self.askers: dict[int, Asker] = {}
+        self.service = ListService(self, {f"s{i}": row(i) for i in range(servers)})
+        self.starters: dict[int, Starter] = {}
         self.known: Callable[[int], tuple[int, dict[str, str]]] = lambda _node: (0, {})
 
     def start(self, node: int) -> Fleet:
         fleet = super().start(node)
-        asker = self.askers[node] = Asker(self, node, self.known(node))
-        asker.begin()
+        starter = self.starters[node] = Starter(self, node)
+        starter.begin()
         return fleet
 
     def kill(self, node: int) -> None:
         super().kill(node)
-        self.service.forget(self.askers[node])
-
-    def poke(self, node: int) -> None:
-        """Its list has news: its next turn is soon."""
-        self._arm(node, self.now + 1)
+        self.service.forget(self.starters[node].list)
 
     def send(self, node: int, out: list[Out]) -> None:
         if self.terms[0].readers:
@@ -282,14 +311,14 @@
 
     def _after(self, node: int) -> None:
         if node in self.nodes and node not in self.stopped:
-            self.askers[node].after()
+            self.starters[node].list.after()
 
     def current(self) -> bool:
         """Whether every node has the service's rows."""
         rows = self.service.rows
-        return all(self.askers[n].rows == rows for n in self.nodes)
+        return all(self.starters[n].list.rows == rows for n in self.nodes)
 
     def last_ready(self) -> float:
         """Seconds until the last node could serve; infinite where one can't yet."""
-        times = [self.askers[n].ready for n in self.nodes]
+        times = [self.starters[n].ready for n in self.nodes]
         return max(times) / SECOND if min(times) >= 0 else float("inf")
--- a/lab/service.py
+++ b/lab/service.py
@@ -8,8 +8,9 @@
 from __future__ import annotations
 
 import heapq
-from collections import Counter
-from collections.abc import Sequence
+from collections import Counter, deque
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import replace
 from typing import NamedTuple
 
 from flinthatch import Balancer, Effect, Listing, Outcome, RequestClass, Settings, State, Update
@@ -17,6 +18,7 @@
 from flinthatch.fleet.words import Out, Word
 from flinthatch.model import MS, SECOND
 from lab.fleets import World
+from lab.lists import ListClient, ListService, listing, row
 
 BALANCE = RequestClass("balance", 800 * MS, 2 * SECOND)
 CREDIT = RequestClass("credit", 750 * MS, 3 * SECOND, Effect.SIDE_EFFECT, worth=5.0)
@@ -25,6 +27,11 @@
 TAKES = 17  # requests that a server holds at once
 GRACE = 2 * SECOND
 CREDIT_PART = 0.2
+COLD = 10 * SECOND  # as in Settings, like the three below
+COLD_FROM = 0.1
+FALL = 2 * SECOND
+FALL_MULTIPLE = 3.0
+DOWN = 3 * SECOND  # a server that has fallen is back, cold, after this
 
 
 def trouble(world: Service, what: str) -> None:
@@ -64,6 +71,25 @@
         self.most = 0
         self.free = [0] * WORKERS  # when each worker is done with what it has been given
         self.told: dict[int, int] = {}  # node -> when the list service told it of the drain
+        self.boot = 0  # when it started, 0 for long ago
+        self.came: deque[int] = deque()  # requests, while it is cold
+
+    def warmth(self, now: int) -> float:
+        """The part of its capacity that it has by now."""
+        if not self.boot:
+            return 1.0
+        return min(COLD_FROM + (1.0 - COLD_FROM) * (now - self.boot) / COLD, 1.0)
+
+    def falls(self, now: int) -> bool:
+        """Whether one request more is too much for a server as cold as this (rule four)."""
+        warm = self.warmth(now)
+        if warm >= 1.0:
+            return False
+        self.came.append(now)
+        while self.came[0] <= now - FALL:
+            self.came.popleft()
+        usual = FALL_MULTIPLE * warm * WORKERS * FALL / WORK
+        return bool(len(self.came) > usual + 3 * usual**0.5 + 3)
 
 
 class Sent(NamedTuple):
@@ -83,10 +109,14 @@
         self.life = world.lives(node)
         settings = Settings(
             (BALANCE, CREDIT), node=node, balancers=len(world.terms), drain_grace=GRACE,
-            max_attempts=4, max_retry_after=2 * SECOND,
+            max_attempts=4, max_retry_after=2 * SECOND, ask=world.lists is not None,
         )  # fmt: skip
         self.balancer = Balancer(settings, world.random.getrandbits(32), self)
         self.listed = dict(enumerate(world.states))
+        self.client: ListClient | None = None
+        if world.lists is not None:
+            known = world.known(node)
+            self.client = ListClient(world, node, world.lists, known, self.told)
         self.attempts: dict[int, list[Sent]] = {}
         self.open: dict[tuple[int, int], Sent] = {}
         self.ended: set[int] = set()
@@ -131,7 +161,30 @@
         """Not used."""
 
     def watch(self) -> None:
-        """The list is pushed."""
+        """Where there is no service to ask, the list is pushed."""
+        if self.client is not None:
+            self.client.watch()
+
+    def told(self, update: Update, rows: Mapping[str, str | None]) -> None:
+        """A list has come, from the service or from another node."""
+        world, now = self.world, self.now
+        found = [listing(uid, text, world.skew[self.node]) for uid, text in rows.items()]
+        if update != Update.FAILED:
+            fleet = world.nodes[self.node]
+            whole = update in (Update.FULL, Update.CACHED)
+            assert self.client is not None
+            boots = [(r.backend, world.pool[r.backend].boot // MS, r.state) for r in found]
+            fleet.listed(now, self.client.rev, boots, whole)
+            for r in found:
+                world.tell(self.node, r.backend, r.state)
+            if world.words:
+                found = [
+                    r._replace(state=fleet.over(r.backend, boot, r.state))
+                    for r, (_, boot, _s) in zip(found, boots, strict=True)
+                ]
+        self.balancer.on_members(now, update, found)
+        if self.balancer.ready:
+            world.takes_clients(self.node)
 
     def fetch(self) -> None:
         """Likewise."""
@@ -168,9 +221,18 @@
         hot: Sequence[int] = (),
         times: int = 8,
         seats: int = 15,
+        readers: int | None = None,
     ) -> None:
-        """`rate`: requests a second in all; `hot` nodes get so many `times` what others do."""
-        super().__init__(nodes, servers, seed, seats=seats)
+        """`rate`: requests a second in all; `hot` nodes get so many `times` what others do.
+
+        With `readers` the list is asked of a service, by so many for all (0: each for itself).
+        """
+        super().__init__(nodes, 0 if readers is not None else servers, seed, seats=seats)
+        self.lists: ListService | None = None
+        if readers is not None:
+            self.terms = [replace(t, readers=readers) for t in self.terms]
+            self.lists = ListService(self, {f"s{i}": row(i) for i in range(servers)})
+        self.known: Callable[[int], tuple[int, dict[str, str]]] = lambda _node: (0, {})
         self.words = words
         self._weights = {node: times for node in hot}
         self.pool = [Server() for _ in range(servers)]
@@ -207,24 +269,39 @@
         fleet = super().start(node)
         host = self.hosts[node] = Host(self, node)
         now = self.clock(node)
-        listed = [(s, 0, state) for s, state in enumerate(self.states)]
-        fleet.listed(now, self.rev, listed, True)
         if self.words:
             self.desks[node] = Desk(fleet, host.balancer)
         host.balancer.start(now)
+        if host.client is not None:
+            host.client.begin()
+            return fleet
+        listed = [(s, 0, state) for s, state in enumerate(self.states)]
+        fleet.listed(now, self.rev, listed, True)
         host.balancer.on_members(now, Update.CACHED, self.rows())
-        for state, server in zip(self.states, self.pool, strict=True):
-            if state != State.READY:
-                server.told.setdefault(node, self.now)
+        for server, state in enumerate(self.states):
+            self.tell(node, server, state)
+        self.takes_clients(node)
+        return fleet
+
+    def takes_clients(self, node: int) -> None:
+        """The front has heard it say yes."""
         if node not in self._front:
             self._front += [node] * self._weights.get(node, 1)
-        return fleet
+
+    def tell(self, node: int, server: int, state: State) -> None:
+        """The list service has told a node of a server's state."""
+        if state == State.READY:
+            self.pool[server].told.pop(node, None)
+        else:
+            self.pool[server].told.setdefault(node, self.now)
 
     def kill(self, node: int) -> None:
         super().kill(node)
         host = self.hosts.pop(node, None)
         self.desks.pop(node, None)
         self._front = [n for n in self._front if n != node]
+        if host is not None and host.client is not None:
+            host.client.service.forget(host.client)
         if host is not None:
             for sent in host.open.values():
                 self.pool[sent.server].held -= 1
@@ -253,9 +330,11 @@
         self._settle(target)
 
     def _settle(self, node: int) -> None:
-        desk = self.desks.get(node)
-        if desk is None or node in self.stopped:
+        host, desk = self.hosts.get(node), self.desks.get(node)
+        if host is None or desk is None or node in self.stopped:
             return
+        if host.client is not None:
+            host.client.after()
         tidings = desk.collect(self.clock(node))
         if tidings is not None:
             desk.tell(self.clock(node), tidings)
@@ -266,6 +345,12 @@
         """A change that the list service tells these nodes now and the others 5 s later."""
         self.rev += 1
         self.states[server] = state
+        if self.lists is not None:
+            boot = self.pool[server].boot // MS
+            text = "active" if state == State.READY else "leaving"
+            gone = state == State.GONE
+            self.lists.change({f"s{server}": None if gone else row(server, 0, text, boot)})
+            return
         states = tuple(self.states)
         for node in list(self.hosts):
             wait = 0 if node in nodes else 5 * SECOND
@@ -275,12 +360,37 @@
         """A server is to leave, another has come, and the first is gone once its grace is over."""
         self.pool.append(Server())
         self.states.append(State.READY)
+        if self.lists is not None:
+            self.cold([len(self.pool) - 1])
         self.relist(server, State.DRAINING, nodes)
         self.later(self.now + GRACE, self._leave, server)
 
     def _leave(self, server: int) -> None:
         self.pool[server].gone = True
 
+    def black_start(self) -> None:
+        """All servers and all nodes start at this moment, and nodes know of none of them."""
+        assert self.lists is not None
+        self.now += MS
+        for server, book in enumerate(self.pool):
+            book.boot = self.now
+            self.lists.rows[f"s{server}"] = row(server, 0, "active", self.now // MS)
+        self.start_all()
+
+    def cold(self, servers: Sequence[int]) -> None:
+        """These have just started, and the list says so."""
+        for server in servers:
+            book = self.pool[server]
+            book.boot, book.gone = max(self.now, MS), False
+            book.came.clear()
+            self.relist(server, State.READY, list(self.hosts))
+
+    def fall(self, server: int) -> None:
+        """A cold server got more than it can bear: it is back after a while."""
+        self.count("falls of cold servers")
+        self.pool[server].gone = True
+        self.later(self.now + DOWN, self.cold, (server,))
+
     def _told(self, node: int, rev: int, states: tuple[State, ...]) -> None:
         """A version comes whole: what of it the node had not heard is news."""
         host = self.hosts.get(node)
@@ -296,10 +406,7 @@
         known.update(news)
         fleet.listed(now, rev, [(s, 0, state) for s, state in news], False)
         for server, state in news:
-            if state == State.READY:
-                self.pool[server].told.pop(node, None)
-            else:
-                self.pool[server].told[node] = self.now
+            self.tell(node, server, state)
         rows = [Listing(s, fleet.over(s, 0, state) if self.words else state) for s, state in news]
         host.balancer.on_members(now, Update.DELTA, rows)
 
@@ -315,6 +422,8 @@
         node = self.random.choice(self._front) if self._front else -1
         host = self.hosts.get(node)
         if host is None:
+            self.count("asked")
+            self.count("no node to ask")
             return
         if node in self.stopped:
             self.count("at a stopped node")
@@ -337,6 +446,8 @@
         self.later(self.now + limit, self._timed_out, host, request, number)
         server.held += 1
         server.most = max(server.most, server.held)
+        if not server.gone and server.falls(self.now):
+            self.fall(backend)
         if server.gone:
             self.count("sent to a server that is gone")
             self.later(
@@ -360,7 +471,8 @@
         if key in self._credits and self._ran[key] > 1:
             self.breach(f"credit {key} ran {self._ran[key]} times")
         # In turn, each by the worker that is free first: half to one and a half of the mean.
-        took = int(WORK * server.slow * (0.5 + self.random.random()))
+        slow = server.slow / server.warmth(self.now)
+        took = int(WORK * slow * (0.5 + self.random.random()))
         due = max(self.now, heapq.heappop(server.free)) + took
         heapq.heappush(server.free, due)
         self.later(due, self._done, host, request, number, server, Outcome.OK)
--- a/tests/test_fleet_service.py
+++ b/tests/test_fleet_service.py
@@ -86,3 +86,16 @@
     room, name, fault = MUTANTS[mutant]
     monkeypatch.setattr(rooms[room], name, fault)
     assert any(play(seed) for seed in range(8))
+
+
+@pytest.mark.parametrize("load", [0.5, 1.5])
+def test_a_black_start_does_what_cold_servers_can_from_the_first_second(load: float) -> None:
+    """All nodes and all servers start at once: nobody has seen any rate, and nothing falls."""
+    world = Service(20, 20, 3, True, load * 20 * 200, readers=2)
+    world.black_start()
+    world.load(10 * SECOND)
+    world.run(10 * SECOND)
+    assert not world.counts["falls of cold servers"] and not world.breaches
+    # They go from a tenth of their capacity to all of it, 0.55 in the mean.
+    could = sum(min(load, 0.1 + 0.09 * (second + 0.5)) for second in range(10)) / (10 * load)
+    assert world.counts["served"] > 0.93 * could * world.counts["asked"]
--- a/tests/test_list_world.py
+++ b/tests/test_list_world.py
@@ -267,7 +267,7 @@
             world.kill(node)
             killed.append(node)
         for node, fleet in world.nodes.items():  # and what they had passed on is lost as well
-            world.askers[node].rows = {}
+            world.starters[node].list.rows = {}
             assert fleet.shared is not None
             fleet.shared._pieces.open.clear()
             fleet.shared.copy = Copy()
@@ -290,8 +290,8 @@
     assert service.counts["whole lists"] <= 4
     # Down for 10 s: the list stays, and the fleet asks a few times in all.
     service.refusing, service.down = 0.0, True
-    for asker in world.askers.values():
-        service.forget(asker)
+    for starter in world.starters.values():
+        service.forget(starter.list)
     calls = service.counts["calls"]
     world.run(world.now + 10 * SECOND)
     assert service.counts["calls"] - calls <= 40 and world.current()
@@ -301,11 +301,11 @@
     # Older and with half of the rows: nobody goes back for an answer or two.
     rev = service.rev
     service.old = rev - 5, {u: r for u, r in list(service.rows.items())[:30]}
-    for asker in world.askers.values():
-        service.forget(asker)
+    for starter in world.starters.values():
+        service.forget(starter.list)
     world.run(world.now + 2 * SECOND)
-    assert max(a.older for a in world.askers.values()) >= 1
-    assert all(a.rev == rev for a in world.askers.values())
+    assert max(s.list.older for s in world.starters.values()) >= 1
+    assert all(s.list.rev == rev for s in world.starters.values())
     service.old = None
     # It has lost its count: after some answers all go by the new one, and stay there.
     service.change({"s4": None}, rev=7)
@@ -314,7 +314,7 @@
     assert len(epochs) == 1 and min(epochs)[0] >= 1
     service.change({"s91": row(91)})
     assert world.run(world.now + 3 * SECOND, world.current)
-    assert all(a.rev == 8 for a in world.askers.values())
+    assert all(s.list.rev == 8 for s in world.starters.values())
 
 
 def test_parts_of_a_fleet_that_is_cut_each_read_and_heal_to_one_list() -> None:
