Debt of words is kept, seats past the dead are worked out once, hard cases of loans tested

Pace: SWIM's own words were forgiven at once where they passed the pace, so that the busiest of 200 nodes sent 23.6 words a second at 30% loss (aim 20).

Who lives is told by a count of changes; the count of the living alone misses one that comes as another goes.

Tests: clocks that jump, loans over real processes with lender and borrower stopped and an upgrade, a name that two borrow under, a tier where half know nothing of readers.

--- a/flinthatch/fleet/desk.py
+++ b/flinthatch/fleet/desk.py
@@ -35,6 +35,7 @@
         self.balancer = balancer
         self.seats = Seats(s.node // s.zones, balancer.peers, fleet.terms.seats, self._living_at)
         self.living = 0  # as of the last deal
+        self._flips = -1
         self.seats.out = fleet.loans.out()
         self._pressed = False
         self._peaks = [0, 0]  # most in flight in this span and the one before
@@ -73,19 +74,19 @@
         need = peak * HEADROOM + KEPT
         fleet.keeps = deep and need > own
         needy = self._pressed or fleet.keeps
-        fleet.spare = 0 if needy else self.seats.spare(rows, len(ready), need)
+        fleet.spare = 0 if needy else self.seats.spare(rows, len(ready), need, own)
         self._pressed = False
 
     def collect(self, now: int) -> Tidings | None:
         """What is new for the Balancer by now."""
         changes = [c for c in self.fleet.changes(now) if not self._known_better(c)]
         draining = self._draining()
-        living = self.fleet.members.count()
-        loans = self.fleet.loans
-        free = self.fleet.members.unheard(now)
-        deal = living != self.living or loans.changed or free != self.seats.free
+        members, loans = self.fleet.members, self.fleet.loans
+        free = members.unheard(now)
+        deal = members.flips != self._flips or loans.changed or free != self.seats.free
         if deal:
-            self.living, loans.changed = living, False
+            self._flips, loans.changed = members.flips, False
+            self.living = members.count()
             self.seats.free = free
             self.seats.look()
             self.seats.out = loans.out()
--- a/flinthatch/fleet/fleet.py
+++ b/flinthatch/fleet/fleet.py
@@ -461,9 +461,13 @@
         return out
 
     def _spend(self, now: int, count: int) -> None:
-        """SWIM's words go out in any case, and what they took is not there for others."""
+        """SWIM's words go out in any case, and what they took is not there for others.
+
+        Owed for half a second at the most: forgiven at once, the busiest of 200 nodes sent 23.6
+        words a second at 30% loss; owed for two seconds, news waited and no less was sent.
+        """
         self._pace.fill(now)
-        self._pace.tokens = max(self._pace.tokens - count, -1.0)
+        self._pace.tokens = max(self._pace.tokens - count, -self.terms.words / 2)
 
     def _tell(self, now: int) -> list[Out]:
         """News, to a few by chance."""
--- a/flinthatch/fleet/members.py
+++ b/flinthatch/fleet/members.py
@@ -72,6 +72,7 @@
         self.health = 0
         self.news: list[Life] = []  # to be told on, in the order they came up
         self.refuted = 0
+        self.flips = 0  # times that a node came to count as living, or no longer did
         self._random = Random(seed)
         self._ring: list[int] = []
         self._periods = 0
@@ -182,6 +183,7 @@
 
     def _set(self, now: int, node: int, standing: Standing) -> None:
         p = self.peers[node]
+        self.flips += (standing > Standing.SUSPECT) != (p.standing > Standing.SUSPECT)
         p.standing = standing
         p.since = now
         p.accusers = set()
--- a/flinthatch/fleet/readers.py
+++ b/flinthatch/fleet/readers.py
@@ -22,6 +22,7 @@
 FIRST_STEP = 2 * SECOND  # without a sign while nobody has read yet, until the next group asks
 STALE = 12 * SECOND  # the same once the list has been read: three watches of a reader
 KEPT = 60 * SECOND
+ABSENT = 60 * SECOND  # who gave no sign when it was to read is passed over
 DISTRUST = 60 * SECOND  # of who names versions that nobody has
 
 
@@ -41,6 +42,7 @@
         self._began = now
         self._number = 0
         self._distrusted: dict[int, int] = {}
+        self._absent: dict[int, int] = {}  # whose turn it was and who gave no sign
 
     # ---- words ---------------------------------------------------------------
 
@@ -65,6 +67,7 @@
                 self.held[reading.node] = old[0], min(born, old[1])
                 return False
         self.held[reading.node] = reading._replace(age=0), born
+        self._absent.pop(reading.node, None)
         return True
 
     def get(self, now: int, node: int) -> Reading | None:
@@ -85,6 +88,7 @@
         """Forget what is too old to tell anything."""
         self.held = {n: h for n, h in self.held.items() if now - h[1] < KEPT}
         self._distrusted = {n: u for n, u in self._distrusted.items() if now < u}
+        self._absent = {n: u for n, u in self._absent.items() if now < u}
 
     # ---- what it comes to ----------------------------------------------------
 
@@ -102,15 +106,21 @@
         if self.me in failed:
             return self._last_resort(failed, living)
         silence, step = self._silence(now), self._step()
-        ahead = 0
+        ahead = []
         for n in self._order:
             if n == self.me:
                 break
-            ahead += n not in failed and living(n)
-            if ahead >= self.count and silence <= step:
+            if n not in failed and n not in self._absent and living(n):
+                ahead.append(n)
+            if len(ahead) >= self.count and silence <= step:
                 return False
-        group = ahead // self.count
-        return group == 0 or silence > group * step
+        group = len(ahead) // self.count
+        if group and silence > group * step:
+            # They live and do not read: of an earlier version, or their words don't reach us.
+            # Left in the order, those who step in would hear one another and both leave.
+            self._absent |= dict.fromkeys(ahead, now + ABSENT)
+            return True
+        return group == 0
 
     def _last_resort(self, failed: dict[int, int], living: Callable[[int], bool]) -> bool:
         """Where all have failed: whether this node is of those whose failure is longest ago."""
--- a/flinthatch/fleet/seats.py
+++ b/flinthatch/fleet/seats.py
@@ -26,7 +26,17 @@
 class Seats:
     """For servers of this node's own zone; the others' are dealt as without words."""
 
-    __slots__ = ("_living", "_most", "_nodes", "_place", "_whole", "borrowed", "free", "out")
+    __slots__ = (
+        "_depths",
+        "_living",
+        "_most",
+        "_nodes",
+        "_place",
+        "_whole",
+        "borrowed",
+        "free",
+        "out",
+    )
 
     def __init__(self, place: int, nodes: int, most: int, living: Callable[[int], bool]) -> None:
         """`living` tells of a place among the `nodes` of the zone."""
@@ -35,6 +45,9 @@
         self._most = most
         self._living = living
         self._whole = True
+        # Depths past the dead by (deal, depth, most), until others live: a walk over the seats
+        # of 270 servers took 12 ms with 141 of 200 nodes dead, twice a second.
+        self._depths: dict[tuple[int, int, int], int] = {}
         self.free = False  # nobody is heard: at least what there would be without words
         self.out = 0  # classes of servers where our upper seats are lent
         self.borrowed: list[tuple[int, int]] = []  # the lender's place, classes
@@ -42,6 +55,7 @@
     def look(self) -> None:
         """Take in who lives by now, once before the servers are gone through."""
         self._whole = all(self._living(place) for place in range(self._nodes))
+        self._depths.clear()
 
     def most(self, servers: int) -> int:
         """Seats of one server in all. Few nodes before few servers each keep LEAST."""
@@ -55,6 +69,13 @@
         most = self.most(servers)
         if self._whole or depth <= 0:
             return min(depth, most)
+        key = (deal, depth, most)
+        found = self._depths.get(key)
+        if found is None:
+            found = self._depths[key] = self._past_the_dead(deal, depth, most)
+        return found
+
+    def _past_the_dead(self, deal: int, depth: int, most: int) -> int:
         first = self._place - deal
         asked = min(depth, most)
         seat = lived = 0
@@ -89,11 +110,13 @@
         """Seats from `deal` on, each as many on as there are nodes, before `depth`."""
         return -(-(depth - deal) // self._nodes) if depth > deal else 0
 
-    def spare(self, rows: list[tuple[int, int]], servers: int, need: float) -> int:
-        """Classes that this node can lend and still have `need` seats of these (deal, depth)."""
-        whole = sum(self.own(deal, depth, servers, False) for deal, depth in rows)
-        least = sum(self.own(deal, depth, servers, True) for deal, depth in rows)
+    def spare(self, rows: list[tuple[int, int]], servers: int, need: float, whole: int) -> int:
+        """Classes that this node can lend and still have `need` of the `whole` of its seats.
+
+        `rows`: (deal, depth) of each server.
+        """
         if whole < need:
             return 0
+        least = sum(self.own(deal, depth, servers, True) for deal, depth in rows)
         each = (whole - least) / CLASSES
         return min(int((whole - need) / each), CLASSES) if each else CLASSES
--- a/lab/fleets.py
+++ b/lab/fleets.py
@@ -92,6 +92,7 @@
         fleet = self.nodes.get(node)
         if fleet is None or node in self.stopped:
             return
+        fleet.stood_still(self.clock(node))
         self.send(node, fleet.turn(self.clock(node)))
         self._arm(node, max(fleet.due - self.skew[node], self.now + 1))
 
@@ -109,6 +110,8 @@
             if len(self.stopped[target]) < 500:
                 self.stopped[target].append((source, word))
             return
+        if fleet.stood_still(self.clock(target)):
+            return  # its host throws away what has waited
         self.got[target] += 1
         self.send(target, fleet.hear(self.clock(target), word))
         self._arm(target, max(fleet.due - self.skew[target], self.now + 1))
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -68,6 +68,7 @@
             self.counts["errors"] += 1
             return Reply(500)
         self.held += 1
+        self.counts["most_held"] = max(self.counts["most_held"], self.held)
         try:
             async with self.core:
                 await asyncio.sleep(self.work * self.slow * (0.5 + self.random.random()))
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -100,10 +100,14 @@
         discovery.call("POST", "/standin/targets", rows(servers, 20))
         wait_until(lambda: all_at(t, 3))
         serve(t, "b")
-        said = StringIO()
-        assert show([p.admin for p in t.nodes.values()][:1], said) == 0
-        assert f"list: {ROWS} rows, version 3 of epoch 0" in said.getvalue()
-        assert ": read, version 3 of epoch 0, " in said.getvalue()
+
+        def told() -> bool:
+            said = StringIO()
+            show([p.admin for p in t.nodes.values()][:1], said)
+            assert f"list: {ROWS} rows, version 3 of epoch 0" in said.getvalue()
+            return ": read, version 3 of epoch 0, " in said.getvalue()
+
+        wait_until(told)
         after = discovery.call("GET", "/standin/state")
         assert after["lines"] - books["lines"] <= 40 * 4
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -447,7 +447,7 @@
 def test_a_lender_keeps_what_it_needs_and_a_borrower_counts_from_its_own_question() -> None:
     seats = Seats(0, 4, 8, lambda _p: True)
     rows = [(server % 4, 8) for server in range(16)]  # two seats at each, one of them lent
-    assert [seats.spare(rows, 16, need) for need in (0, 16, 20, 31.9, 32.5)] == [8, 8, 6, 0, 0]
+    assert [seats.spare(rows, 16, need, 32) for need in (0, 16, 20, 31.9, 32.5)] == [8, 8, 6, 0, 0]
     lender, borrower = Loans(1), Loans(2)
     lender.begin(0)
     assert lender.lend(SPAN, 1, 8) == 0 and lender.out() == 255  # an earlier start may have lent
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -121,6 +121,24 @@
     assert all(not [r for r in f.beliefs.rows(5)] for f in world.nodes.values())
 
 
+def test_clocks_that_jump_while_nodes_run_bring_nothing_back_and_kill_nobody() -> None:
+    """A machine that was paused: its clock goes on by a minute between two of its turns."""
+    world = settled(9)
+    drain(world, 0, 2, 7)
+    world.run(world.now + SECOND)
+    world.nodes[3].saw(world.clock(3), 5, 3, True, 0, 1.0, world.clock(3))
+    world.run(world.now + SECOND)
+    for node in (2, 3, 6):
+        world.skew[node] += 60 * SECOND
+        world._arm(node, world.now)
+    assert world.run(world.now + 5 * SECOND, lambda: all(f.caught_up for f in world.nodes.values()))
+    world.run(world.now + 3 * SECOND)
+    assert not dead_views(world) and drained(world, 7) == 8
+    assert sum(f.counts["stalls"] for f in world.nodes.values()) == 3
+    world.run(world.now + 16 * SECOND)  # the sight has had its time, by every clock
+    assert all(not f.beliefs.rows(5) for f in world.nodes.values())
+
+
 def test_one_that_starts_under_a_clock_that_went_back_is_heard_again() -> None:
     world = settled(9)
     world.kill(4)
--- a/tests/test_list_world.py
+++ b/tests/test_list_world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -357,6 +358,21 @@
     assert world.service.counts["lines"] - before <= 2 * 2 * 60 + 20
 
 
+def test_where_some_nodes_know_of_readers_and_some_do_not_all_have_the_list() -> None:
+    """A roll-out: every other node is as it was before, asks for itself and passes nothing on."""
+    world = ListWorld(24, 40, 10, 2)
+    world.terms = [replace(t, readers=0) if t.me % 2 else t for t in world.terms]
+    world.start_all()
+    assert world.run(20 * SECOND, world.current)
+    world.service.change({"s3": None, "s90": row(90)})
+    assert world.run(world.now + 12 * SECOND, world.current)
+    reading = [n for n, f in world.nodes.items() if f.shared and f.shared.reads]
+    assert 1 <= len(reading) <= 2
+    # The old ones read for themselves; of the others a reader or two, and who stepped in for
+    # those among the first that never said that they read.
+    assert world.service.counts["whole lists"] <= 12 + 6
+
+
 def test_who_names_versions_that_nobody_has_is_not_gone_by() -> None:
     world = ListWorld(12, 30, 9, 2)
     world.start_all()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,9 +6,10 @@
 import json
 import signal
 import socket
+import threading
 import time
 from collections.abc import Iterator
-from http.client import HTTPConnection
+from http.client import HTTPConnection, HTTPException
 from io import StringIO
 from pathlib import Path
 from typing import Any
@@ -338,6 +339,22 @@
         wait_until(lambda: asked(2, 77) == 255 and asked(4, 78) == 0 and told())
         assert asked(1, 79) == -1  # of another zone: it has no seats at these servers
         assert served(n, server) == "HTTP/1.1 200 OK"
+        # Two processes under one name: neither may use what the other is lent.
+        for serial in range(4):
+            peers[2].sendto(encode(Word(Kind.BORROW, 2, 60, 90), number), to)
+            peers[2].sendto(encode(Word(Kind.BORROW, 2, 50, 91 + serial), number), to)
+
+        def refused() -> bool:
+            peers[2].sendto(encode(Word(Kind.BORROW, 2, 60, 99), number), to)
+            with contextlib.suppress(TimeoutError):
+                while True:
+                    word = decode(peers[2].recv(2048), number)
+                    if word is not None and word.kind == Kind.LEND and word.serial == 99:
+                        return word.subject == 0
+            return False
+
+        wait_until(refused)
+        assert [r for r in json.loads(n.call("GET /peers")[2])["nodes"] if r[0] == 2 and r[4]]
 
 
 def test_without_the_settings_word_there_is_no_socket_and_no_import(tmp_path: Path) -> None:
@@ -370,6 +387,79 @@
             assert not [r for r in t.status(1)["nodes"] if r[4]]  # nobody is doubted
 
 
+def test_loans_end_whoever_is_stopped_or_upgraded_and_no_server_holds_more(
+    servers: list[Process], tmp_path: Path
+) -> None:
+    """Three nodes before servers of three seats; node 0 has all clients, and borrows."""
+    fleet = tmp_path / "fleet.toml"
+    fleet.write_text("version = 1\nseats = 3\n")
+    with listen() as free:
+        at = {"listen": f"127.0.0.1:{free.getsockname()[1]}"}
+    for server in servers:
+        server.call("POST", "/standin/faults", {"slow": 10.0})
+    with (
+        tier(
+            3, [s.address for s in servers], fleet=str(fleet), over=lambda n: {} if n else at
+        ) as t,
+        contextlib.ExitStack() as stack,
+    ):
+        t.agree({0, 1, 2})
+        going = Going(t.nodes[0].address)
+        stack.callback(going.stop)
+
+        def lenders() -> list[int]:
+            return [row[0] for row in t.status(0)["borrowed"]]
+
+        wait_until(lambda: bool(lenders()))
+        lender = lenders()[0]
+        t.signal(signal.SIGSTOP, lender)
+        wait_until(lambda: lender not in lenders())  # though nobody has told it
+        t.signal(signal.SIGCONT, lender)
+        wait_until(lambda: bool(lenders()))
+        lender = lenders()[0]
+        wait_until(lambda: any(row[0] == 0 for row in t.status(lender)["lent"]))
+        t.signal(signal.SIGSTOP, 0)
+        wait_until(lambda: not t.status(lender)["lent"])
+        t.signal(signal.SIGCONT, 0)
+        wait_until(lambda: bool(lenders()))
+        # An upgrade in the middle of it: the new process is lent to once the old one is silent.
+        with started(("-m", "windrelay"), t.config(0)) as successor:
+            successor.read_on()
+            t.signal(signal.SIGTERM, 0)
+            t.nodes[0].popen.wait(20)
+            t.nodes[0].admin = successor.admin
+            wait_until(lambda: bool(lenders()))
+            going.stop()
+        # What a stopped node held is too late when it wakes, and answered as failed.
+        assert going.statuses <= {200, 502, 503, 504} and 200 in going.statuses
+    assert max(s.call("GET", "/standin/state")["most_held"] for s in servers) <= 3
+
+
+class Going:
+    """Clients that ask one address without a pause, a dozen side by side, until told to stop."""
+
+    def __init__(self, address: str) -> None:
+        self.statuses: set[int] = set()
+        self._address = address
+        self._over = threading.Event()
+        self._threads = [threading.Thread(target=self._ask, args=(i,)) for i in range(12)]
+        for thread in self._threads:
+            thread.start()
+
+    def _ask(self, client: int) -> None:
+        asked = 0
+        while not self._over.is_set():
+            asked += 1
+            with contextlib.suppress(OSError, HTTPException):
+                process = Process(None, self._address)  # type: ignore[arg-type]
+                self.statuses.add(ask(process, f"g{client}-{asked}"))
+
+    def stop(self) -> None:
+        self._over.set()
+        for thread in self._threads:
+            thread.join()
+
+
 def test_the_fleet_file_s_faults_are_told_with_their_lines(tmp_path: Path) -> None:
     said = StringIO()
     path = tmp_path / "fleet.toml"
