--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -274,6 +274,7 @@
         "replaced": (100, 135, 0.5 * 135 * 200, 0),
         "cut": (100, 135, 0.8 * 135 * 200, 3),
         "slow": (100, 135, 0.5 * 135 * 200, 0),
+        "tight": (100, 135, 0.8 * 135 * 200, 0),
     }.get(what, (40, 40, 2500.0, 0))
     w = Service(nodes, servers, seed, words, rate, range(hot), 10)
     w.start_all()
@@ -291,7 +292,7 @@
         raise RuntimeError(w.breaches[0])
     bad = {
         "drain": "sent to a drained server", "silent": "sent to a silent server",
-        "replaced": "sent to a server that is gone",
+        "replaced": "sent to a server that is gone", "tight": "turned away",
     }.get(what, "")  # fmt: skip
     return {
         "served": w.counts["served"] / w.counts["asked"], "to_the_bad": w.counts[bad],
@@ -301,7 +302,7 @@
 
 def service(seeds: int) -> dict[str, Any]:
     found: dict[str, Any] = {}
-    for what in ("drain", "silent", "replaced", "slow", "kill", "uneven", "cut"):
+    for what in ("drain", "silent", "replaced", "slow", "tight", "kill", "uneven", "cut"):
         with Pool() as pool:
             runs = pool.starmap(served, [(w, s, what) for s in range(seeds) for w in (False, True)])
         rows = list(zip(runs[::2], runs[1::2], strict=True))
@@ -309,7 +310,7 @@
             "served_without": spread([a["served"] for a, _ in rows], 4),
             "served_with": spread([b["served"] for _, b in rows], 4),
         }
-        if what in ("drain", "silent", "replaced"):
+        if what in ("drain", "silent", "replaced", "tight"):
             ratios = [b["to_the_bad"] / max(a["to_the_bad"], 1) for a, b in rows]
             found[what]["sent_to_the_bad_with_over_without"] = spread(ratios)
         if what == "silent":
--- a/lab/service.py
+++ b/lab/service.py
@@ -35,9 +35,9 @@
 
 
 def trouble(world: Service, what: str) -> None:
-    """`drain`: of 3 servers, told to node 0 first; `silent`, `slow`: one in eight is; `kill`: 3
-    are silent, and 7 nodes in 10 are killed with them; `cut`: every word is lost; `replaced`:
-    6 servers in 10 within 7 s, each told to one node first."""
+    """`drain`: of 3 servers, told to node 0 first; `silent`, `slow`, `tight` (takes 4): one in
+    eight is; `kill`: 3 are silent, and 7 nodes in 10 are killed with them; `cut`: every word is
+    lost; `replaced`: 6 servers in 10 within 7 s, each told to one node first."""
     if what == "kill":
         for node in range(len(world.terms) * 7 // 10):
             world.kill(node)
@@ -50,12 +50,14 @@
             first = world.random.randrange(len(world.terms))
             world.later(at, world.replace, server, [first])
         return
-    few = len(world.pool) // 8 if what in ("silent", "slow") else 3
+    few = len(world.pool) // 8 if what in ("silent", "slow", "tight") else 3
     for server in range(1, 1 + few):
         if what == "drain":
             world.relist(server, State.DRAINING, [0])
         elif what == "slow":
             world.pool[server].slow = 8
+        elif what == "tight":
+            world.pool[server].takes = 4
         else:
             world.pool[server].silent = True
 
@@ -67,6 +69,7 @@
         self.silent = False
         self.gone = False
         self.slow = 1  # times the usual work
+        self.takes = TAKES
         self.held = 0
         self.most = 0
         self.free = [0] * WORKERS  # when each worker is done with what it has been given
@@ -459,7 +462,7 @@
             if not host.balancer.backends[backend].strikes:
                 self.count("sent to a silent server unmet")
             return
-        if server.held > TAKES:
+        if server.held > server.takes:
             self.count("turned away")
             self.later(self.now + MS, self._done, host, request, number, server, Outcome.FULL)
             return
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -139,3 +139,36 @@
         epochs = {listed(t, n)["epoch"] for n in t.nodes}
         assert len(epochs) == 1 and min(epochs) >= 1
         serve(t, "d")
+
+
+def test_a_side_that_is_cut_off_from_the_list_heals_to_one_picture(
+    servers: list[Process], discovery: Process, fleet: str
+) -> None:
+    """Two nodes are told of a drain, and of a server replaced at its address; three are not."""
+    old = rows(servers)
+    how: dict[str, Any] = {
+        "fleet": fleet, "settings": {"registry_mode": "ask"},
+        "over": lambda n: {
+            "discovery": discovery.address if n < 2 else "127.0.0.1:1",
+            "known": {"rev": 2, "all": True, "targets": old},
+        },
+    }  # fmt: skip
+    with tier(5, [], **how) as t:
+        t.cut([0, 1], [2, 3, 4])
+        t.agree({0, 1}, [0, 1])
+        t.agree({2, 3, 4}, [2, 3, 4])
+        # All names of server 1 drain; one of server 0 gives its address to another name.
+        new = [row | ({"state": "leaving"} if i % 4 == 1 else {}) for i, row in enumerate(old)]
+        new[0] = target("s-900", servers[0].address)
+        discovery.call("POST", "/standin/targets", new)
+        wait_until(lambda: all(listed(t, n)["rev"] == 3 for n in (0, 1)))
+        assert all(listed(t, n)["rev"] == 2 for n in (2, 3, 4))
+        serve(t, "e")
+        t.order(cut=[], loss=0.1)
+        wait_until(lambda: all_at(t, 3))
+        t.agree(set(range(5)))
+        before = servers[1].call("GET", "/standin/state")["received"]
+        serve(t, "f")
+        serve(t, "g")
+        assert servers[1].call("GET", "/standin/state")["received"] == before
+        assert len({(s["epoch"], s["rev"]) for s in (listed(t, n) for n in t.nodes)}) == 1
