The links' stand-in no longer takes the ports of nodes that start later

One of 40 real nodes came to the list 2.7 s after the others: its port was taken (35 tries), by one of the 1,560 sockets that the links open for pairs between the ports' choice and the nodes' start.

--- a/standins/tier.py
+++ b/standins/tier.py
@@ -21,15 +21,12 @@
 LIMIT = 30.0  # seconds; a hang, not a measure
 
 
-def free_ports(count: int) -> list[int]:
-    """So many UDP ports that nobody has at the moment."""
+def reserved(count: int) -> list[socket.socket]:
+    """So many UDP ports that nobody else has, until these are closed."""
     socks = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
     for sock in socks:
         sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
+    return socks
 
 
 class Tier:
@@ -57,12 +54,17 @@
         self._over = over
         self._fleet = fleet
         self._stacks: dict[int, contextlib.ExitStack] = {}
-        self._ports = free_ports(count)
+        # Kept until the links have theirs, a socket for each pair: of 40 nodes' ports these
+        # would take one or two.
+        socks = reserved(count)
+        self._ports = [sock.getsockname()[1] for sock in socks]
         self._stack = contextlib.ExitStack()
         self.links = self._stack.enter_context(
             started(("-m", "standins.links", "--seed", str(seed), *map(str, self._ports)))
         )
         self.addresses: list[list[str]] = json.loads(self.links.address)
+        for sock in socks:
+            sock.close()
 
     def __enter__(self) -> Tier:
         return self
