--- a/tests/test_list_world.py
+++ b/tests/test_list_world.py
@@ -281,18 +281,27 @@
     assert max(world.service.lines.values(), default=0) <= LINES
 
 
-@pytest.mark.parametrize(("loss", "limit"), [(0.0, 2), (0.3, 12)])
-def test_a_cold_fleet_reads_two_lists_in_all(loss: float, limit: int) -> None:
-    world = ListWorld(60, 100, 3, 2)
+@pytest.mark.parametrize(
+    ("nodes", "servers", "loss", "limit"), [(60, 100, 0.0, 2), (120, 270, 0.3, 5)]
+)
+def test_a_cold_fleet_reads_two_lists_in_all(
+    nodes: int, servers: int, loss: float, limit: int
+) -> None:
+    world = ListWorld(nodes, servers, 3, 2)
     world.links.loss = loss
     world.start_all()
     assert world.run(limit * SECOND, world.current)
     assert world.service.counts["whole lists"] == 2 and not world.service.counts["turned away"]
     within_the_ceiling(world)
-    # Each on its own: a list for every node, in turn.
-    alone = ListWorld(60, 100, 3, 0)
+
+
+def test_each_on_its_own_a_fleet_reads_a_list_a_node_in_turn() -> None:
+    alone = ListWorld(20, 100, 3, 0)
     alone.start_all()
-    assert not alone.run(29 * SECOND, alone.current)
+    assert not alone.run(9 * SECOND, alone.current)
+    assert alone.run(15 * SECOND, alone.current)
+    assert alone.service.counts["whole lists"] == 20
+    within_the_ceiling(alone)
 
 
 @pytest.mark.parametrize("seed", range(4))
@@ -429,9 +438,13 @@
             said = Word(Kind.NEWS, liar, fleet.members.incarnation, records=(lie,))
             world.send(node, world.nodes[node].hear(world.clock(node), said))
     world.run(world.now + 8 * SECOND)
+    held = [f.shared for f in world.nodes.values() if f.shared]
+    asked = sum(s.counts["asked for what is missing"] for s in held)
+    assert asked > 10
+    world.run(world.now + 3 * SECOND)
+    assert sum(s.counts["asked for what is missing"] for s in held) == asked
     calls = world.service.counts["whole lists"]
     world.service.change({"s3": None})
     assert world.run(world.now + 3 * SECOND, world.current)
     assert world.service.counts["whole lists"] == calls  # and nobody asked for it all
-    held = [f.shared for f in world.nodes.values() if f.shared]
     assert sum(s.counts["versions that nobody has"] for s in held) >= 10
