A cold server's answer lifts its rest where it is no slower than the others'

In a release a warm server's slot is worth the wait, in a black start all are equally slow, and the class's mean tells which it is.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -990,7 +990,7 @@
         b.fulls = b.errors = 0
         b.trial = False
         b.backoff = BACKOFF
-        if b.cold_until > now and self.waiting and 2 * taken <= c.aim:
+        if b.cold_until > now and self.waiting and ratio <= SLOW_FACTOR:
             b.rest_until = now  # no more than its few slots are out: it is sent what it does
 
     def timed(self, c: ClassState, b: Backend, taken: int) -> float:
