--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -16,7 +16,7 @@
 from standins.tier import Tier, tier, wait_until
 from windrelay.operator.peers import main as show
 
-from .test_peers import ask
+from .test_peers import ask, received
 
 NODES = 9
 ROWS = 60
@@ -168,8 +168,8 @@
         t.order(cut=[], loss=0.1)
         wait_until(lambda: all_at(t, 3))
         t.agree(set(range(5)))
-        before = servers[1].call("GET", "/standin/state")["received"]
+        before = received(servers[1])
         serve(t, "f")
         serve(t, "g")
-        assert servers[1].call("GET", "/standin/state")["received"] == before
+        assert received(servers[1]) == before
         assert len({(s["epoch"], s["rev"]) for s in (listed(t, n) for n in t.nodes)}) == 1
