News of the list and of drains go out as they come, not with the next turn

A node's own news moved the fleet's next turn up, and its host kept the timer as it was: up to 100 ms each, which the world (poked at once) did not have. The host arms its timer anew.

--- a/flinthatch/fleet/fleet.py
+++ b/flinthatch/fleet/fleet.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from random import Random
 from typing import TYPE_CHECKING, NamedTuple
@@ -181,6 +181,12 @@
         # Those that our own list has not come to yet stay out, before any other is taken.
         self.out = {s for s in self.out if s in self.boots and self.waits(s, self.boots[s])}
 
+    def read(self, now: int, rev: int, rows: Mapping[str, str | None], whole: bool) -> None:
+        """The list service has answered this node, which reads for others."""
+        assert self.shared is not None
+        self.shared.read(now, rev, rows, whole)
+        self._soon(now)
+
     def over(self, server: int, boot: int, state: State) -> State:
         """A server's state by the list's latest word that any node has, never a milder one.
 
--- a/flinthatch/fleet/shared.py
+++ b/flinthatch/fleet/shared.py
@@ -72,10 +72,10 @@
         self.reads = False  # this node asks the service itself
         self.news: list[Taken] = []
         self.said = False  # this node's own word is new, and to be told on
+        self.counts: Counter[str] = Counter()
         self._asked = now  # when it began to read
         self._unsaid = False  # that it has read
         self._lost = False  # a step did not lead from what is in hand to what it names
-        self.counts: Counter[str] = Counter()
         self._members = members
         self._nodes = nodes
         self._random = Random(seed)
@@ -102,7 +102,7 @@
             self._settle(now)
         own = self.readers.held.get(self._members.me)
         self._unsaid = True  # with the next turn, or where it was said just now a little later
-        if own is None or own[0].how != How.READ:
+        if own is None or own.record.how != How.READ:
             self._say(now, How.READ)
 
     def failed(self, now: int, older: bool) -> None:
@@ -270,22 +270,23 @@
         return missing + self._flush(now)
 
     def _choose(self, now: int) -> None:
-        m = self._members
-        chosen = self.readers.chosen(now, m.living, self.reads)
-        if not self.reads and self._may_be_told(now):
-            chosen = False
-        own = self.readers.held.get(m.me)
+        """Whether this node reads from here on, and its own word on that."""
+        m, readers = self._members, self.readers
+        own = readers.held.get(m.me)
+        said = now if own is None else now - own.born  # so long ago
+        asking = own is not None and own.record.how == How.ASKING
+        chosen = readers.chosen(now, m.living, self.reads)
         # A call that has begun is worth its answer: its lines are spent already.
-        begun = self.reads and own is not None and own[0].how == How.ASKING
-        begun = begun and now - self._asked < KEEP_ASKING
-        reads = chosen or begun or m.unheard(now) or self._in_doubt(now)
-        if self._unsaid and (own is None or now - own[1] >= SAY_EVERY):
-            self._say(now, How.READ)
-        asks = own is None or (own[0].how == How.ASKING and now - own[1] >= SIGN_EVERY)
+        begun = self.reads and asking and now - self._asked < KEEP_ASKING
+        told = not self.reads and self._may_be_told(now)
+        reads = (chosen and not told) or begun or m.unheard(now) or self._in_doubt(now)
         if reads and not self.reads:
             self._asked = now
-        if reads and (asks or not self.reads):
             self._say(now, How.ASKING)
+        elif reads and asking and said >= SIGN_EVERY:
+            self._say(now, How.ASKING)
+        elif self._unsaid and said >= SAY_EVERY:
+            self._say(now, How.READ)
         self.reads = reads
 
     def _may_be_told(self, now: int) -> bool:
@@ -325,11 +326,10 @@
             few = self._random.sample(missing, min(len(missing), ASK_AT_ONCE))
             have = (*version, held.first.check, *few)
         # Mostly of anyone: readers are few, and all who lack something would ask them.
-        candidates = m.some(OTHERS) + self._random.sample(named := self.readers.named(best), 1)
-        to = self._random.choice([n for n in candidates if n != m.me] or named)
+        candidates = [*m.some(OTHERS), self._random.choice(self.readers.named(best))]
         self.counts["asked for what is missing"] += 1
         word = Word(Kind.WANT, m.me, m.incarnation, digest=have)
-        return [Out(to, word)]
+        return [Out(self._random.choice(candidates), word)]
 
     def report(self, now: int) -> dict[str, object]:
         """For people: the version in hand, and each reader's word with its age in ms."""
--- a/lab/fleets.py
+++ b/lab/fleets.py
@@ -84,7 +84,7 @@
 
     def poke(self, node: int) -> None:
         """It has news of its own: its next turn is soon."""
-        self._arm(node, self.now + 1)
+        self._arm(node, max(self.nodes[node].due - self.skew[node], self.now + 1))
 
     def _arm(self, node: int, due: int) -> None:
         if due < self._due.get(node, 1 << 62) or self._due.get(node, 0) < self.now:
--- a/lab/lists.py
+++ b/lab/lists.py
@@ -207,7 +207,7 @@
             return
         taken = Taken(*answer)
         if shared is not None:
-            shared.read(now, *taken)
+            self._fleet.read(now, *taken)
             self.world.poke(self.node)
         self._take(taken)
         self._next(self.rev)
--- a/windrelay/peers/link.py
+++ b/windrelay/peers/link.py
@@ -224,14 +224,17 @@
             self._caught_up = fleet.caught_up
             if fleet.caught_up:
                 self._host.log(f"caught up in {fleet.counts['catch_up_ms']} ms")
-        if self._sock is None:
+        self._arm(now)
+
+    def _arm(self, now: int) -> None:
+        """Turn when the fleet wants to, also where that is sooner than it was."""
+        due = self.fleet.due
+        if self._sock is None or (self._timer is not None and due >= self._armed):
             return
-        if self._timer is None or fleet.due < self._armed:
-            if self._timer is not None:
-                self._timer.cancel()
-            self._armed = fleet.due
-            delay = max(fleet.due - now, 0) / SECOND
-            self._timer = self._host.loop.call_later(delay, self._turn)
+        if self._timer is not None:
+            self._timer.cancel()
+        self._armed = due
+        self._timer = self._host.loop.call_later(max(due - now, 0) / SECOND, self._turn)
 
     # ---- the list -----------------------------------------------------------------
 
@@ -243,6 +246,7 @@
         roster = self._host.discovery.roster
         told = [(r.backend, roster.boot_ms(r.backend), r.state) for r in rows]
         self.fleet.listed(now, roster.rev, told, update in (Update.FULL, Update.CACHED))
+        self._arm(now)
         return [
             r._replace(state=self.fleet.over(r.backend, boot, r.state))
             for r, (_, boot, _state) in zip(rows, told, strict=True)
--- a/windrelay/peers/lists.py
+++ b/windrelay/peers/lists.py
@@ -94,7 +94,7 @@
         return not self._shared.copy.version.epoch
 
     def read(self, raw: dict[str, Any]) -> None:
-        self._shared.read(time.monotonic_ns(), raw["rev"], rows_of(raw), raw["all"])
+        self._fleet.read(time.monotonic_ns(), raw["rev"], rows_of(raw), raw["all"])
 
     def failed(self, older: bool) -> None:
         self._shared.failed(time.monotonic_ns(), older)
