Bear up to three listed tests that fail for a known fault, and print them

Need: a test that shows a real fault may land before its mend. KNOWN-RED.txt lists such tests (strict xfail): they still run, their failure is printed; a listed test that passes, an unknown id, a line out of form or a fourth one fails the run. No file is the usual state.

--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,5 @@
+"""What holds for the whole suite."""
+
+from __future__ import annotations
+
+pytest_plugins = ["tests.known_red"]
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,74 @@
+"""The list of known failures bears just these, and can't outlive them."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from .harness import ROOT
+from .known_red import MOST, read
+
+SUITE = """
+def test_good():
+    assert True
+
+def test_bad():
+    assert 1 == 2, "the fault shows"
+"""
+
+
+def play(tmp_path: Path, reds: str, *args: str) -> tuple[int, str]:
+    """A run of its own over two tests, one of which fails: status and output."""
+    (tmp_path / "tests").mkdir()
+    (tmp_path / "tests" / "test_it.py").write_text(SUITE)
+    (tmp_path / "pytest.ini").write_text("[pytest]\ntestpaths = tests\naddopts = --xfail-tb -rx\n")
+    (tmp_path / "KNOWN-RED.txt").write_text(reds)
+    done = subprocess.run(
+        [sys.executable, "-m", "pytest", "-p", "tests.known_red", "-p", "no:cacheprovider", *args],
+        cwd=tmp_path,
+        env={"PYTHONPATH": str(ROOT), "PATH": "", "PYTHONDONTWRITEBYTECODE": "1"},
+        capture_output=True,
+        text=True,
+    )
+    return done.returncode, done.stdout + done.stderr
+
+
+BAD = "tests/test_it.py::test_bad"
+GOOD = "tests/test_it.py::test_good"
+
+
+@pytest.mark.parametrize("workers", [(), ("-n", "2")])
+def test_a_listed_failure_is_borne_and_printed(tmp_path: Path, workers: tuple[str, ...]) -> None:
+    status, text = play(tmp_path, f"{BAD} | the fault | 35\n", *workers)
+    assert status == 0, text
+    assert "the fault shows" in text and "the fault (issue 35)" in text
+    assert "1 passed, 1 xfailed" in text
+
+
+@pytest.mark.parametrize(
+    ("reds", "says"),
+    [
+        ("", "1 failed"),
+        (f"{BAD} | the fault | 35\n{GOOD} | none | 35\n", "[XPASS(strict)]"),
+        (f"{BAD} | the fault | 35\ntests/test_it.py::test_gone | x | 3\n", "no test is called"),
+        (f"{BAD} | the fault\n", "KNOWN-RED.txt:1"),
+        (f"{BAD} | the fault | soon\n", "KNOWN-RED.txt:1"),
+        (f"{BAD} | a | 1\n{BAD} | b | 2\n", "stands twice"),
+        ("".join(f"a.py::b{i} | c | 1\n" for i in range(MOST + 1)), "3 at most"),
+    ],
+)
+def test_the_list_fails_the_run_where_it_is_not_right(tmp_path: Path, reds: str, says: str) -> None:
+    status, text = play(tmp_path, reds, "-n", "1")
+    assert status != 0 and says in text, text
+
+
+def test_a_part_of_the_suite_may_leave_listed_tests_out(tmp_path: Path) -> None:
+    status, text = play(tmp_path, f"{BAD} | the fault | 35\n", "-k", "good")
+    assert status == 0, text
+
+
+def test_the_usual_state_is_an_empty_list() -> None:
+    assert read("\n\n") == []
