Find a silent watch in 3.5 s and ask at once what it missed; pushed lists are watched

Found beside it: where lists are pushed nobody ever opened a watch (Balancer.start asks only under 'ask'); after SIGHUP a first call that failed was followed by one from the old service's version, whose changes were then taken. One call is out at a time and its answer alone is used; after a move, or an answer of another count, only a whole list counts. A process relieved by a successor asks again where that passes nothing on. fetch, which nobody called, is gone. Older answers are refused 6 times, not 3, as pauses are shorter.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -17,6 +17,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from flinthatch.membership.asking import terms
 from flinthatch.model import (
     MS,
     SECOND,
@@ -343,7 +344,6 @@
         self.sends = 0
         self.send_rate = 0.0  # a second, smoothed
         self.down = self.ready = 0
-        self.list_tries = 0
         self.asking = False
         self.quiet_until = 0
         self.place(settings)
@@ -432,16 +432,13 @@
         self.now = now
         if update == Update.FAILED:
             self.asking = False
-            self.list_tries += 1
             self.say(now, "list call failed")
-            wait = min(SECOND << min(self.list_tries, 3), self.settings.ask_within // 2)
-            if self.settings.ask:
-                due = now + wait // 2 + self.random.randrange(wait)
-                self.actions.set_timer(TIMER_LIST, due)
+            pause = terms(self.settings)
+            due = now + self.random.randint(pause.pause_least, pause.pause_most)
+            self.actions.set_timer(TIMER_LIST, due)
             return
         if update < Update.CACHED:
             self.asking = False
-            self.list_tries = 0
         if update in (Update.FULL, Update.CACHED):
             named = {row.backend for row in rows}
             for backend in self.backends.values():
--- a/flinthatch/drill.py
+++ b/flinthatch/drill.py
@@ -40,7 +40,6 @@
 CHECK = struct.Struct(">BII").pack
 TEXT = struct.Struct(">BIH").pack
 WATCH = struct.Struct(">BIB").pack
-PULL = struct.Struct(">BI").pack
 
 HINT_VALID = 1
 CLIENT_RETRY = 2
@@ -157,9 +156,6 @@
     def watch(self) -> None:
         self.out.append(WATCH(26, self.me, 1))
 
-    def fetch(self) -> None:
-        self.out.append(PULL(27, self.me))
-
     def log(self, text: str) -> None:
         data = text.encode()[:500]
         self.out.append(TEXT(24, self.me, len(data)) + data)
--- a/flinthatch/fleet/readers.py
+++ b/flinthatch/fleet/readers.py
@@ -16,12 +16,11 @@
 from flinthatch.fleet.words import How, Reading, mark
 from flinthatch.model import MS, SECOND
 
-HOLD_MS = 4000  # a reader's watch is answered within this: its sign that it still reads
 FAILED_FOR = 5 * SECOND  # who was turned away stands behind the others
 PAUSE = 250 * MS  # after a failure, for the fleet; doubled with each node that has failed
 PAUSE_MOST = 4 * SECOND
 FIRST_STEP = 2 * SECOND  # without a sign while nobody has read yet, until the next group asks
-STALE = 12 * SECOND  # the same once the list has been read: three watches of a reader
+STALE = 12 * SECOND  # the same once the list has been read: six watches of a reader
 ABSENT = 60 * SECOND  # who gave no sign when it was to read is passed over
 DISTRUST = 60 * SECOND  # of who names versions that nobody has
 
--- a/flinthatch/membership/revisions.py
+++ b/flinthatch/membership/revisions.py
@@ -13,7 +13,7 @@
 from typing import Generic, TypeVar
 
 KEPT = 4096  # changes that are remembered
-OLD_TRIES = 3  # answers older than ours in a row before they are taken for the truth
+OLD_TRIES = 6  # answers older than ours in a row before they are taken for the truth: 1 to 3 s
 
 Row = TypeVar("Row")
 
--- a/lab/lists.py
+++ b/lab/lists.py
@@ -15,18 +15,16 @@
 
 from flinthatch import Balancer, Listing, RequestClass, Settings, State, Update
 from flinthatch.fleet.fleet import Fleet
-from flinthatch.fleet.readers import HOLD_MS
 from flinthatch.fleet.shared import Taken
 from flinthatch.fleet.words import Out, Word
+from flinthatch.membership.asking import ANSWER, HOLD, LATE
 from flinthatch.membership.revisions import Lag, Revisions
 from flinthatch.model import MS, SECOND
 from lab.fleets import World
 
 LINES = 200  # a second, for all callers
-PATIENCE = 5 * SECOND  # a call that has waited so long is turned away
+PATIENCE = 3 * SECOND  # a call that has waited so long is turned away, as on the platform
 TRIP = MS  # to the service and back
-HOLD = 20 * SECOND  # of a node that reads for itself
-CALL = 4 * SECOND  # for a call's answer, beyond its hold: then its node gives up
 CLASS = RequestClass("balance", 800 * MS, 2 * SECOND)
 
 
@@ -159,10 +157,10 @@
         self.lag = Lag()
         self._told = told
         self._watching = False
+        self._waits = False  # the call that is out is a watch
         self._calls = 0
         self._reads = False
         self._fleet = world.nodes[node]
-        self._hold = HOLD_MS * MS if world.terms[node].readers else HOLD
 
     def _alive(self) -> bool:
         return self.world.nodes.get(self.node) is self._fleet
@@ -181,13 +179,15 @@
         unread = shared is not None and not shared.copy.version.epoch
         if unread:
             self.lag.trust()
-        self._next(-1 if unread else self.rev)
+        self._next(-1 if unread else self.rev, 0)
 
-    def _next(self, since: int) -> None:
+    def _next(self, since: int, hold: int) -> None:
         self._calls += 1
-        asked = Asked(self, self._calls, since, self._hold)
+        self._waits = hold > 0
+        asked = Asked(self, self._calls, since, hold)
+        limit = hold + LATE if hold else ANSWER
         self.world.later(self.world.now + TRIP, self.service.call, asked)
-        self.world.later(self.world.now + self._hold + CALL, self.answered, self._calls, None)
+        self.world.later(self.world.now + limit, self.answered, self._calls, None)
 
     def answered(self, number: int, answer: Answer | None) -> None:
         """What the program's discovery does with it."""
@@ -198,6 +198,9 @@
             return
         now = self.world.clock(self.node)
         shared = self._fleet.shared
+        if answer is None and self._waits:
+            self._next(self.rev, 0)
+            return
         if answer is None or not self.lag.takes(answer[0], answer[2], self.rev):
             self._watching = False
             self._calls += 1
@@ -210,7 +213,7 @@
             self._fleet.read(now, *taken)
             self.world.poke(self.node)
         self._take(taken)
-        self._next(self.rev)
+        self._next(self.rev, HOLD)
 
     def _take(self, taken: Taken) -> None:
         before = {} if taken.whole else self.rows
--- a/lab/service.py
+++ b/lab/service.py
@@ -187,9 +187,6 @@
         if self.balancer.ready:
             world.takes_clients(self.node)
 
-    def fetch(self) -> None:
-        """Likewise."""
-
     def log(self, text: str) -> None:
         """Nobody reads it."""
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -35,9 +35,6 @@
     def watch(self) -> None:
         self.calls.append(("watch",))
 
-    def fetch(self) -> None:
-        self.calls.append(("fetch",))
-
     def log(self, text: str) -> None:
         self.calls.append(("log", text))
 
--- a/tests/test_list_world.py
+++ b/tests/test_list_world.py
@@ -426,8 +426,8 @@
     service.old = rev - 5, {u: r for u, r in list(service.rows.items())[:30]}
     for starter in world.starters.values():
         service.forget(starter.list)
-    world.run(world.now + 2 * SECOND)
-    assert max(s.list.lag.older for s in world.starters.values()) >= 1
+    lies = lambda: max(s.list.lag.older for s in world.starters.values()) >= 1  # noqa: E731
+    assert world.run(world.now + 5 * SECOND, lies)  # a silent watch is given up after 3.5 s
     assert all(s.list.rev == rev for s in world.starters.values())
     service.old = None
     # It has lost its count: after some answers all go by the new one, and stay there.
--- a/windrelay/__main__.py
+++ b/windrelay/__main__.py
@@ -151,7 +151,7 @@
             self.node.log(f"reload: {err}; going on as before")
             return
         self.config = config
-        self.node.discovery.move(config.discovery)
+        self.node.discovery.move(config.discovery, config.settings)
         self.node.log("reloaded the configuration")
 
     # ---- calls on the second address ------------------------------------
--- a/windrelay/consul/source.py
+++ b/windrelay/consul/source.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from flinthatch import Listing, State, Update
+from flinthatch import Listing, Settings, State, Update
 from flinthatch.membership.members import Health, Member, Word
 from flinthatch.model import SECOND
 from windrelay.config import Address, Config
@@ -87,15 +87,10 @@
             self._started = True
             self._merged.start()
 
-    def fetch(self) -> None:
-        """Ask the platform again, if it is a source: the reader goes on by itself."""
-        if self._platform is not None:
-            self._platform.fetch()
-
-    def move(self, address: Address) -> None:
+    def move(self, address: Address, settings: Settings) -> None:
         """The platform's list is elsewhere now."""
         if self._platform is not None:
-            self._platform.move(address)
+            self._platform.move(address, settings)
 
     def rest(self) -> None:
         """Another process of this node reads for itself; this one goes on until it ends."""
--- a/windrelay/discovery.py
+++ b/windrelay/discovery.py
@@ -1,15 +1,18 @@
-"""Discovery: the list of backends, fetched whole or watched for changes."""
+"""Discovery: the list of backends, whole or watched for changes."""
 
 from __future__ import annotations
 
+import asyncio
 import json
 import time
 from collections.abc import Callable
 from hashlib import blake2b
 from typing import TYPE_CHECKING, Any
 
-from flinthatch import Listing, State, Update
+from flinthatch import Listing, Settings, State, Update
+from flinthatch.membership.asking import terms
 from flinthatch.membership.revisions import Lag
+from flinthatch.model import MS, SECOND
 from windrelay.config import Address, Config, parse_address
 from windrelay.httpcall import Answer, Call
 
@@ -18,8 +21,6 @@
     from windrelay.upgrade.state import Inheritance
 
 LIST = "/registry/instances"
-HOLD_MS = 20_000  # how long a watch may wait for news
-CALL_S = 4.0  # for a call's answer, beyond the time it may wait
 STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
 
 
@@ -123,12 +124,17 @@
 
 
 class Discovery:
-    """Carries out watch and fetch; `told` gets each update and what it made stale."""
+    """Carries out watch; `told` gets each update and what it made stale.
 
-    old_after = 30_000_000_000  # ns without a word: a watch answers within HOLD_MS
+    One call is out at a time, and its answer alone may be used: whatever takes its place
+    (another address, another process that watches, the end) drops it first. How long each
+    may take, and why, stands in flinthatch/membership/asking.py.
+    """
 
-    __slots__ = ("_address", "_calls", "_lag", "_resting", "_told", "_watching", "log", "pass_on",
-                 "readers", "roster")  # fmt: skip
+    old_after = 30_000_000_000  # ns without a word: a watch is answered within seconds
+
+    __slots__ = ("_address", "_anew", "_call", "_lag", "_resting", "_terms", "_told", "_waits",
+                 "_word", "log", "pass_on", "readers", "roster")  # fmt: skip
 
     def __init__(
         self,
@@ -138,10 +144,15 @@
     ) -> None:
         self._address = config.discovery
         self._told = told
+        self._terms = terms(config.settings)
         self._lag = Lag()
-        self._watching = False
+        # What is in hand may be another service's, or have a gap: no changes, but the whole
+        # list is asked for, until one has been taken.
+        self._anew = False
+        self._call: Call | None = None
+        self._waits = False  # the call that is out is a watch, not a question with no wait
         self._resting = False  # another process of this node watches for both
-        self._calls: set[Call] = set()
+        self._word: asyncio.TimerHandle | None = None  # until that one has to be heard
         self.log = log
         self.pass_on: Callable[[bytes], None] | None = None  # each answer that was used
         self.readers: ListReaders | None = None  # where one node reads for others
@@ -154,20 +165,14 @@
         return rows
 
     def watch(self) -> None:
-        """Ask for changes from the version in hand on; goes on until a call fails."""
-        if self._watching or self._resting or not self._may_ask():
+        """Ask what has changed since the version in hand, then wait for more until a call fails."""
+        if self._call is not None or self._resting or not self._may_ask():
             return
-        self._watching = True
         if self.readers is not None and self.readers.unread():
-            self._from_anew()
-        else:
-            self._next_watch()
+            self._trust()
+        self._ask(0)
 
-    def fetch(self) -> None:
-        if self._may_ask():
-            self._call(LIST, CALL_S, self._fetched)
-
-    def move(self, address: Address) -> None:
+    def move(self, address: Address, settings: Settings) -> None:
         """Ask at another address from now on, first for the whole list, then for changes.
 
         Guards against a watch that goes on at an address about to close, and
@@ -175,34 +180,37 @@
         list comes first is taken. Would do harm if that list were older than
         ours, for as long as the next change takes to come.
         """
+        self._terms = terms(settings)
         if address == self._address:
             return
         self.log(f"discovery is at {address} now")
         self._address = address
-        self._drop_calls()
-        self._lag.trust()
-        if self._resting or not self._may_ask():
-            return
-        self._watching = True
-        self._from_anew()
+        self._drop_call()
+        self._trust()
+        if not self._resting and self._may_ask():
+            self._ask(0)
 
     def close(self) -> None:
-        self._watching = False
-        self._drop_calls()
+        self._drop_call()
+        self._hear_by(0)
 
     def rest(self) -> None:
-        """Ask nothing while another process of this node watches for both."""
+        """Ask nothing while another process of this node watches for both, and is heard."""
         self._resting = True
-        self.close()
+        self._drop_call()
+        self._hear_by(self._terms.hold + self._terms.late)
 
     def go_on(self) -> None:
-        """That process has gone: watch again, from the version in hand."""
+        """That process has gone, or fallen silent: watch again, from the version in hand."""
+        self._hear_by(0)
         self._resting = False
         self.watch()
 
     def hear(self, body: bytes) -> None:
         """An answer that another process of this node was given."""
-        self._take(body)
+        if self._resting:
+            self._hear_by(self._terms.hold + self._terms.late)
+        self._take(body, False)
 
     def passed(self, raw: dict[str, Any]) -> None:
         """The list as another node has read it; ListError where it can't be used."""
@@ -220,43 +228,54 @@
         """The list as the process before this one had it."""
         return self.roster.inherit(left)
 
-    def _drop_calls(self) -> None:
-        for call in self._calls:
-            call.drop()
-        self._calls.clear()
-
-    def _call(self, target: str, wait: float, done: Callable[[bytes | None], None]) -> None:
-        def ended(answer: Answer | None) -> None:
-            self._calls.discard(call)
-            done(answer.body if answer is not None and answer.status == 200 else None)
-
-        call = Call(self._address, target, wait, ended)
-        self._calls.add(call)
-
-    def _next_watch(self) -> None:
-        target = f"{LIST}?from={self.roster.rev}&hold_ms={self._hold_ms()}"
-        self._call(target, self._hold_ms() / 1000 + CALL_S, self._watched)
-
-    def _from_anew(self) -> None:
-        """The whole list first, whatever its version: what is in hand may be another's."""
+    def _trust(self) -> None:
+        """What is in hand may be another service's: the next whole list is right."""
+        self._anew = True
         self._lag.trust()
-        self._call(LIST, self._hold_ms() / 1000 + CALL_S, self._watched)
 
-    def _hold_ms(self) -> int:
-        return HOLD_MS if self.readers is None else self.readers.hold_ms
+    def _hear_by(self, span: int) -> None:
+        """Watch again unless the other process is heard within this span; 0 for no limit."""
+        if self._word is not None:
+            self._word.cancel()
+            self._word = None
+        if span:
+            self._word = asyncio.get_running_loop().call_later(span / SECOND, self._unheard)
+
+    def _unheard(self) -> None:
+        self.log("the other process passes no list on: asking again")
+        self.go_on()
+
+    def _drop_call(self) -> None:
+        call, self._call = self._call, None
+        if call is not None:
+            call.drop()
 
-    def _watched(self, body: bytes | None) -> None:
-        if not self._watching:
-            return
-        if self._take(body):
+    def _ask(self, wait: int) -> None:
+        """Ask for what has changed, waiting for it so many ns, or for the whole list."""
+        assert self._call is None
+        spans = self._terms
+        self._waits = wait > 0 and not self._anew
+        target = LIST
+        if not self._anew:
+            target += f"?from={self.roster.rev}&hold_ms={max(wait // MS, 1)}"
+        limit = wait + spans.late if self._waits else spans.answer
+        self._call = Call(
+            self._address, target, limit / SECOND, self._answered, connect=spans.connect / SECOND
+        )
+
+    def _answered(self, answer: Answer | None) -> None:
+        self._call = None
+        if answer is None and self._waits:
+            # The watch fell silent or broke: what it may have missed is asked for at once.
+            # Only where that fails too is the service given a pause.
+            self.log("the watch of the list ended without an answer: asking what it missed")
+            self._ask(0)
+        elif self._take(answer.body if answer is not None and answer.status == 200 else None):
             # At once: after 200 ms discovery would count it as a new watch, and
             # what changed in between as told late.
-            self._next_watch()
+            self._ask(self._terms.hold)
         else:
-            self._watching = False
-
-    def _fetched(self, body: bytes | None) -> None:
-        self._take(body)
+            self._told(Update.FAILED, [], [])
 
     def _take(self, body: bytes | None, own: bool = True) -> bool:
         """Pass on an answer, to us or not; False where it failed and the list in hand stays."""
@@ -266,16 +285,19 @@
             if raw is None:
                 raise ListError("the call failed")
             update, rows, endpoints = roster.read(raw)
-            rev = raw["rev"]
-            if not self._lag.takes(rev, update == Update.FULL, roster.rev):
+            rev, whole = raw["rev"], update == Update.FULL
+            if self._anew and not whole:
+                raise ListError("it has changes alone where the whole list is needed")
+            if not self._lag.takes(rev, whole, roster.rev):
+                self._anew = True  # changes of another count would never fit ours
                 raise ListError(f"version {rev} is older than {roster.rev}")
         except (ListError, ValueError, RecursionError) as err:
             if body is not None:
                 self.log(f"discovery answer not used: {err}")
             if self.readers is not None and own:
                 self.readers.failed(raw is not None and self._lag.older > 0)
-            self._told(Update.FAILED, [], [])
             return False
+        self._anew = False
         stale = roster.apply(rev, update, rows, endpoints)
         if self.pass_on is not None and body is not None:
             self.pass_on(body)
--- a/windrelay/httpcall.py
+++ b/windrelay/httpcall.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import ssl
 from collections.abc import Callable, Mapping
 from typing import NamedTuple, cast
@@ -33,12 +34,13 @@
 class Call(asyncio.Protocol):
     """One GET on a connection of its own; `done` gets the answer, or None, once.
 
-    `headers` go out as they are; `tls` wraps the connection. Bounded in time and size.
+    `headers` go out as they are; `tls` wraps the connection. Bounded in size, and in time by
+    `wait` seconds in all and `connect`, where that is given, for the connection to come up.
     """
 
     __slots__ = (
-        "_body", "_done", "_handle", "_head", "_headers", "_parser", "_size", "_task", "_tls",
-        "_transport",
+        "_body", "_done", "_end_at", "_handle", "_head", "_headers", "_parser", "_size", "_task",
+        "_tls", "_transport",
     )  # fmt: skip
 
     def __init__(
@@ -49,6 +51,7 @@
         done: Callable[[Answer | None], None],
         headers: Mapping[str, str] | None = None,
         tls: ssl.SSLContext | None = None,
+        connect: float = math.inf,
     ) -> None:
         loop = asyncio.get_running_loop()
         self._done: Callable[[Answer | None], None] | None = done
@@ -60,7 +63,8 @@
         self._size = 0
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
-        self._handle = loop.call_later(wait, self.end, None)
+        self._end_at = loop.time() + wait
+        self._handle = loop.call_later(min(wait, connect), self.end, None)
         self._task = loop.create_task(self._connect(address))
 
     async def _connect(self, address: Address) -> None:
@@ -75,6 +79,8 @@
         if self._done is None:
             self._transport.abort()
         else:
+            self._handle.cancel()
+            self._handle = asyncio.get_running_loop().call_at(self._end_at, self.end, None)
             self._transport.write(self._head.encode())
 
     def data_received(self, data: bytes) -> None:
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -118,7 +118,10 @@
         self.leave()
         if self.peers is not None:
             self.peers.open()
-        if self.config.consul or (left is not None and self.config.settings.ask):
+        if self.config.consul or left is not None or not self.config.settings.ask:
+            # Where discovery is asked the Balancer says when, for the starts of all nodes
+            # are spread. An agent that has the list pushed is asked at once: what it has
+            # counts from the first moment on.
             self.discovery.watch()
 
     # ---- words between nodes ---------------------------------------------
@@ -470,9 +473,6 @@
     def watch(self) -> None:
         self.discovery.watch()
 
-    def fetch(self) -> None:
-        self.discovery.fetch()
-
     def set_timer(self, token: int, due: int) -> None:
         self.later(due, token)
 
--- a/windrelay/peers/lists.py
+++ b/windrelay/peers/lists.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from flinthatch.fleet.fleet import Fleet
-from flinthatch.fleet.readers import HOLD_MS
 from flinthatch.fleet.shared import Taken
 from windrelay.discovery import Discovery, ListError
 
@@ -47,8 +46,6 @@
 class Lists:
     """Implements ports.ListReaders."""
 
-    hold_ms = HOLD_MS
-
     def __init__(self, host: Host, fleet: Fleet, known: dict[str, Any]) -> None:
         assert fleet.shared is not None and isinstance(host.discovery, Discovery)
         self._host = host
--- a/windrelay/xds/control.py
+++ b/windrelay/xds/control.py
@@ -218,7 +218,7 @@
         for pool, (_, config, table) in zip(self.pools, inputs, strict=True):
             pool.follow(table)
             if isinstance(pool.members, Discovery):
-                pool.members.move(config.discovery)
+                pool.members.move(config.discovery, config.settings)
         self.log("reload: taken over")
         self.publish()
 
--- a/windrelay/xds/members.py
+++ b/windrelay/xds/members.py
@@ -51,10 +51,6 @@
         if self._handle is None:
             self._handle = asyncio.get_running_loop().call_later(LOOK_S, self._again)
 
-    def fetch(self) -> None:
-        """Read it again now."""
-        self._take()
-
     def close(self) -> None:
         if self._handle is not None:
             self._handle.cancel()
--- a/windrelay/xds/pool.py
+++ b/windrelay/xds/pool.py
@@ -191,8 +191,5 @@
     def watch(self) -> None:
         self.members.watch()
 
-    def fetch(self) -> None:
-        self.members.fetch()
-
     def log(self, text: str) -> None:
         self._log(f"pool {self.name}: {text}")
