Nothing begins for a client that has gone, a server that leaves or a window that has closed

A stop ended the process beside clients that were still to end. An answer without a length to an HTTP/1.0 client that broke off ended as a whole one does. Change: from the end of its sending on nothing begins for a client: with nothing out it is refused at once (lawful, as nothing ran; one that only half-closed has its answer), what is out may serve it (Balancer.on_last). The weighed other rule, to go on for half-closers, can't be told from a close. Balancer.may_begin is asked once more as a connection comes up; what waits for a connection to a server that leaves is withdrawn and placed anew. The socket itself is asked before late sends and while reading is paused, so neither a busy loop nor back-pressure hides an end. _end is the one way to end a client's connection; those who don't close in answer are cut off sooner where others wait for their place.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -1131,6 +1131,31 @@
             if moving:
                 self.dispatch(self.now)
 
+    def may_begin(self, now: int, request: int, attempt: int) -> bool:
+        """Whether an attempt's first byte may still leave: its connection came up just now.
+
+        Guards against what changed meanwhile: its server leaves, its client has gone, its
+        window has closed. What may not begin has never run and is placed anew, or refused.
+        """
+        r = self.requests.get(request)
+        if r is None or r.ended or attempt >= len(r.attempts) or not r.allowed:
+            return False
+        repeats = r.ran is not None and r.effect == Effect.TOKEN
+        in_time = not repeats or now < r.ran.sent + r.window  # type: ignore[union-attr]
+        return in_time and r.attempts[attempt].backend.state == State.READY
+
+    def on_last(self, now: int, request: int) -> None:
+        """The client has ended its sending: what is out may serve it, nothing more begins."""
+        self.now = now
+        r = self.requests.get(request)
+        if r is None or r.ended:
+            return
+        r.allowed = 0
+        if r.queued:
+            self.unqueue(r)
+        if not r.live:
+            self.finish(r)
+
     def on_gone(self, now: int, request: int) -> None:
         self.now = now
         r = self.requests.get(request)
--- a/windrelay/exchange.py
+++ b/windrelay/exchange.py
@@ -18,11 +18,14 @@
     def answer_empty(self, status: int, retry_after: int) -> None: ...
     def begin_long(self, content_type: bytes, length: int, flow: Flow) -> None: ...
     def cut(self) -> None: ...
+    def has_left(self) -> bool: ...
 
 
 class Link(Protocol):
     """The connection that an attempt is out on."""
 
+    written: bool
+
     def abandon(self) -> bool: ...
 
 
@@ -48,7 +51,7 @@
 class Request:
     __slots__ = (
         "allowed", "arrived", "attempts", "body", "chunked", "client", "deadline", "ended", "flow",
-        "head", "id", "label", "live", "once", "size", "started", "timeout",
+        "head", "id", "label", "last", "live", "once", "size", "started", "timeout",
     )  # fmt: skip
 
     def __init__(
@@ -77,6 +80,7 @@
         self.attempts: list[Attempt] = []
         self.live = 0
         self.ended = False
+        self.last = False  # its client sends no more: nothing begins for it any more
 
     @property
     def coming(self) -> bool:
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -40,6 +40,7 @@
 BACKSTOP = 10 * MS  # past its deadline a request the module forgot is failed
 REARM = 100 * MS  # a timer whose event raised comes again after this long
 NO_TIMER = 1 << 63
+STALE_CLIENT = 50 * MS  # what has waited longer is sent only if its client still stands
 DIAL_PART = 4  # one in so many of the dial's time is long for a dial
 LOG_LINES = 20  # a second
 RESERVED = 24  # descriptors for the listener, the loop, discovery and the log
@@ -289,13 +290,56 @@
             self.balancer.on_gone(now, r.id)
         except Exception:
             self.broken()
-        if moving:
+        for a in list(r.attempts):
             # Half an answer that nobody takes, or half a request that can't become
             # whole: neither may hold its server's connection.
-            for a in list(r.attempts):
+            if moving or self.unbegun(a):
+                self.give_up(a, Outcome.CANCELLED)
+        self.leave()
+
+    def client_ended(self, r: Request) -> None:
+        """The client sends nothing more: it has closed, or waits for this answer alone.
+
+        Which of the two can't be told. So nothing begins for it from here on: with nothing
+        out it is refused, which is true and harmless; what a server has may still answer it.
+        """
+        if r.ended or r.last:
+            return
+        now = self.enter()
+        r.last = True
+        try:
+            self.balancer.on_last(now, r.id)
+        except Exception:
+            self.broken()
+        for a in list(r.attempts):
+            if self.unbegun(a):
                 self.give_up(a, Outcome.CANCELLED)
         self.leave()
 
+    def unbegun(self, a: Attempt) -> bool:
+        """Whether an attempt's server can't have begun: not all of a whole request has left."""
+        r = a.request
+        if a.closed or r is None or r.flow is not None:
+            return False
+        return a.connection is None or not a.connection.written
+
+    def may_begin(self, a: Attempt) -> bool:
+        """Whether an attempt may write its first byte, now that its connection is up."""
+        r = a.request
+        if r is None:
+            return True
+        r.last = r.last or self.has_left(r)
+        return not r.last and self.balancer.may_begin(time.monotonic_ns(), r.id, a.number)
+
+    def has_left(self, r: Request) -> bool:
+        """Whether its client has ended its sending, asked of the socket: the loop may be late."""
+        return r.client is not None and r.client.has_left()
+
+    def withdraw(self, backends: Sequence[int]) -> None:
+        """Call off what waits for a connection to these: it has not begun."""
+        for a in self.upstream.dialling(backends):
+            self.give_up(a, Outcome.CANCELLED)
+
     def uploading(self, a: Attempt) -> None:
         """Bytes of a long body leave for the first time: they can't be sent again."""
         assert a.request is not None
@@ -355,6 +399,7 @@
             self.broken()
         if self.balancer.ready or update == Update.FULL:
             self.usable()
+        self.withdraw(stale)
         self.leave()
 
     def conclude(self, a: Attempt, outcome: Outcome, load: Sequence[float] = ()) -> None:
@@ -379,6 +424,8 @@
                 self.balancer.on_probe(self.now, a.backend, outcome, taken, load)
                 return
             r.live -= 1
+            if r.last:
+                self.balancer.on_last(self.now, r.id)
             self.balancer.on_outcome(
                 self.now, r.id, a.number, outcome, taken, r.ended, load, a.connected
             )
@@ -439,7 +486,9 @@
         r.live += 1
         left = r.deadline - now
         limit = min(timeout, left) if timeout else left
-        if r.ended or left <= 0 or len(r.attempts) > r.allowed:
+        if now - r.arrived > STALE_CLIENT or len(r.attempts) > 1:
+            r.last = r.last or self.has_left(r)
+        if r.ended or r.last or left <= 0 or len(r.attempts) > r.allowed:
             self.conclude(a, Outcome.MOOT)
         elif limit <= 0:
             self.conclude(a, Outcome.TIMEOUT)
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import fcntl
 import re
+import select
 import socket
 import struct
 import termios
@@ -45,6 +46,9 @@
 REST_SWEEPS = 9  # without a request, after which a connection may be closed for room
 WRITE_SWEEPS = 40  # without a byte taken
 LINGER_SWEEPS = 4
+PRESSED_S = 0.05  # the same while others wait for a place ...
+PRESSED_PART = 8  # ... and one in so many places is freed at a time
+LOOK_S = 0.05  # between looks whether those that are not read from have ended their sending
 FRESH_SWEEPS = 1  # for a new connection's first bytes, while clients are sent away
 FLOOD_PART = 4  # one silent connection in so many is a flood of them
 IDLE_PART = 0.5  # of the room for clients, above which the oldest resting ones go
@@ -53,6 +57,8 @@
 TCP_INFO_SIZE = 56
 LAST_DATA_RECEIVED = struct.Struct("=52xI")
 QUEUED = struct.Struct("i")
+ABORTIVE = struct.pack("ii", 1, 0)  # SO_LINGER: the connection's end is a reset
+ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 REASONS = {
     400: b"Bad Request",
@@ -90,6 +96,22 @@
 
 
 ABSOLUTE = re.compile(rb"^[Hh][Tt][Tt][Pp]://[^/?#]*")
+
+
+def sending_has_ended(sock: socket.socket) -> bool:
+    """Whether the peer has ended its sending, also behind bytes that nobody has read yet."""
+    try:
+        if sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b"":
+            return True
+        poll = select.poll()
+        poll.register(sock, ENDED)
+        return bool(poll.poll(0))
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 NO_CLASS = ClassState(-1, RequestClass("", 1, 1), 0)  # of what is no request for a backend
 
 
@@ -138,8 +160,8 @@
     """
 
     __slots__ = (
-        "_eof", "_flow", "_head_size", "_headers_done", "_incoming", "_keep_alive", "_lingering",
-        "_long_end", "_old", "_parser", "_progress", "_request", "_server", "_since",
+        "_endless", "_eof", "_flow", "_head_size", "_headers_done", "_incoming", "_keep_alive",
+        "_lingering", "_long_end", "_old", "_parser", "_progress", "_request", "_server", "_since",
         "_sock", "_still_to_come", "_transport", "_waiting", "_write_since",
     )  # fmt: skip
 
@@ -153,6 +175,7 @@
         self._request: Request | None = None
         self._flow: Flow | None = None  # of a long answer
         self._long_end = b""  # what closes it, where it goes in chunks
+        self._endless = False  # it ends with its connection, and says nowhere how long it is
         self._old = False  # the open request came by HTTP/1.0
         self._still_to_come = 0  # bytes of a long body that nobody wants any more
         self._headers_done = False
@@ -370,10 +393,12 @@
     def pause_flow(self) -> None:
         if self._transport is not None:
             self._transport.pause_reading()
+            self._server.look_after(self)
 
     def resume_flow(self) -> None:
         """There is room for more of the body; the time meanwhile was not the client's."""
         self._since = self._server.sweeps
+        self._server.unread.pop(self, None)
         if self._transport is not None:
             self._transport.resume_reading()
 
@@ -402,8 +427,9 @@
         if length >= 0:
             head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % length
         elif self._old:
-            head = b"HTTP/1.1 200 OK\r\n"  # ends with its connection
+            head = b"HTTP/1.1 200 OK\r\n"
             self._keep_alive = False
+            self._endless = True
         else:
             head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
             self._long_end = b"0\r\n\r\n"
@@ -427,6 +453,7 @@
         transport, end = self._transport, self._long_end
         self._request = self._flow = None
         self._long_end = b""
+        self._endless = False
         if transport is None or transport.is_closing():
             return
         if end:
@@ -439,6 +466,9 @@
         self._request = None
         self._drop_flow()
         if self._transport is not None:
+            if self._endless:
+                # Its end would pass for the answer's: only a reset tells that it is not whole.
+                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORTIVE)
             self._transport.abort()
 
     def _drop_flow(self) -> None:
@@ -514,8 +544,12 @@
             self._end()
 
     def _end(self) -> None:
-        """Close once the client has: closing on unread bytes would reset the connection,
-        and the reset could reach the client before the answer does."""
+        """The one way to end a connection: end our sending, drop what comes, close when the
+        client has, or after a while.
+
+        Closing at once would reset the connection where bytes lie unread, also such as came
+        since we looked, and the reset could reach the client before the answer does.
+        """
         transport = self._transport
         assert transport is not None
         self._leave_rest()
@@ -528,6 +562,7 @@
             transport.close()
             return
         self._lingering = True
+        self._server.lingering[self] = self._server.node.loop.time()
         self._since = self._server.sweeps
         transport.write_eof()
         transport.resume_reading()
@@ -535,6 +570,7 @@
     def _leave_rest(self) -> None:
         self._server.fresh.pop(self, None)
         self._server.idle.pop(self, None)
+        self._server.unread.pop(self, None)
 
     def _drop_incoming(self) -> None:
         """Give back what a request not begun holds."""
@@ -555,19 +591,23 @@
     # ---- ends ---------------------------------------------------------
 
     def eof_received(self) -> bool:
-        # A client that has ended its sending may still wait for its answer; one
-        # that has closed costs an answer that nobody reads. Taking the first for
-        # the second would lose a request.
+        # A client that has ended its sending may still wait for its answer, and one that
+        # has closed looks the same: what has been sent on for it is waited for, nothing
+        # begins any more, and what waited behind it is dropped.
         self._eof = True
         if self._half_read():
             return False  # a body that was cut off never becomes whole
-        return self._request is not None or bool(self._waiting)
+        self._drop_incoming()
+        if self._request is not None:
+            self._server.node.client_ended(self._request)
+        return self._request is not None or self._flow is not None
 
     def connection_lost(self, exc: Exception | None) -> None:
         server = self._server
         self._transport = None
         self._parser = None
         server.connections.discard(self)
+        server.lingering.pop(self, None)
         self._leave_rest()
         request, self._request = self._request, None
         if request is not None:
@@ -601,17 +641,31 @@
         """Whether a stop need not wait for it."""
         transport = self._transport
         return transport is None or (
-            self._request is None
+            not self._lingering
+            and self._request is None
             and self._incoming is None
             and not self._waiting
             and self._flow is None
             and not transport.get_write_buffer_size()
         )
 
+    def has_left(self) -> bool:
+        """Whether the client has ended its sending, asked of the socket itself."""
+        return self._eof or self._transport is None or sending_has_ended(self._sock)
+
+    def look(self) -> None:
+        """While it is not read from: learn all the same that the client has gone."""
+        if self._request is not None and not self._eof and sending_has_ended(self._sock):
+            self._server.node.client_ended(self._request)
+
     def close(self) -> None:
+        """End it at rest."""
+        if self._transport is not None and not self._lingering:
+            self._end()
+
+    def abort(self) -> None:
         if self._transport is not None:
-            self._leave_rest()
-            self._transport.close()
+            self._transport.abort()
 
     def age(self) -> int:
         """Sweeps since it came up, or was last busy."""
@@ -675,6 +729,11 @@
         # At rest, longest first: those that have asked, and those that never have.
         self.idle: dict[ClientConnection, None] = {}
         self.fresh: dict[ClientConnection, None] = {}
+        self.lingering: dict[ClientConnection, float] = {}  # ended by us, and since when
+        self.unread: dict[ClientConnection, None] = {}  # reading is paused
+        self._looks = False
+        self._pressed = False
+        self._at_a_time = 1
         self.sweeps = 0
         self._paused = False
         self._held_back = False  # a successor accepts
@@ -757,9 +816,51 @@
         self._give_way()
         return False
 
+    def look_after(self, conn: ClientConnection) -> None:
+        """Look at a connection that is not read from, for its client's end."""
+        self.unread[conn] = None
+        if not self._looks:
+            self._looks = True
+            self.node.loop.call_later(LOOK_S, self._look)
+
+    def _look(self) -> None:
+        for conn in list(self.unread):
+            conn.look()
+        self._looks = bool(self.unread)
+        if self._looks:
+            self.node.loop.call_later(LOOK_S, self._look)
+
     def _give_way(self) -> None:
-        if not self.drop_oldest():
+        """Free a place for who waits to be accepted, and more while that does not do.
+
+        Most clients close as we end their connection. Those that don't are cut off after
+        PRESSED_S, and the more of them there are, the more are ended at a time.
+        """
+        now = self.node.loop.time()
+        for conn, since in list(self.lingering.items()):
+            if now - since < PRESSED_S:
+                break
+            conn.abort()
+        while len(self.lingering) < self._at_a_time and self.drop_oldest():
+            pass
+        if not self.lingering:
             self.node.drop_beyond_part()
+        if not self._pressed:
+            self._pressed = True
+            self.node.loop.call_later(PRESSED_S, self._press)
+
+    def _wants_room(self) -> bool:
+        """Whether connections may wait that are not accepted for want of room alone."""
+        return self._paused and not self._held_back and self._sock is not None
+
+    def _press(self) -> None:
+        self._pressed = False
+        if self._wants_room():
+            most = max(self.node.most_clients() // PRESSED_PART, 1)
+            self._at_a_time = min(2 * self._at_a_time, most)
+            self._give_way()
+        else:
+            self._at_a_time = 1
 
     def _pause(self) -> None:
         if self._sock is not None and not self._paused:
@@ -827,7 +928,7 @@
             conn.sweep(self.sweeps)
         self.make_room()
         self.freed()
-        if self._paused and not self._held_back:
+        if self._wants_room():
             self._give_way()
 
     # ---- sending clients away, stopping -------------------------------
--- a/windrelay/upstream.py
+++ b/windrelay/upstream.py
@@ -128,6 +128,7 @@
         self.upstream.count += 1
         timeout = node.config.settings.connect_timeout / 1e9
         self._timer = node.loop.call_later(timeout, self._dial_expired)
+        self.upstream.dials[self] = None
         self._task = node.loop.create_task(self._connect(sock))
         self._task.add_done_callback(self._dialled)
 
@@ -160,6 +161,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.upstream.dials.pop(self, None)
         self._stop_timer()
         if self._closed:
             self.transport.abort()
@@ -168,8 +170,16 @@
         # pauses us at once: not paused means that every byte has left.
         self.transport.set_write_buffer_limits(high=0)
         self.parser = httptools.HttpResponseParser(self)
-        if self.attempt is not None:
+        attempt, node = self.attempt, self.upstream.node
+        if attempt is None:
+            return
+        if node.may_begin(attempt):
             self._write_request()
+        else:
+            # What held when it was sent on holds no more; nothing has been written.
+            self.attempt = None
+            self._close()
+            node.conclude(attempt, Outcome.MOOT)
 
     # ---- the request --------------------------------------------------
 
@@ -404,7 +414,7 @@
         elif name == b"transfer-encoding":
             self._chunked = True
         elif name == b"connection":
-            self._closes = value.strip().lower() == b"close"
+            self._closes = b"close" in (word.strip() for word in value.lower().split(b","))
         elif name == b"x-not-processed":
             self._not_run = value.strip() == b"1"
         elif name == b"x-server-load":
@@ -570,6 +580,7 @@
         if flow is not None:
             flow.detach(self)
         self.upstream.take_out(self)
+        self.upstream.dials.pop(self, None)
         self.parser = None
         self._chunks = []
         self._pieces = ()
@@ -608,10 +619,11 @@
 class Upstream:
     """Idle connections by backend, newest first, and by age for giving up."""
 
-    __slots__ = ("by_age", "count", "idle", "node")
+    __slots__ = ("by_age", "count", "dials", "idle", "node")
 
     def __init__(self, node: BackendHost) -> None:
         self.node = node
+        self.dials: dict[BackendConnection, None] = {}  # not up yet
         self.count = 0  # descriptors, dials included
         self.idle: dict[int, list[BackendConnection]] = {}
         self.by_age: dict[BackendConnection, None] = {}
@@ -639,6 +651,10 @@
             attempt.connection = None
             self.node.conclude(attempt, Outcome.MOOT)
 
+    def dialling(self, backends: Sequence[int]) -> list[Attempt]:
+        """Attempts that wait for a connection to one of these to come up."""
+        return [c.attempt for c in self.dials if c.attempt is not None and c.backend in backends]
+
     def pop(self, backend: int) -> BackendConnection | None:
         conns = self.idle.get(backend)
         if not conns:
