--- a/flinthatch/drill.py
+++ b/flinthatch/drill.py
@@ -61,13 +61,24 @@
     if not isinstance(raw, dict):
         raise WireError("settings are not a JSON object")
     try:
-        return _settings(raw)
+        return _settings(without_nulls(raw))
     except KeyError as err:
         raise WireError(f"settings lack {err.args[0]!r}") from None
     except (TypeError, ValueError, AttributeError) as err:
         raise WireError(f"settings hold an unusable value: {err}") from None
 
 
+def without_nulls(raw: dict[str, Any]) -> dict[str, Any]:
+    """The same without keys whose value is null: absent, as the wire's page has it."""
+
+    def clean(value: Any) -> Any:
+        if isinstance(value, dict):
+            return {key: clean(inner) for key, inner in value.items() if inner is not None}
+        return [clean(inner) for inner in value] if isinstance(value, list) else value
+
+    return {key: clean(value) for key, value in raw.items() if value is not None}
+
+
 def _settings(raw: dict[str, Any]) -> Settings:
     rules, limits = raw["rules"], raw.get("limits", {})
     goal, prices = raw.get("goal", {}), raw.get("prices", {})
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -4,15 +4,18 @@
 
 import asyncio
 import gc
+import json
 import os
+import resource
 import socket
+from pathlib import Path
 from typing import cast
 
 import uvloop
 
 from windrelay.sockets import disown
 
-from .harness import listen
+from .harness import LIMIT, accept, answer, listen, node, request, roster, target
 
 
 class Aborts(asyncio.Protocol):
@@ -40,3 +43,37 @@
         os.fstat(number)
         os.close(number)
     loop.close()
+
+
+def test_idle_clients_that_fill_the_descriptors_leave_discovery_and_backends_theirs(
+    tmp_path: Path,
+) -> None:
+    """The process may hold 64, as its configuration says, and discovery is down meanwhile."""
+    with listen() as discovery, listen() as gone, listen() as backend:
+        known = roster(target("s-1", gone.getsockname()[1]), rev=7)
+        port = discovery.getsockname()[1]
+        with node(tmp_path, known, port, limits={"sockets": 64}) as n:
+            resource.prlimit(n.process.pid, resource.RLIMIT_NOFILE, (64, 64))
+            down = accept(discovery)
+            idle = []
+            for _ in range(100):
+                idle.append(n.connect())
+                idle[-1].send(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                assert idle[-1].message()[0] == "HTTP/1.1 200 OK"
+            idle += [n.connect() for _ in range(100)]
+            for _ in range(3):
+                down.reset()
+                down = accept(discovery)  # however full it is, the next call comes
+            down.message()
+            row = target("s-2", backend.getsockname()[1])
+            down.send(answer(json.dumps(roster(row, rev=9)).encode()))
+            accept(discovery).message()
+            client = n.connect()
+            client.send(request())
+            peer = accept(backend)
+            peer.message()
+            peer.send(answer(b"served"))
+            assert client.message()[2] == b"served"
+            assert n.descriptors() <= 64
+            n.process.terminate()
+            assert n.process.wait(LIMIT) == 0
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -31,6 +31,7 @@
     target,
     until,
 )
+from .test_reload import replace_config
 
 SLOTS = 4  # that one backend has at the start, by the level to begin with
 
@@ -311,3 +312,49 @@
         with pytest.raises(ConnectionResetError):
             while client.sock.recv(65536):
                 pass
+
+
+@pytest.mark.parametrize("path", ["/balance/1", "/credit/1"])
+def test_half_a_line_on_a_resting_connection_is_nobodys_answer(tmp_path: Path, path: str) -> None:
+    with (
+        listen() as backend,
+        node(tmp_path, roster(target("s-1", backend.getsockname()[1]))) as n,
+    ):
+        body = b"x" if "credit" in path else None
+        client = n.connect()
+        client.send(request(path, body, rid="first"))
+        resting = accept(backend)
+        resting.message()
+        resting.send(answer(b"served"))
+        assert client.message()[2] == b"served"
+        resting.send(b"HTTP/1.1 408 Requ")
+        client.send(request(path, body, rid="second"))
+        peer = accept(backend)
+        assert peer.message()[1]["x-request-id"] == "second"
+        peer.send(answer(b"once"))
+        assert client.message()[2] == b"once"
+        assert resting.ends() == b""  # and nothing was written to the one with half a line
+
+
+def test_signals_during_a_stop_change_nothing_for_what_is_held(tmp_path: Path) -> None:
+    with (
+        listen() as backend,
+        listen() as moved,
+        node(tmp_path, roster(target("s-1", backend.getsockname()[1]))) as n,
+    ):
+        client = n.connect()
+        client.send(request("/credit/1", b"once", rid="held"))
+        peer = accept(backend)
+        peer.message()
+        n.process.send_signal(signal.SIGTERM)
+        n.says("stopping")
+        raw = json.loads((tmp_path / "config.json").read_text())
+        raw["discovery"] = f"127.0.0.1:{moved.getsockname()[1]}"
+        replace_config(tmp_path, json.dumps(raw))
+        n.process.send_signal(signal.SIGHUP)
+        n.says("reloaded")
+        n.process.send_signal(signal.SIGTERM)
+        peer.send(answer(b"served"))
+        assert client.message()[2] == b"served"
+        client.close()
+        assert n.process.wait(LIMIT) == 0
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,10 +6,24 @@
 import signal
 import subprocess
 from pathlib import Path
+from typing import Any
 
 import pytest
 
-from .harness import accept, answer, config, launch, listen, node, request, roster, target
+from windrelay.config import ConfigError, load
+
+from .harness import (
+    SETTINGS,
+    accept,
+    answer,
+    config,
+    launch,
+    listen,
+    node,
+    request,
+    roster,
+    target,
+)
 
 
 def test_a_request_passes_through_unchanged_and_connections_are_kept(tmp_path: Path) -> None:
@@ -91,6 +105,15 @@
         ("[]", "not a JSON object"),
         ('{"discovery":"127.0.0.1:1"}', "lacks 'settings'"),
         ('{"discovery":"127.0.0.1:1","settings":{}}', "settings lack 'rules'"),
+        ("", "config.json is not JSON"),
+        ('{"discovery":"127.0.0.1:1","settings":[]}', "settings must be an object"),
+        ('{"discovery":"127.0.0.1:1","limits":{"sockets":"many"}}', "limits.sockets must be a"),
+        ('{"discovery":"127.0.0.1:1","settings":{"classes":[7]}}', "settings.classes[0] must be"),
+        (
+            '{"discovery":"127.0.0.1:1","settings":{"classes":[{"deadline":true}]}}',
+            "settings.classes[0].deadline must be a number",
+        ),
+        ('{"discovery":"127.0.0.1:1","settings":{"rules":{"cold":1e999}}}', "settings.rules.cold"),
     ],
 )
 def test_a_bad_configuration_is_one_line_and_status_2(
@@ -109,6 +132,30 @@
         raise
     assert process.returncode == 2
     assert says in err and len(err.splitlines()) == 1
+    assert "config.json" in err  # which file
+
+
+@pytest.mark.parametrize(
+    ("change", "says"),
+    [
+        ({"classes": [SETTINGS["classes"][0] | {"deadline": 0}]}, "a deadline above 0"),
+        ({"limits": SETTINGS["limits"] | {"max_attempts": 0}}, "limits.max_attempts"),
+        ({"rules": SETTINGS["rules"] | {"drain_grace": -1}}, "drain_grace"),
+    ],
+)
+def test_figures_that_can_not_be_lived_by_are_refused_at_the_start(
+    tmp_path: Path, change: dict[str, Any], says: str
+) -> None:
+    environ = config(tmp_path, roster(), 1, settings=change)
+    with pytest.raises(ConfigError, match=says):
+        load(environ)
+
+
+def test_null_means_absent(tmp_path: Path) -> None:
+    nulls = {"rules": SETTINGS["rules"] | {"grace_to_answer": None}, "realms": None, "goal": None}
+    with_nulls = load(config(tmp_path, roster(), 1, settings=nulls, peers=None, limits=None))
+    absent = {"rules": {k: v for k, v in SETTINGS["rules"].items() if k != "grace_to_answer"}}
+    assert with_nulls.settings == load(config(tmp_path, roster(), 1, settings=absent)).settings
 
 
 def test_a_log_that_nobody_reads_stops_nothing(tmp_path: Path) -> None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -16,9 +16,11 @@
 
 from .harness import (
     LIMIT,
+    SETTINGS,
     Peer,
     Running,
     accept,
+    accept_any,
     answer,
     config,
     listen,
@@ -389,6 +391,45 @@
             assert new.stop() == 0
 
 
+def test_the_old_process_asks_for_the_list_itself_where_its_successor_hangs(
+    tmp_path: Path,
+) -> None:
+    """A successor that is stopped passes nothing on: drains must reach the old one all the same."""
+    with listen() as discovery, listen() as first, listen() as second:
+        port = discovery.getsockname()[1]
+        rows = [target("s-1", first.getsockname()[1]), target("s-2", second.getsockname()[1])]
+        long = {"target": 50_000_000_000, "deadline": 50_000_000_000}
+        classes = [spec | long for spec in SETTINGS["classes"]]
+        known = roster(*rows, rev=7)
+        where = config(tmp_path, known, port, admin=ADMIN, settings={"classes": classes})
+        with started(where) as old:
+            first_call = accept(discovery)
+            first_call.message()
+            kept = old.connect()
+            kept.send(request(rid="a", timeout=50_000) + request(rid="b", timeout=50_000))
+            before, _ = accept_any(first, second)
+            before.message()
+            with started(where) as new:
+                stops_accepting(old)
+                assert first_call.ends() == b""  # the old one asks no more
+                taken = accept(discovery)
+                taken.message()
+                new.process.send_signal(signal.SIGSTOP)
+                asked = accept(discovery)
+                assert "from=7" in asked.message()[0]
+                drained = rows[0] | {"state": "leaving"}
+                asked.send(answer(json.dumps(roster(drained, rev=8, whole=False)).encode()))
+                assert "from=8" in accept(discovery).message()[0]
+                before.send(answer(b"a", "200 OK", "Connection: close"))
+                assert kept.message()[2] == b"a"
+                peer = accept(second)
+                assert peer.message()[1]["x-request-id"] == "b"
+                peer.send(answer(b"b"))
+                assert kept.message()[2] == b"b"
+                new.process.send_signal(signal.SIGCONT)
+                assert old.stop() == 0 and new.stop() == 0
+
+
 def test_without_a_second_address_nothing_of_it_is_opened(tmp_path: Path) -> None:
     with node(tmp_path, roster()) as n:
         assert not list(tmp_path.glob("*.sock"))
--- a/windrelay/admin.py
+++ b/windrelay/admin.py
@@ -20,6 +20,7 @@
 
 MOST_CALLERS = 8
 MOST_BYTES = 4 << 10  # of one call, head and body
+SHORT_S = 0.1  # before the next accept, where the system is short of descriptors
 CALL_S = 2.0  # for the whole call to come, and then for the caller to leave
 BACKLOG = 64
 DESCRIPTORS = MOST_CALLERS + 2  # with the listener, and one caller on its way out
@@ -72,8 +73,10 @@
             except BlockingIOError:
                 return
             except OSError as err:
-                # The next turn tries again: the system is short of something.
+                # The system is short of something, and would say so again at once.
                 self.log(f"second address: accept: {err}")
+                self.loop.remove_reader(self._sock)
+                self.loop.call_later(SHORT_S, self.loop.add_reader, self._sock, self._accept)
                 return
             if len(self.callers) >= MOST_CALLERS:
                 next(iter(self.callers)).close()
--- a/windrelay/config.py
+++ b/windrelay/config.py
@@ -5,10 +5,11 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
+from math import isfinite
 from typing import Any, NamedTuple
 
 from flinthatch import Settings
-from flinthatch.drill import WireError, settings_from_json
+from flinthatch.drill import WireError, settings_from_json, without_nulls
 
 DEFAULT_MEMORY_MB = 128
 DEFAULT_SOCKETS = 1024
@@ -78,17 +79,22 @@
         raise ConfigError(f"{path} is not JSON: {err}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"{path} is not a JSON object")
+    # Not the list: its rows have their own reader, and may be many.
+    raw = without_nulls({k: v for k, v in raw.items() if k != "known"}) | {
+        "known": raw.get("known")
+    }
     keys = _keys(raw)
     for key in ("name", "listen", "discovery", "routes", "consul", "admin", "fleet"):
         raw[key] = environ.get(f"PROXY_{key.upper()}") or raw.get(key)
     try:
+        _check_types(raw)
         return _config(raw, keys)
     except KeyError as err:
-        raise ConfigError(f"the configuration lacks {err.args[0]!r}") from None
+        raise ConfigError(f"{path}: the configuration lacks {err.args[0]!r}") from None
     except WireError as err:
-        raise ConfigError(str(err)) from None
+        raise ConfigError(f"{path}: {err}") from None
     except (TypeError, ValueError, AttributeError) as err:
-        raise ConfigError(f"the configuration holds an unusable value: {err}") from None
+        raise ConfigError(f"{path}: the configuration holds an unusable value: {err}") from None
 
 
 def reload(environ: Mapping[str, str], old: Config) -> Config:
@@ -130,7 +136,8 @@
     def walk(at: str, value: Any) -> None:
         if isinstance(value, dict):
             for key, inner in value.items():
-                found.add(f"{at}{key}")
+                if inner is not None:
+                    found.add(f"{at}{key}")
                 if key not in ("known", "classes"):
                     walk(f"{at}{key}.", inner)
 
@@ -143,6 +150,55 @@
     return frozenset(found)
 
 
+OBJECTS = ("limits", "known", "settings", "settings.rules", "settings.limits", "settings.load_info",
+           "settings.clients", "settings.goal", "settings.prices")  # fmt: skip
+LISTS = ("peers", "settings.classes", "settings.areas", "settings.skus", "settings.realms")
+# Keys whose value is a number, by the object that they stand in.
+NUMBERS = {
+    "limits": ("memory_mb", "sockets"),
+    "settings": ("me", "my_zone", "balancers", "tick"),
+    "settings.rules": (
+        "ask_within", "drain_grace", "cold", "cold_from", "fall", "fall_multiple",
+        "grace_to_answer",
+    ),
+    "settings.limits": (
+        "max_attempts", "dial_timeout", "idle_close", "open_cap", "max_retry_after",
+    ),
+}  # fmt: skip
+OF_CLASSES = ("target", "deadline", "repeat_window", "credit", "late_worth", "aim_stretch")
+
+
+def _check_types(raw: dict[str, Any]) -> None:
+    """Values of another kind than their keys want: ValueError names the key. Null is absent."""
+
+    def at(path: str) -> Any:
+        value: Any = raw
+        for key in path.split("."):
+            value = value.get(key) if isinstance(value, dict) else None
+        return value
+
+    for paths, kind, what in ((OBJECTS, dict, "an object"), (LISTS, list, "a list")):
+        for path in paths:
+            value = at(path)
+            if value is not None and not isinstance(value, kind):
+                raise ValueError(f"{path} must be {what}, not {value!r:.40}")
+    for path, keys in NUMBERS.items():
+        for key in keys:
+            _number(f"{path}.{key}", at(f"{path}.{key}"))
+    for i, spec in enumerate(at("settings.classes") or ()):
+        if not isinstance(spec, dict):
+            raise ValueError(f"settings.classes[{i}] must be an object, not {spec!r:.40}")
+        for key in OF_CLASSES:
+            _number(f"settings.classes[{i}].{key}", spec.get(key))
+
+
+def _number(path: str, value: object) -> None:
+    if value is not None and (isinstance(value, bool) or not isinstance(value, int | float)):
+        raise ValueError(f"{path} must be a number, not {value!r:.40}")
+    if isinstance(value, float) and not isfinite(value):
+        raise ValueError(f"{path} must be a number that ends, not {value}")
+
+
 def _check(settings: Settings) -> None:
     """What would make a node of no use, or break a rule: ValueError names the key."""
     if settings.max_attempts < 1:
--- a/windrelay/discovery.py
+++ b/windrelay/discovery.py
@@ -51,12 +51,18 @@
         """Check an answer and convert it; nothing in hand changes yet."""
         try:
             rev, whole, targets = raw["rev"], raw["all"], raw["targets"]
-            if not isinstance(rev, int) or not isinstance(whole, bool):
-                raise ListError("rev or all is of the wrong type")
+            if type(rev) is not int or not isinstance(whole, bool) or type(targets) is not list:
+                raise ListError("rev, all or targets is of the wrong type")
             rows: list[Listing] = []
             endpoints: dict[int, Address] = {}
+            seen: dict[str, Any] = {}
             for target in targets:
-                backend = backend_id(str(target["uid"]))
+                uid = target["uid"]
+                if not isinstance(uid, str) or not uid:
+                    raise ListError(f"{uid!r} is no uid")
+                if seen.setdefault(uid, target) != target:
+                    raise ListError(f"{uid} stands twice, with different words")
+                backend = backend_id(uid)
                 state = STATES[target["state"]]
                 if state != State.GONE:
                     endpoints[backend] = parse_address(target["endpoint"])
@@ -159,8 +165,11 @@
         self.roster = Roster(config)
 
     def known(self, raw: Any) -> list[Listing]:
-        """The list from the configuration."""
-        update, rows, endpoints = self.roster.read(raw)
+        """The list from the configuration; ListError where it is malformed."""
+        try:
+            update, rows, endpoints = self.roster.read(raw)
+        except ListError as err:
+            raise ListError(f"known: {err}") from None
         self.roster.apply(raw["rev"], update, rows, endpoints)
         return rows
 
@@ -272,8 +281,9 @@
             self._ask(0)
         elif self._take(answer.body if answer is not None and answer.status == 200 else None):
             # At once: after 200 ms discovery would count it as a new watch, and
-            # what changed in between as told late.
-            self._ask(self._terms.hold)
+            # what changed in between as told late. Whoever was told may have ended this.
+            if self._call is None and not self._resting and self._may_ask():
+                self._ask(self._terms.hold)
         else:
             self._told(Update.FAILED, [], [])
 
--- a/windrelay/server.py
+++ b/windrelay/server.py
@@ -47,7 +47,7 @@
 WRITE_SWEEPS = 40  # without a byte taken
 LINGER_SWEEPS = 4
 PRESSED_S = 0.05  # the same while others wait for a place ...
-PRESSED_PART = 8  # ... and one in so many places is freed at a time
+PRESSED_PART = 2  # ... and one in so many places is freed at a time, at the most
 LOOK_S = 0.05  # between looks whether those that are not read from have ended their sending
 FRESH_SWEEPS = 1  # for a new connection's first bytes, while clients are sent away
 FLOOD_PART = 4  # one silent connection in so many is a flood of them
@@ -552,6 +552,7 @@
         """
         transport = self._transport
         assert transport is not None
+        silent = self in self._server.fresh
         self._leave_rest()
         incoming = self._incoming
         if incoming is not None and incoming.flow is not None:
@@ -562,7 +563,7 @@
             transport.close()
             return
         self._lingering = True
-        self._server.lingering[self] = self._server.node.loop.time()
+        self._server.lingering[self] = (self._server.node.loop.time(), silent)
         self._since = self._server.sweeps
         transport.write_eof()
         transport.resume_reading()
@@ -729,7 +730,8 @@
         # At rest, longest first: those that have asked, and those that never have.
         self.idle: dict[ClientConnection, None] = {}
         self.fresh: dict[ClientConnection, None] = {}
-        self.lingering: dict[ClientConnection, float] = {}  # ended by us, and since when
+        # Ended by us: since when, and whether it had never said anything.
+        self.lingering: dict[ClientConnection, tuple[float, bool]] = {}
         self.unread: dict[ClientConnection, None] = {}  # reading is paused
         self._looks = False
         self._pressed = False
@@ -837,7 +839,7 @@
         PRESSED_S, and the more of them there are, the more are ended at a time.
         """
         now = self.node.loop.time()
-        for conn, since in list(self.lingering.items()):
+        for conn, (since, _) in list(self.lingering.items()):
             if now - since < PRESSED_S:
                 break
             conn.abort()
@@ -876,18 +878,18 @@
             self.node.loop.add_reader(self._sock, self._accept)
 
     def drop_oldest(self) -> bool:
-        """Close the client connection that has rested longest; False where none may go.
+        """End the client connection that has rested longest; False where none may go.
 
         Before those that have asked go those that never have, once they had a
         moment to: hundreds that say nothing must not push out clients that do. But
         where few are silent the oldest at rest goes at once, or those that ask once
         and stay would hold all places for seconds each.
         """
-        silent = len(self.fresh) + len(self._tasks)
+        # Those just ended count too: with each batch of them gone, a flood would look over.
+        ended = sum(silent for _, silent in self.lingering.values())
+        silent = len(self.fresh) + len(self._tasks) + ended
         rested = REST_SWEEPS if silent * FLOOD_PART > self.node.clients else 0
-        return (
-            self._drop(self.fresh, 1) or self._drop(self.idle, rested) or self._drop(self.fresh, 0)
-        )
+        return self._drop(self.fresh, 1) or self._drop(self.idle, rested)
 
     def _drop(self, conns: dict[ClientConnection, None], least: int) -> bool:
         for conn in conns:
