Ready at once with any list and never without one, tested for each state of discovery

Nine cases, known full, old or empty before a service that is up, silent or down; nothing had to be mended.

--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -227,3 +227,28 @@
             peer.send(answer(spaced.encode()))
             assert "from=9" in asked.call()[1]
             assert n.stop() == 0
+
+
+@pytest.mark.parametrize("known", ["full", "old", "empty"])
+@pytest.mark.parametrize("service", ["up", "silent", "down"])
+def test_ready_at_once_with_any_list_and_never_without_one(
+    tmp_path: Path, known: str, service: str
+) -> None:
+    with listen() as discovery, listen() as backend:
+        row = target("s-1", backend.getsockname()[1])
+        gone = target("s-0", 1)
+        held = {"full": roster(row, rev=7), "old": roster(gone, rev=2), "empty": roster(rev=0)}
+        with node(tmp_path, held[known], discovery.getsockname()[1]) as n:
+            assert n.ready() == (known != "empty")  # whatever the service does
+            peer, _ = Asked(discovery).call()
+            if service == "down":
+                peer.reset()
+                peer, _ = Asked(discovery).call()
+            if service != "up":
+                assert n.ready() == (known != "empty")
+            peer.send(answer(json.dumps(roster(row, rev=9)).encode()))
+            watch, line = Asked(discovery).call()
+            assert "from=9" in line and n.ready()
+            served_by(n, backend)
+            watch.close()
+            assert n.stop() == 0
