--- a/tests/harness.py
+++ b/tests/harness.py
@@ -307,6 +307,18 @@
     return Peer(server.accept()[0])
 
 
+def served_by(n: Running, backend: socket.socket) -> None:
+    """A new client's request reaches this backend, on a new connection, and is answered."""
+    client = n.connect()
+    client.send(request())
+    peer = accept(backend)
+    peer.message()
+    peer.send(answer(b"served"))
+    assert client.message()[2] == b"served"
+    client.close()
+    peer.close()
+
+
 def accept_any(*servers: socket.socket) -> tuple[Peer, socket.socket]:
     """The next connection to any of these, and to which it came."""
     ready = select.select(servers, (), (), LIMIT)[0]
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -23,14 +23,13 @@
 from .fakes import PURE
 from .harness import (
     Peer,
-    Running,
     accept,
     answer,
     config,
     listen,
     node,
-    request,
     roster,
+    served_by,
     target,
 )
 from .test_reload import replace_config
@@ -70,17 +69,6 @@
         peer.close()
 
 
-def served_by(n: Running, backend: socket.socket) -> None:
-    client = n.connect()
-    client.send(request())
-    peer = accept(backend)
-    peer.message()
-    peer.send(answer(b"served"))
-    assert client.message()[2] == b"served"
-    client.close()
-    peer.close()
-
-
 def test_a_silent_watch_is_given_up_and_what_it_missed_asked_for_at_once(tmp_path: Path) -> None:
     with listen() as discovery, listen() as first, listen() as second:
         rows = [target(f"s-{i}", s.getsockname()[1]) for i, s in enumerate((first, second))]
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -15,7 +15,7 @@
 
 from windrelay.sockets import disown
 
-from .harness import LIMIT, accept, answer, listen, node, request, roster, target
+from .harness import LIMIT, accept, answer, listen, node, roster, served_by, target
 
 
 class Aborts(asyncio.Protocol):
@@ -68,12 +68,7 @@
             row = target("s-2", backend.getsockname()[1])
             down.send(answer(json.dumps(roster(row, rev=9)).encode()))
             accept(discovery).message()
-            client = n.connect()
-            client.send(request())
-            peer = accept(backend)
-            peer.message()
-            peer.send(answer(b"served"))
-            assert client.message()[2] == b"served"
+            served_by(n, backend)
             assert n.descriptors() <= 64
             n.process.terminate()
             assert n.process.wait(LIMIT) == 0
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from .harness import accept, answer, listen, node, request, roster, target
+from .harness import accept, answer, listen, node, request, roster, served_by, target
 
 
 def replace_config(tmp_path: Path, text: str) -> None:
@@ -35,12 +35,7 @@
             body = json.dumps(roster(target("s-2", serves), rev=3)).encode()
             asked.send(answer(body))
             assert "from=3" in accept(second).message()[0]
-            client = n.connect()
-            client.send(request())
-            peer = accept(backend)
-            peer.message()
-            peer.send(answer(b"served"))
-            assert client.message()[2] == b"served"
+            served_by(n, backend)
             assert n.stop() == 0
 
 
