Deal slots evenly where nodes outnumber servers, and give an idle node others

A latency seen once at a heavy request took a thin deal's slot away for good, since nothing measured it any more; and all slots of a node could lie at servers left alone as silent, for up to 8 s. Ruled out: waiting too long (wait_by), the level, rests of servers that turn away (2 s at most), attempts held (ended at the aim). Now each server's slots begin in proportion (nodes over servers), spilled slots count the nodes of the other zones exactly, a latency that nothing measures grows old, and a node whose own slots are of no use goes on in the order of others' slots, up to four depths, in place of its own and not beside them.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -37,11 +37,10 @@
     from flinthatch.routes.table import Policy
     from flinthatch.tickets import Ticket
 
-# Caps. LEVEL is how many requests all nodes together keep at one backend. It
-# starts at START_LEVEL and follows the worst class's crowding: the part of the
-# room between its uncrowded latency and its aim that attempts use up. Under
-# LOW_CROWDING with requests waiting it grows, over HIGH_CROWDING it is cut.
-# One is enough where work is long against the network gap, as in a slowdown.
+# Caps. The level is how many requests all nodes together keep at one backend. It follows
+# the worst class's crowding: the part of the room between its uncrowded latency and its
+# aim that attempts use up. Under LOW_CROWDING with requests waiting it grows, over
+# HIGH_CROWDING it is cut. One is enough where work is long against the network gap.
 START_LEVEL = 4.0
 MIN_LEVEL = 1.0
 MAX_LEVEL = 64.0
@@ -56,17 +55,15 @@
 LOST_SHARE = 0.04  # the same of time-outs by backends that answer otherwise
 SPILL = 0.34  # part of the level that is dealt to nodes of other zones
 ROUND_STEP = 0.618034  # golden section: any run of ranks rounds up in proportion
-# A long message under way holds a connection and hardly any of its server's work: so
-# many at a backend leave its slots to others, who would else wait seconds for them.
-MOST_MOVING = 6
+MOST_MOVING = 6  # long messages under way at a backend that leave their slots to others
 MIN_SLOTS = 3  # a node holds at least this many slots, however thin its deal
+REACH = 4  # depths of a deal within which a node whose own slots are of no use finds others
+STALE_GAIN = 0.05  # a cycle, of a latency that nothing measures any more
 SLOW_FACTOR = 1.5  # latency against the fleet's at which a backend's own cap shrinks
-# Ties: candidates looked at among the backends holding equally few.
-CANDIDATES = 3
+CANDIDATES = 3  # looked at among the backends that hold equally few
 FRESH = 2 * SECOND  # what a backend's last answer said is believed this long
-# Waiting: a queued request is refused once this part of its slack is gone, so
-# that what is served is served well inside its aim, and that a client who comes
-# again at once can still be: with half the slack a fifth of answers were late.
+# A queued request is refused once this part of its slack is gone, so that what is served
+# is served well inside its aim, and that a client who comes again at once can still be.
 WAIT_PART = 0.25
 LEFTS = 64  # steps in which the time a client has left is told apart
 USUAL_PART = 0.25  # of requests, for a time left to be taken for that of first tries
@@ -92,8 +89,7 @@
 REFUSED_AS = 10.0  # a refusal enters the mean response time as this many aims
 LEAST_SERVED = 0.02  # of a class's requests, for the share that serving all would take
 LATE = 2 * SECOND  # clients may name a class by its old rules so long after it has changed
-# Slow start: part of the stated budget that is used, the rest is for views
-# that differ and for requests heavier than the mean.
+# Slow start: the rest of the stated budget is for views that differ and heavy requests.
 COLD_SAFETY = 0.5
 COLD_LEVEL = 2
 
@@ -109,7 +105,7 @@
 class Backend:
     __slots__ = (
         "backoff", "boot", "bucket", "cap", "cell", "cold_until", "cost", "deal", "errors",
-        "fulls", "gone", "held", "id", "index", "kind", "lat", "local", "moving", "offset",
+        "fulls", "gone", "held", "id", "index", "kind", "lat", "local", "moving", "nodes", "offset",
         "rating", "rest_until", "seen", "since", "state", "stalled", "takers", "told", "trial",
         "whole", "zone", "down_until", "strikes",
     )  # fmt: skip
@@ -126,7 +122,8 @@
         self.held = self.cap = self.index = 0
         self.moving = 0  # of those held, with a long message under way
         self.whole = 0  # the cap of all processes that are this node
-        self.deal = 0  # this node's place in the deal of this backend's slots
+        self.nodes = 1  # that share its slots
+        self.deal = 0  # this node's place in the deal of them
         self.offset = 0.0  # where this backend's level rounds up
         self.bucket: list[Backend] | None = None
         self.lat = 1.0  # latency against the fleet's, slowly averaged
@@ -230,9 +227,8 @@
     def elapsed(self, left: int) -> int:
         """How long ago a try's client began, 0 where the time left does not tell.
 
-        Clients give up a try after one usual time; a later try has less where
-        the deadline is near, and the last one all that is left. The longest time
-        seen is thus not a first try's: taken for it, all first tries looked late.
+        Clients give up a try after one usual time; a later try has less where the deadline
+        is near, and the last one all that is left: the longest time is not a first try's.
         """
         deadline = self.spec.deadline
         step = max(0, min(LEFTS * left // deadline, LEFTS))
@@ -463,64 +459,92 @@
     def redeal(self) -> None:
         """Deal every backend's slots to the nodes in turn (the paper's eqs. 5 and 6).
 
-        The paper splits N_s among gateways in proportion to w_g. With more
-        gateways than slots the integer nearest most parts is 0, so each node
-        takes the backends whose turn falls on it. Ranks in the sorted list are
-        the same at every node that holds the same list, so no word is needed.
+        The paper splits N_s among gateways in proportion to w_g. With more gateways than
+        slots the integer nearest most parts is 0, so each node takes the backends whose turn
+        falls on it. Ranks are the same at every node that holds the same list.
         """
-        settings = self.settings
         zones: dict[int, list[Backend]] = {}
         for backend in self.backends.values():
             if backend.state == State.READY:
                 zones.setdefault(backend.zone, []).append(backend)
         self.ready = 0
-        others = max(1, settings.balancers - self.peers)
         for zone in sorted(zones):
             rows = sorted(zones[zone], key=lambda b: b.id)
             self.ready += len(rows)
+            nodes, place = self.place_before(zone)
+            # Where nodes outnumber backends, deals begun one by one would miss the last nodes.
+            spread = max(nodes, len(rows))
             for rank, backend in enumerate(rows):
-                # Rounded up everywhere, a level just over 2 would deal three slots.
+                # Rounded up everywhere, just over 2 would deal three slots.
                 backend.offset = rank * ROUND_STEP % 1.0
-                if backend.local:
-                    backend.deal = (self.place_among - rank) % self.peers
-                else:
-                    backend.deal = (settings.node - rank) % others
+                backend.nodes = nodes
+                backend.deal = (place - rank * spread // len(rows)) % nodes
         self.recap()
 
+    def place_before(self, zone: int) -> tuple[int, int]:
+        """How many nodes share the backends of a zone, and this node's place among them."""
+        s = self.settings
+        if zone == s.zone:
+            return self.peers, self.place_among
+        inside = range(zone % s.zones, s.balancers, s.zones)
+        earlier = sum(1 for node in inside if node < s.node)
+        return max(1, s.balancers - len(inside)), s.node - earlier
+
     def recap(self) -> None:
-        settings = self.settings
+        """Each backend's cap, and other slots for a node whose own are of no use.
+
+        Slots at backends that are silent, slow or cold serve nobody, and a thin deal may hold
+        no others: such a node goes on in the order of other backends' slots, up to REACH.
+        """
         local = sum(1 for b in self.backends.values() if b.local and b.state == State.READY)
         level = self.level
         if local:
             level = max(level, MIN_SLOTS * self.peers / local)
-        spill = level * SPILL
-        others = max(1, settings.balancers - self.peers)
-        total = 0
-        for backend in self.backends.values():
-            if backend.state != State.READY:
+        stall = self.stall_after()
+        total = dealt = usable = 0
+        reserve: list[tuple[int, int, Backend]] = []
+        for b in self.backends.values():
+            if b.state != State.READY:
                 continue
-            depth = level if backend.local else spill
-            lat = max(backend.lat, backend.told)
-            if lat > SLOW_FACTOR:
-                depth = min(depth, max(1.0, depth / lat))
-            if backend.cold_until > self.now:
-                # At two slots for the whole slow start a rolling release left a
-                # zone of half-warm backends idle and its nodes short of slots.
-                depth = min(depth, max(COLD_LEVEL, depth * self.warmth(backend)))
-            nodes = self.peers if backend.local else others
-            backend.takers = max(1, min(int(depth + 1.0), nodes))
-            depth = int(depth + backend.offset)
-            cap = -(-(depth - backend.deal) // nodes) if depth > backend.deal else 0
-            if self.seats is not None and backend.local and backend.cold_until <= self.now:
-                cap = self.seats.cap(backend.id, backend.deal, depth, local)
-            backend.whole = cap
-            if self.part is not None:
-                cap = self.part.of(backend.id, cap)
-            backend.cap = cap
-            total += cap
-            self.settle(backend)
+            depth = level if b.local else level * SPILL
+            order = int(depth + b.offset)  # so many of its slots are dealt
+            self.recap_one(b, depth, local)
+            total += b.cap
+            dealt += order > b.deal
+            silent = b.held > b.moving and self.now - b.since > stall
+            if not (silent or b.stalled or b.trial or b.down_until):
+                usable += b.cap
+                if not b.cap and b.cold_until <= self.now and b.deal < REACH * order:
+                    reserve.append((b.deal - order, b.id, b))
+        lack = max(min(dealt, MIN_SLOTS), 1) - usable
+        if lack > 0 and self.seats is None:  # between nodes that exchange messages slots are lent
+            for _, _, b in sorted(reserve)[:lack]:
+                b.whole = 1
+                b.cap = 1 if self.part is None else self.part.of(b.id, 1)
+                total += b.cap
+                self.settle(b)
         self.total = max(total, 1)
 
+    def recap_one(self, b: Backend, depth: float, local: int) -> None:
+        """One backend's cap, of `depth` slots of it that all nodes of a pool share."""
+        warm = b.cold_until <= self.now
+        lat = max(b.lat, b.told)
+        if lat > SLOW_FACTOR:
+            depth = min(depth, max(1.0, depth / lat))
+            if not b.held and self.now - b.seen > FRESH:
+                # Left without a slot it is measured no more: what was seen grows old.
+                b.lat += STALE_GAIN * (1.0 - b.lat)
+        if not warm:
+            # Two slots for the whole slow start left a zone of half-warm backends idle.
+            depth = min(depth, max(COLD_LEVEL, depth * self.warmth(b)))
+        b.takers = max(1, min(int(depth + 1.0), b.nodes))
+        whole = int(depth + b.offset)
+        b.whole = -(-(whole - b.deal) // b.nodes) if whole > b.deal else 0
+        if self.seats is not None and b.local and warm:
+            b.whole = self.seats.cap(b.id, b.deal, whole, local)
+        b.cap = b.whole if self.part is None else self.part.of(b.id, b.whole)
+        self.settle(b)
+
     def settle(self, b: Backend) -> None:
         """Put a backend into the bucket of what it holds, or in none if not free."""
         free = (
@@ -581,8 +605,7 @@
         if elapsed:
             r.aim_at -= elapsed
             if elapsed + c.lat >= c.aim:
-                # Late by its first try whatever is done: clients that keep coming
-                # must not hold the slots that those in time need.
+                # Late by its first try whatever is done: those in time go before it.
                 r.aim_at = now + c.aim
                 r.over = True
         slack = min(r.aim_at, r.give_up) - now - int(c.lat)
@@ -590,8 +613,7 @@
         if self.quota:
             r.over = self.beyond_quota(now, tenant) or r.over
         if client_retry and c.spec.late_worth <= 0 and self.settings.max_retry_after > c.aim:
-            # Told to stay away for longer than its aim, a client that comes again
-            # is late by its first try: its answer is worth least.
+            # Told to stay away for longer than its aim, it is late by its first try.
             r.over = True
         self.enqueue(r, False)
         self.dispatch(now)
@@ -646,8 +668,7 @@
             t = r.tenant if self.quota else 0
             c.counts[t] -= 1
             line = c.lines[t]
-        # A line that is never served, as one behind the others may be, would keep
-        # all that ever waited in it.
+        # A line that is never served would keep all that ever waited in it.
         while line and not line[0].queued:
             line.popleft()
 
@@ -855,10 +876,9 @@
     def stay_away(self, r: Request) -> int:
         """How long a refused client should wait.
 
-        Told to wait past its aim, a client comes back with a try that is late
-        whatever is done. Where such tries carry no mark they take slots from
-        those in time and keep a jam going; then no wait is asked, and what
-        comes back at once can still be answered in time.
+        Told to wait past its aim, a client comes back with a try that is late whatever is
+        done. Where such tries carry no mark they take slots from those in time: then no wait
+        is asked, and what comes back at once can still be answered in time.
         """
         s = self.settings
         late = r.cls.spec.late_worth <= 0 and s.max_retry_after > r.cls.aim
@@ -942,8 +962,6 @@
         """Queue a further attempt ahead of the others, or answer for good.
 
         The budget bounds work done twice: an error or reset that came at once cost none.
-        Charged in full, two failing backends of eleven used it up and a fifth of
-        the requests was refused with most of the fleet idle.
         """
         c = r.cls
         r.wait_by = min(r.aim_at, r.give_up) - int(c.lat)
@@ -974,8 +992,7 @@
 
     def timed(self, c: ClassState, b: Backend, taken: int) -> float:
         """Learn from how long an attempt was out; returns it against the class's mean."""
-        # A hung backend's time-outs last many aims; taken whole, a handful would
-        # look like a jam of the fleet and cut every backend's slots.
+        # Taken whole, a hung backend's few time-outs would look like a jam of the fleet.
         taken = min(taken, int(TAKEN_MOST * c.aim))
         gain = 0.05 if c.lat_n > 20 else 0.2
         c.lat_n += 1
@@ -988,8 +1005,7 @@
 
     def failed(self, now: int, c: ClassState, b: Backend, outcome: int, taken: int) -> None:
         if outcome in (FULL, ERROR):
-            # Either is an answer: such a backend lives, and must not be left out,
-            # nor held for cold, as one whose process has gone.
+            # Either is an answer: such a backend lives, and is not left out as one that has gone.
             b.cost = 4.0
             self.heard(now, b)
             if outcome == FULL:
@@ -1003,28 +1019,23 @@
             b.cost = 6.0
             b.seen = now
             if outcome == TIMEOUT:
-                # Answers alone would make a jam look like light load: the level
-                # would stay up while most work is given up on.
+                # Answers alone would make a jam look like light load.
                 self.timed(c, b, max(taken, c.aim))
-                # Learnt in a jam, the uncrowded latency is the jam's own, and only
-                # time-outs tell. A hung backend answers nothing and counts once.
+                # In a jam time-outs tell more; a hung backend's count once.
                 self.lost += not b.strikes
             b.strikes += 1
             b.gone = outcome == CONNECT_FAILED
-            # One connection may break or fail for reasons of its own; where the
-            # process has gone the next one fails too, at once and unrun. One
-            # time-out may be load: with one slot it always looks like silence.
+            # One connection may break for reasons of its own; where the process has gone the
+            # next one fails too. One time-out may be load: with one slot it looks like silence.
             lost = outcome in (CONNECT_FAILED, RESET)
             silent = b.strikes >= STRIKES and now - b.since >= taken
             if silent or (lost and b.strikes >= LOST_STRIKES):
                 self.suspend(now, b, lost, outcome == CONNECT_FAILED)
             elif lost:
-                # Where connections break by chance this spaces the failures that
-                # are told from a loss; where all is lost it keeps the stream off.
+                # Spaces failures by chance; where all is lost it keeps the stream off.
                 self.let_rest(now, c, b, b.strikes - 1)
         if b.stalled and not b.held:
-            # Passed over it gets no answer that could clear it: with nothing out
-            # any more it is tried again, one attempt at a time.
+            # With nothing out no answer could clear it: it is tried again, one at a time.
             b.stalled = False
             b.trial = True
 
@@ -1037,9 +1048,8 @@
     def let_rest(self, now: int, c: ClassState, b: Backend, times: int) -> None:
         """Leave out for a while a backend that answers without serving.
 
-        It does so at once and would always hold fewest: without a rest it draws
-        the whole stream. Guards as well against one that fails whatever it gets.
-        Does harm where errors come by chance, by a mean latency's rest each.
+        It does so at once and would always hold fewest: without a rest it draws the whole
+        stream. Errors that come by chance cost a mean latency's rest each.
         """
         if times < 1:
             return
@@ -1216,9 +1226,8 @@
     def wake(self, now: int) -> None:
         """Refuse what has waited out its time; let rested backends back in.
 
-        A heap and not the lines' heads: tries of one class come with different
-        times left, and a further attempt waits ahead of older ones, so a head
-        that may wait longer would let those behind it run out unanswered.
+        A heap and not the lines' heads: tries of one class come with different times left,
+        and a further attempt waits ahead of older ones.
         """
         heap = self.heap
         while heap and heap[0][0] <= now:
@@ -1250,11 +1259,9 @@
             c = self.classes[i]
             if c.lat_n > 20:
                 c.base = min(c.base * BASE_RISE, c.lat) if c.base else c.lat
-            # Without a base yet, half an aim on idle backends would pass for a jam;
-            # with many nodes a thin class stays so for most of a minute.
+            # Without a base yet, half an aim on idle backends would pass for a jam.
             if n >= 3 and c.base:
-                # Against the aim alone, a class that takes half its aim on an
-                # idle backend would keep every cap at its least.
+                # A class may take half its aim on an idle backend: that is no crowding.
                 base = min(c.base / c.aim, 0.9)
                 worst = max(worst, (self.ratio_sum[i] / n - base) / (1.0 - base))
         if self.outcomes:
@@ -1274,10 +1281,8 @@
         self.outcomes = self.fulls = self.lost = 0
         self.pressed = False
         for i, seen in enumerate(self.ratio_n):
-            # Of many nodes each sees an answer or two a cycle: the worst class's
-            # mean over so few is mostly chance, and the level would sink on it.
-            # Never past a cut: the same few answers of one jam, judged cycle after
-            # cycle, took the level from 9 to 1 at nodes of three slots.
+            # Of many nodes each sees an answer or two a cycle: the worst class's mean over
+            # so few is mostly chance. Never past a cut: that would judge one jam many times.
             carry = DECAY if seen < JUDGED and not cut else 0.0
             self.ratio_sum[i] *= carry
             self.ratio_n[i] *= carry
@@ -1296,9 +1301,7 @@
             seen = c.total + c.refused
             lost = c.refused * REFUSED_AS * c.aim
             mean = (c.responses + lost) / seen if seen else 0.0
-            # Eq. 8 takes all arrivals as served at the share seen. A class that
-            # turned most away would look as if one slot more cured it: its share
-            # is read as serving its served part only.
+            # Eq. 8 takes all arrivals as served: here a share serves its served part only.
             old = c.share_sum / c.cycles
             if seen:
                 old /= max(c.total / seen, LEAST_SERVED)
