Divide the routes file's decoding into readers, rules and faults

Change: faults (Fault, FaultLog), reader (Lines, TableReader: typed values of one table), specs (what is decoded before it is resolved), policy, classes, services, patterns, rules, overlaps; file.py keeps decode and Result.

--- /dev/null
+++ b/flinthatch/routes/rules.py
@@ -0,0 +1,137 @@
+"""The rules that each resolved policy keeps; docs/operate/routes.md has one paragraph for each.
+
+A fault stands where the value that breaks the rule was written, not where it took
+effect.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from flinthatch.model import Effect, Settings
+from flinthatch.routes.faults import FaultLog
+from flinthatch.routes.reader import Lines
+from flinthatch.routes.specs import ClassSpec, Values
+from flinthatch.routes.table import NEVER_RAN, Policy
+
+MAX_ATTEMPTS = 10
+
+
+class _Checked(NamedTuple):
+    """One policy under check."""
+
+    policy: Policy
+    spec: ClassSpec
+    values: Values
+    faults: FaultLog
+
+    def broken(self, key: str, rule: str, wrong: str, right: str) -> None:
+        """Report the rule at the line of the value that breaks it."""
+        policy = self.policy
+        who = f"class {policy.cls}"
+        if policy.name != who:
+            who = f"{who} on route {policy.name}"
+        self.faults.add_once(self.values[key].line, rule, f"{who} {wrong}", right)
+
+
+class PolicyRules:
+    """Checks policies against the rules, and against the settings where they are given."""
+
+    __slots__ = ("_faults", "_lines", "_settings", "max_attempts")
+
+    def __init__(self, faults: FaultLog, lines: Lines, settings: Settings | None) -> None:
+        self._faults = faults
+        self._lines = lines
+        self._settings = settings
+        self.max_attempts = settings.max_attempts if settings else MAX_ATTEMPTS
+
+    def check(self, policy: Policy, spec: ClassSpec, values: Values) -> None:
+        """Report every rule that one resolved policy breaks."""
+        checked = _Checked(policy, spec, values, self._faults)
+        if policy.effect == Effect.SIDE_EFFECT:
+            _check_never_repeated(checked)
+        if policy.effect == Effect.TOKEN:
+            _check_keyed(checked)
+        _check_times(checked)
+        self._check_attempts(checked)
+        if policy.copy is not None:
+            self._check_copies(checked)
+
+    def _check_attempts(self, checked: _Checked) -> None:
+        attempts, most = checked.policy.attempts, self.max_attempts
+        if attempts > most:
+            wrong = f"gets {attempts} attempts, the settings allow {most}"
+            checked.broken("attempts", "attempts-over-most", wrong, f"write {most} at most")
+
+    def _check_copies(self, checked: _Checked) -> None:
+        policy = checked.policy
+        assert policy.copy is not None
+        after = policy.copy.after
+        end = policy.attempt_timeout or policy.timeout
+        if end and after >= end:
+            wrong = f"gets a second copy after {_ms(after)}, its attempt ends at {_ms(end)}"
+            checked.broken("second_copy", "copy-after-end", wrong, f"write less than {_ms(end)}")
+        if policy.attempts == 1 and policy.effect == Effect.PURE:
+            wrong = "gets a second copy and one attempt; a copy is an attempt"
+            checked.broken("second_copy", "copy-attempts", wrong, "write attempts = 2 or more")
+        settings = self._settings
+        if settings is not None and not (settings.second_copies and settings.can_cancel):
+            wrong = f"{policy.name}: the settings allow no second copies"
+            line = self._lines.of(("defaults",))
+            self._faults.warn(line, "copy-not-allowed", wrong, "none will be sent")
+
+
+def _check_never_repeated(checked: _Checked) -> None:
+    policy = checked.policy
+    if policy.attempts > 1:
+        wrong = f"repeats never and gets {policy.attempts} attempts"
+        right = "write attempts = 1, or none: then what never ran is tried again as the "
+        right += "settings allow"
+        checked.broken("attempts", "never-attempts", wrong, right)
+    may_have_run = sorted((policy.retry_on or frozenset()) - NEVER_RAN)
+    if may_have_run:
+        after = ", ".join(may_have_run)
+        wrong = f"repeats never and is tried again after {after}, when it may have run"
+        right = f"keep to {', '.join(sorted(NEVER_RAN))}"
+        checked.broken("retry_on", "never-condition", wrong, right)
+    if policy.copy is not None:
+        right = "leave it out, or set it for safe classes only"
+        checked.broken("second_copy", "never-copy", "repeats never and gets second copies", right)
+
+
+def _check_keyed(checked: _Checked) -> None:
+    policy = checked.policy
+    if policy.copy is not None:
+        right = "leave it out: two copies of a keyed request may reach servers at once"
+        checked.broken("second_copy", "keyed-copy", "repeats keyed and gets second copies", right)
+    window = checked.spec.window
+    last_begins = policy.attempt_timeout * max(policy.attempts - 1, 0)
+    if window and last_begins >= window:
+        right = "shorten attempt_timeout or attempts: servers forget the key"
+        checked.broken("attempt_timeout", "keyed-window", "is tried beyond its window", right)
+
+
+def _check_times(checked: _Checked) -> None:
+    policy, give_up = checked.policy, checked.spec.give_up
+    if give_up and policy.timeout > give_up:
+        wrong = f"may take {_ms(policy.timeout)}, its clients give up after {_ms(give_up)}"
+        checked.broken("timeout", "timeout-over-give-up", wrong, f"write {_ms(give_up)} or less")
+    whole = policy.timeout or give_up
+    if not whole:
+        return
+    if policy.wanted > whole:
+        wrong = f"is wanted within {_ms(policy.wanted)} and given up after {_ms(whole)}"
+        checked.broken("wanted", "wanted-over-timeout", wrong, "write less than its time-out")
+    attempts, each = policy.attempts, policy.attempt_timeout
+    if each > whole:
+        wrong = f"gives an attempt {_ms(each)}, the whole {_ms(whole)}"
+        right = f"write {_ms(whole)} or less"
+        checked.broken("attempt_timeout", "attempt-over-timeout", wrong, right)
+    elif attempts > 1 and each * (attempts - 1) >= whole:
+        wrong = f"can't fit {attempts} attempts of {_ms(each)} in {_ms(whole)}"
+        right = "lower attempts or attempt_timeout"
+        checked.broken("attempts", "attempts-dont-fit", wrong, right)
+
+
+def _ms(ns: int) -> str:
+    return f"{ns / 1_000_000:g}ms"
--- a/flinthatch/routes/table.py
+++ b/flinthatch/routes/table.py
@@ -1,6 +1,6 @@
 """Routes: which service and policy a request falls under.
 
-Frozen data and matching, free of I/O. A table is built whole by `routefile`, is
+Frozen data and matching, free of I/O. A table is built whole by `file.decode`, is
 never changed, and is shared by all requests that arrive under it. The order in
 which routes are tried is total (docs/operate/routes.md):
 
--- a/tests/test_routefile.py
+++ b/tests/test_routefile.py
@@ -9,7 +9,8 @@
 
 from flinthatch import Effect, RequestClass, Scope, Settings
 from flinthatch.model import MS
-from flinthatch.routes.file import Fault, Result, decode
+from flinthatch.routes.faults import Fault
+from flinthatch.routes.file import Result, decode
 from windrelay.operator.check import check_any, main
 from windrelay.operator.tomlfile import FileError, parse
 
--- a/windrelay/consul/file.py
+++ b/windrelay/consul/file.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from flinthatch.routes.file import Fault
+from flinthatch.routes.faults import Fault
 from windrelay.config import Address
 from windrelay.errors import SourceError
 from windrelay.operator import section
--- a/windrelay/operator/check.py
+++ b/windrelay/operator/check.py
@@ -10,7 +10,10 @@
 
 from flinthatch import Settings
 from flinthatch.drill import WireError, settings_from_json
-from flinthatch.routes.file import REPEAT_NAMES, Explained, Fault, Result, decode
+from flinthatch.routes.faults import Fault
+from flinthatch.routes.file import Result, decode
+from flinthatch.routes.services import Explained
+from flinthatch.routes.specs import REPEAT_NAMES
 from flinthatch.routes.table import Policy
 from windrelay.operator.tomlfile import FileError, read
 
--- a/windrelay/operator/section.py
+++ b/windrelay/operator/section.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
-from flinthatch.routes.file import Fault
+from flinthatch.routes.faults import Fault
 from windrelay.config import Address, parse_address
 from windrelay.operator.tomlfile import FileError, Key, read
 
--- a/windrelay/peers/file.py
+++ b/windrelay/peers/file.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Any
 
-from flinthatch.routes.file import Fault
+from flinthatch.routes.faults import Fault
 from windrelay.errors import SourceError
 from windrelay.operator import section
 from windrelay.operator.section import Section
--- a/windrelay/xds/file.py
+++ b/windrelay/xds/file.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from flinthatch.routes.file import Fault
+from flinthatch.routes.faults import Fault
 from windrelay.config import Address
 from windrelay.operator import section
 from windrelay.operator.section import Section
