Divide HTTP/1 to clients into listener, registry, reader and connection

Need: windrelay/server.py held 1,045 lines: the listening socket, which connections go for room, reading requests, checking heads, and one connection's life. Change: windrelay/http1/: listener (Listener: accepting and admission), registry (ConnectionRegistry: connections by state), reader (RequestReader: parser callbacks), request (IncomingRequest, HeadChecker), answers, connection (ClientConnection, a RequestReader). Writes, closes, time-outs and their order are the same lines; slots are kept, and no call a request is added: the subclass shares the object, and the parser calls it as before. Run.server is Run.listener, whose socket is `sock`.

--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -12,7 +12,8 @@
 
 import pytest
 
-from windrelay.server import ClientConnection, Server
+from windrelay.http1.connection import ClientConnection
+from windrelay.http1.listener import Listener
 from windrelay.service import Service
 
 from .harness import LIMIT, Peer, Running, accept, answer, listen, node, request, roster, target
@@ -229,15 +230,15 @@
         most_clients=lambda: 30, drop_beyond_part=lambda: None, freed=None,
         budget=SimpleNamespace(finished=lambda conn: None),
     )  # fmt: skip
-    server = Server(cast(Any, host), Service())
+    listener = Listener(cast(Any, host), Service())
     with socket.socket() as sock:
-        conn, transport = ClientConnection(server, sock), Transport()
+        conn, transport = ClientConnection(listener.registry, sock), Transport()
         conn.connection_made(cast(Any, transport))
         transport.unsent = 1
         conn.close()
         loop.now = 10.0
-        server._give_way()
+        listener._give_way()
         assert not transport.aborted
         transport.unsent = 0
-        server._give_way()
+        listener._give_way()
         assert transport.aborted
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -386,5 +386,5 @@
 
 
 def test_the_node_does_not_import_what_the_control_service_needs() -> None:
-    code = "import sys, windrelay.node, windrelay.server; sys.exit('grpc' in sys.modules)"
+    code = "import sys, windrelay.node, windrelay.http1.listener; sys.exit('grpc' in sys.modules)"
     assert subprocess.run([sys.executable, "-c", code], cwd=ROOT, timeout=30).returncode == 0
--- a/windrelay/__main__.py
+++ b/windrelay/__main__.py
@@ -40,8 +40,9 @@
 from windrelay.config import Address, Config, ConfigError, load, reload  # noqa: E402
 from windrelay.discovery import ListError  # noqa: E402
 from windrelay.errors import RoutesError, SourceError  # noqa: E402
+from windrelay.http1.connection import SWEEP_S  # noqa: E402
+from windrelay.http1.listener import Listener  # noqa: E402
 from windrelay.node import Node  # noqa: E402
-from windrelay.server import SWEEP_S, Server  # noqa: E402
 from windrelay.service import TICK, Service  # noqa: E402
 
 if TYPE_CHECKING:
@@ -67,7 +68,7 @@
         self.node = Node(config, loop)
         self.service = Service()
         self.node.usable = self.listed
-        self.server = Server(self.node, self.service)
+        self.listener = Listener(self.node, self.service)
         self.ended = loop.create_future()
         self.give_up_at = 0.0
         self.away: asyncio.TimerHandle | None = None
@@ -105,7 +106,7 @@
         if admin is None:
             self.node.route(self.config.routes)
             self.node.start()
-            return self.server.listen(self.config.listen)
+            return self.listener.listen(self.config.listen)
         # Here and not above: without a second address the node is as small as ever.
         from windrelay.upgrade.handing import Predecessor, Successor
 
@@ -119,7 +120,7 @@
             self.set_standby(True)
         await successor.serve()
         if successor.listener is not None:
-            port = self.server.adopt(successor.listener)
+            port = self.listener.adopt(successor.listener)
         else:
             port = await self.listen_shared()
         self.predecessor = Predecessor(self)
@@ -131,7 +132,7 @@
         give_up_at = self.loop.time() + SHARE_S
         while True:
             try:
-                return self.server.listen(self.config.listen, shared=True)
+                return self.listener.listen(self.config.listen, shared=True)
             except OSError as err:
                 if err.errno != errno.EADDRINUSE or self.loop.time() > give_up_at:
                     raise
@@ -216,13 +217,13 @@
     def send_away(self) -> None:
         """While clients are sent away, look at the idle ones each TICK."""
         if self.service.standby and not self.service.stopping:
-            self.server.send_away(time.monotonic_ns())
+            self.listener.send_away(time.monotonic_ns())
             self.away = self.loop.call_later(TICK / SECOND, self.send_away)
 
     # ---- time and signals ----------------------------------------------
 
     def sweep(self) -> None:
-        self.server.sweep()
+        self.listener.sweep()
         self.node.sweep()
         self.loop.call_later(SWEEP_S, self.sweep)
 
@@ -241,14 +242,14 @@
     def close(self) -> None:
         if self.predecessor is not None and not self.predecessor.relieved:
             self.predecessor.close()
-        self.server.stop_accepting()
+        self.listener.stop_accepting()
         self.wait()
 
     def wait(self) -> None:
         late = self.loop.time() >= self.give_up_at
         if late:
             self.node.fail_all()
-        if late or self.server.finished():
+        if late or self.listener.finished():
             self.node.discovery.close()
             # One more turn, so that the last answers leave.
             self.loop.call_later(POLL_S, self.end)
--- /dev/null
+++ b/windrelay/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 to clients: the listener, connections, requests and answers."""
--- a/windrelay/upgrade/handing.py
+++ b/windrelay/upgrade/handing.py
@@ -16,8 +16,8 @@
 from flinthatch import halves
 from flinthatch.halves import Kept, Left
 from flinthatch.model import SECOND
+from windrelay.http1.listener import Listener
 from windrelay.node import Node
-from windrelay.server import Server
 from windrelay.service import TICK, Service
 from windrelay.sockets import disown
 from windrelay.upgrade.link import HELLO, Frame, Link, be_greeted, greet
@@ -38,7 +38,7 @@
 
     loop: asyncio.AbstractEventLoop
     node: Node
-    server: Server
+    listener: Listener
     service: Service
 
     def reload(self, passed_on: bool = False) -> None: ...
@@ -117,7 +117,7 @@
     def _hello(self, sock: socket.socket) -> None:
         try:
             data = sock.recv(len(HELLO))
-            listener = self.host.server.listener
+            listener = self.host.listener.sock
             if data != HELLO or listener is None or self._link is not None:
                 raise ConnectionError(f"a caller said {data!r}")
             greet(sock, listener)
@@ -156,7 +156,7 @@
         if self.relieved:
             return
         host, node = self.host, self.host.node
-        host.server.hold_back()
+        host.listener.hold_back()
         host.service.relieve(time.monotonic_ns())
         self.close()
         node.discovery.rest()
@@ -178,7 +178,7 @@
         if kept is None:
             return
         node = self.host.node
-        self.host.server.send_away(time.monotonic_ns())
+        self.host.listener.send_away(time.monotonic_ns())
         self._need = min(self._need, node.clients / self._clients)
         changed = kept.give_up(halves.standing(node.balancer, time.monotonic_ns()), self._need)
         node.upstream.trim(int(self._idle * self._need))
@@ -213,7 +213,7 @@
         if host.service.stopping:
             return
         host.node.log("upgrade: the successor has gone; serving again")
-        host.server.accept_again()
+        host.listener.accept_again()
         host.node.discovery.go_on()
         self.open()
 
