Wait for the list service's own word without a list, and after failures in a row

Cause: a call was given up after 3.5 s and repeated 0.2 to 0.5 s later. Change: flinthatch/membership/caller.py counts a caller's failures in a row by kind. Without a list a call waits for the service's answer or refusal, beside probes that ask for nothing; with one, the terms stay as they were for the first two failures and wherever all whole lists could be given in time. Pauses have full jitter under a bound that grows with the fleet. lab/callers.py plays thousands of such callers; the stand-in can be down and slow.

--- /dev/null
+++ b/lab/callers.py
@@ -0,0 +1,115 @@
+"""Callers of one list service and nothing else: what a whole fleet's calls come to.
+
+Each caller goes by the product's own `Caller` and asks the pauses of a Balancer beside it; the
+service works through calls in turn, so many lines a second, turns away who has waited too long,
+and works on for callers that have given up. Thousands of callers in seconds of real time, which
+`lab/lists.py` with its whole nodes is too slow for.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from heapq import heappop, heappush
+from random import Random
+
+from flinthatch import RequestClass, Settings
+from flinthatch.membership.asking import CONNECT, PAUSE_LEAST, PAUSE_MOST
+from flinthatch.membership.caller import Caller, failure_of
+from flinthatch.model import MS, SECOND
+
+CLASS = RequestClass("balance", 800 * MS, 2 * SECOND)
+TRIP = MS
+
+
+@dataclass(frozen=True, slots=True)
+class ServicePlan:
+    """How the service behaves; times in ns from the start on."""
+
+    lines: float = 200.0  # a second
+    patience: int = 5 * SECOND
+    refuses_until: int = 0  # down: each call is refused at once
+    silent_until: int = 0  # cut off: no connection comes up
+
+
+class CallWorld:
+    """Nodes that all begin with `rows` in hand and need `lines` lines each."""
+
+    def __init__(
+        self, nodes: int, rows: int, lines: int, plan: ServicePlan, spread: int, seed: int = 1
+    ) -> None:
+        self.now = 0
+        self.plan, self.rows, self.lines = plan, rows, lines
+        self.random = Random(seed)
+        settings = Settings((CLASS,), balancers=nodes, ask=True)
+        self.callers = [Caller(settings, Random(seed * 1_000_003 + n)) for n in range(nodes)]
+        self.done_at: dict[int, int] = {}
+        self.calls: Counter[int] = Counter()  # by second
+        self.counts: Counter[str] = Counter()
+        self._number = [0] * nodes
+        self._free = 0
+        self._order = 0
+        self._events: list[tuple[int, int, Callable[..., None], tuple[int, ...]]] = []
+        for node in range(nodes):
+            self._later(self.random.randrange(spread + 1), self._ask, node)
+
+    def run(self, until: int) -> bool:
+        """Go on until all have their list (True) or until then."""
+        while self._events and len(self.done_at) < len(self.callers):
+            due, _, action, arguments = heappop(self._events)
+            if due > until:
+                return False
+            self.now = due
+            action(*arguments)
+        return len(self.done_at) == len(self.callers)
+
+    def last(self) -> float:
+        """Seconds until the last that has its list had it."""
+        return max(self.done_at.values()) / SECOND
+
+    def _later(self, due: int, action: Callable[..., None], *arguments: int) -> None:
+        self._order += 1
+        heappush(self._events, (due, self._order, action, arguments))
+
+    def _ask(self, node: int) -> None:
+        self._number[node] += 1
+        number, began = self._number[node], self.now
+        self.calls[began // SECOND] += 1
+        self.counts["calls"] += 1
+        limit = self.callers[node].limit(self.rows)
+        plan = self.plan
+        if began < plan.silent_until:
+            self._later(began + CONNECT, self._failed, node, number, began, limit, False)
+            return
+        if began < plan.refuses_until:
+            self._later(began + TRIP, self._failed, node, number, began, limit, True)
+            return
+        self._later(began + limit, self._failed, node, number, began, limit, True)
+        begin = max(self._free, began)
+        if begin - began > plan.patience:
+            self.counts["turned away"] += 1
+            due = began + plan.patience
+            self._later(due, self._failed, node, number, began, limit, True)
+            return
+        self._free = begin + int(self.lines * SECOND / plan.lines)
+        self.counts["lines"] += self.lines
+        self._later(self._free + TRIP, self._answered, node, number, began)
+
+    def _answered(self, node: int, number: int, began: int) -> None:
+        if number != self._number[node]:
+            self.counts["lines for nobody"] += self.lines
+            return
+        self._number[node] += 1
+        self.callers[node].answered(self.now - began)
+        self.done_at[node] = self.now
+
+    def _failed(self, node: int, number: int, began: int, limit: int, connected: bool) -> None:
+        if number != self._number[node]:
+            return
+        self._number[node] += 1  # whatever still comes is for nobody
+        took = self.now - began
+        failure = failure_of(took, limit, connected, False)
+        pause = self.callers[node].failed(failure, took, self.rows)
+        host = self.random.randint(PAUSE_LEAST, PAUSE_MOST)
+        self._later(self.now + max(pause, host), self._ask, node)
--- a/lab/lists.py
+++ b/lab/lists.py
@@ -1,8 +1,9 @@
 """Nodes that need a list, the service that all ask, and its lines a second: a world of starts.
 
 The service works through calls in turn, so many lines a second for all, and turns away who has
-waited too long. Each node asks as the program does: its Balancer says when, its fleet module
-whether it is this node's to ask, and a watch goes on from answer to answer.
+waited too long; it works on for callers that have given up. Each node asks as the program does:
+its Balancer says when, its fleet module whether it is this node's to ask, and a watch goes on
+from answer to answer.
 """
 
 from __future__ import annotations
@@ -11,13 +12,15 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 from functools import lru_cache
+from random import Random
 from typing import NamedTuple
 
 from flinthatch import Balancer, Listing, RequestClass, Settings, State, Update
 from flinthatch.fleet.fleet import Fleet
 from flinthatch.fleet.shared import Taken
 from flinthatch.fleet.words import Out, Word
-from flinthatch.membership.asking import ANSWER, HOLD, LATE
+from flinthatch.membership.asking import HOLD, LATE
+from flinthatch.membership.caller import Caller, failure_of
 from flinthatch.membership.revisions import Lag, Revisions
 from flinthatch.model import MS, SECOND
 from lab.fleets import World
@@ -77,6 +80,8 @@
         self.old: tuple[int, dict[str, str]] | None = None  # what it answers instead
         self.down = False
         self.refusing = 0.0
+        self.slow = 1  # times as long for each line
+        self.patience = PATIENCE
         self.counts: Counter[str] = Counter()
         self.lines: Counter[int] = Counter()  # by second
         self.free = 0
@@ -121,15 +126,16 @@
         said, whole = (self.old[1], True) if self.old else self.list.since(asked.since)
         lines = max(len(said), 1)
         begin = max(self.free, now)
-        if begin - now > PATIENCE:
+        if begin - now > self.patience:
             self.counts["turned away"] += 1
-            self._end(asked, now + PATIENCE, None)
+            self._end(asked, now + self.patience, None)
             return
-        self.free = begin + lines * SECOND // LINES
+        each = self.slow * SECOND // LINES
+        self.free = begin + lines * each
         self.counts["lines"] += lines
         self.counts["whole lists"] += whole
         for i in range(lines):
-            self.lines[(begin + i * SECOND // LINES) // SECOND] += 1
+            self.lines[(begin + i * each) // SECOND] += 1
         self._end(asked, self.free + TRIP, (self._rev(), dict(said), whole))
 
     def _end(self, asked: Asked, due: int, answer: Answer | None) -> None:
@@ -150,6 +156,7 @@
         service: ListService,
         known: tuple[int, dict[str, str]],
         told: Callable[[Update, Mapping[str, str | None]], None],
+        settings: Settings,
     ) -> None:
         """`told`: the update and its rows, as the host is to hear them."""
         self.world, self.node, self.service = world, node, service
@@ -161,6 +168,11 @@
         self._calls = 0
         self._reads = False
         self._fleet = world.nodes[node]
+        self._caller = Caller(settings, Random(world.random.getrandbits(32)))
+        if self._fleet.shared is not None:
+            self._caller.share()
+        self._asked_at = self._limit = 0  # of the call that is out
+        self._not_before = 0  # the next call after a failure
 
     def _alive(self) -> bool:
         return self.world.nodes.get(self.node) is self._fleet
@@ -175,6 +187,10 @@
         shared = self._fleet.shared
         if self._watching or not self._alive() or (shared is not None and not shared.reads):
             return
+        if self.world.now < self._not_before:
+            due, self._not_before = self._not_before, 0
+            self.world.later(due, self.watch)
+            return
         self._watching = True
         unread = shared is not None and not shared.copy.version.epoch
         if unread:
@@ -185,7 +201,8 @@
         self._calls += 1
         self._waits = hold > 0
         asked = Asked(self, self._calls, since, hold)
-        limit = hold + LATE if hold else ANSWER
+        limit = hold + LATE if hold else self._caller.limit(len(self.rows))
+        self._asked_at, self._limit = self.world.now, limit
         self.world.later(self.world.now + TRIP, self.service.call, asked)
         self.world.later(self.world.now + limit, self.answered, self._calls, None)
 
@@ -201,13 +218,19 @@
         if answer is None and self._waits:
             self._next(self.rev, 0)
             return
+        took = 0 if self._waits else self.world.now - self._asked_at
         if answer is None or not self.lag.takes(answer[0], answer[2], self.rev):
             self._watching = False
             self._calls += 1
             if shared is not None:
                 shared.failed(now, answer is not None)
+            failure = failure_of(took, self._limit, True, answer is not None)
+            pause = self._caller.failed(failure, took, len(self.rows))
+            self._not_before = self.world.now + pause
             self._told(Update.FAILED, {})
             return
+        if not self._waits:
+            self._caller.answered(took)
         taken = Taken(*answer)
         if shared is not None:
             self._fleet.read(now, *taken)
@@ -249,7 +272,8 @@
         terms = world.terms[node]
         settings = Settings((CLASS,), node=node, balancers=terms.nodes, ask=True)
         self.balancer = Balancer(settings, world.random.getrandbits(32), self)
-        self.list = ListClient(world, node, world.service, world.known(node), self._told)
+        known = world.known(node)
+        self.list = ListClient(world, node, world.service, known, self._told, settings)
 
     def begin(self) -> None:
         self.balancer.start(self.world.clock(self.node))
@@ -300,6 +324,8 @@
             super().send(node, out)
 
     def _turn(self, node: int, due: int) -> None:
+        if not any(terms.readers for terms in self.terms):
+            return  # nobody speaks: there is nothing to say and nothing to hear
         super()._turn(node, due)
         self._after(node)
 
--- a/lab/service.py
+++ b/lab/service.py
@@ -116,7 +116,7 @@
         self.client: ListClient | None = None
         if world.lists is not None:
             known = world.known(node)
-            self.client = ListClient(world, node, world.lists, known, self.told)
+            self.client = ListClient(world, node, world.lists, known, self.told, settings)
         self.attempts: dict[int, list[Sent]] = {}
         self.open: dict[tuple[int, int], Sent] = {}
         self.ended: set[int] = set()
--- a/standins/discovery.py
+++ b/standins/discovery.py
@@ -5,8 +5,11 @@
 With `--lines N` it works through calls in turn, N lines a second for all, and turns away with
 503 who has waited for `--patience` seconds. `POST /standin/targets` with a JSON array of targets
 replaces the list, `POST /standin/faults` takes {"silent": bool, "status": int, "refuse": part,
-"rev": n}: that part of calls is turned away at once, and it counts from that version on, as one
-that has started anew. `GET /standin/state` gives its books: calls, whole lists, lines by second.
+"down": bool, "slow": factor, "rev": n}: that part of calls is turned away at once; down resets
+calls, those in its queue too; slow, it needs so many times as long for a line; and it counts from
+that version on, as one that has started anew. `GET /standin/state` gives its books: calls, whole
+lists, lines by second. It works on for callers that have given up: it does not look whether a
+connection is still there until it has the answer.
 """
 
 from __future__ import annotations
@@ -43,6 +46,9 @@
         self.silent = False
         self.status = 200
         self.refuse = 0.0
+        self.down = False
+        self.slow = 1.0
+        self._downs = 0  # how often it has gone down
         self.random = Random(seed)
         self.books: Counter[str] = Counter()
         self.by_second: Counter[int] = Counter()
@@ -62,6 +68,8 @@
             self.silent = bool(faults.get("silent", False))
             self.status = int(faults.get("status", 200))
             self.refuse = float(faults.get("refuse", 0.0))
+            self.slow = float(faults.get("slow", 1.0))
+            self._go_down(bool(faults.get("down", False)))
             if "rev" in faults:
                 rows, self.list = self.list.rows, Revisions(int(faults["rev"]))
                 self.list.rows = rows
@@ -71,8 +79,22 @@
             return Reply(200, json.dumps(state).encode())
         return Reply(404)
 
+    def _go_down(self, down: bool) -> None:
+        if down and not self.down:
+            self._downs += 1
+            self._free = 0.0  # its queue goes with it
+        self.down = down
+
     async def _list(self, asked: Asked) -> Reply:
         self.books["calls"] += 1
+        if self.down:
+            self.books["turned away"] += 1
+            return Reply(reset=True)
+        downs = self._downs
+        reply = await self._answer_to(asked)
+        return reply if downs == self._downs else Reply(reset=True)
+
+    async def _answer_to(self, asked: Asked) -> Reply:
         if self.silent or self.status != 200 or self.random.random() < self.refuse:
             self.books["turned away"] += 1
             status = self.status if self.status != 200 else 503
@@ -85,6 +107,7 @@
             if not await self._newer(since, hold):
                 return self._answer(False, [])
         changed, whole = self.list.since(since)
+        self.books["whole asked"] += whole
         if not await self._in_turn(max(len(changed), 1)):
             self.books["turned away"] += 1
             return Reply(503)
@@ -109,9 +132,10 @@
             return False
         self.books["lines"] += lines
         if self._rate:
-            self._free = begin + lines / self._rate
+            each = self.slow / self._rate
+            self._free = begin + lines * each
             for i in range(lines):
-                self.by_second[int(begin + i / self._rate)] += 1
+                self.by_second[int(begin + i * each)] += 1
             await asyncio.sleep(self._free - now)
         return True
 
--- a/tests/test_list_state.py
+++ b/tests/test_list_state.py
@@ -67,6 +67,7 @@
         connect: float = 0.0,
     ) -> None:  # fmt: skip
         self.address, self.asked, self.done = address, asked, done
+        self.connected = True
         self.dropped = False
         FakeCall.out.append(self)
 
--- a/windrelay/discovery.py
+++ b/windrelay/discovery.py
@@ -7,14 +7,16 @@
 import time
 from collections.abc import Callable
 from hashlib import blake2b
+from random import Random
 from typing import TYPE_CHECKING, Any
 
 from flinthatch import Listing, Settings, State, Update
 from flinthatch.membership.asking import terms
+from flinthatch.membership.caller import Caller, Failure, failure_of
 from flinthatch.membership.revisions import Lag
 from flinthatch.model import MS, SECOND
 from windrelay.config import Address, Config, parse_address
-from windrelay.httpcall import Answer, Call
+from windrelay.httpcall import Answer, Call, Probe
 
 if TYPE_CHECKING:
     from windrelay.ports import ListReaders
@@ -134,13 +136,15 @@
 
     One call is out at a time, and its answer alone may be used: whatever takes its place
     (another address, another process that watches, the end) drops it first. How long each
-    may take, and why, stands in flinthatch/membership/asking.py.
+    may take, and why, stands in flinthatch/membership/asking.py; what failures in a row
+    change in that, in flinthatch/membership/caller.py.
     """
 
     old_after = 30_000_000_000  # ns without a word: a watch is answered within seconds
 
-    __slots__ = ("_address", "_anew", "_call", "_lag", "_resting", "_terms", "_told", "_waits",
-                 "_word", "log", "pass_on", "readers", "roster")  # fmt: skip
+    __slots__ = ("_address", "_anew", "_asked_at", "_call", "_caller", "_lag", "_limit",
+                 "_not_before", "_probe", "_readers", "_resting", "_retry", "_terms", "_told",
+                 "_waits", "_word", "log", "pass_on", "roster")  # fmt: skip
 
     def __init__(
         self,
@@ -156,14 +160,29 @@
         # list is asked for, until one has been taken.
         self._anew = False
         self._call: Call | None = None
+        self._caller = Caller(config.settings, Random(config.seed))
+        self._asked_at = self._limit = 0  # of the call that is out, in ns
+        self._not_before = 0  # monotonic ns: the next call after a failure
+        self._retry: asyncio.TimerHandle | None = None  # until then
+        self._probe: Probe | asyncio.TimerHandle | None = None  # beside a call that waits long
         self._waits = False  # the call that is out is a watch, not a question with no wait
         self._resting = False  # another process of this node watches for both
         self._word: asyncio.TimerHandle | None = None  # until that one has to be heard
         self.log = log
         self.pass_on: Callable[[bytes], None] | None = None  # each answer that was used
-        self.readers: ListReaders | None = None  # where one node reads for others
+        self._readers: ListReaders | None = None
         self.roster = Roster(config)
 
+    @property
+    def readers(self) -> ListReaders | None:
+        """Set where a few nodes read the list for all."""
+        return self._readers
+
+    @readers.setter
+    def readers(self, readers: ListReaders) -> None:
+        self._readers = readers
+        self._caller.share()
+
     def known(self, raw: Any) -> list[Listing]:
         """The list from the configuration; ListError where it is malformed."""
         try:
@@ -174,13 +193,28 @@
         return rows
 
     def watch(self) -> None:
-        """Ask what has changed since the version in hand, then wait for more until a call fails."""
-        if self._call is not None or self._resting or not self._may_ask():
+        """Ask what has changed since the version in hand, then wait for more until a call fails.
+
+        After failures in a row the first call begins only when the caller's pause is over.
+        """
+        if self._call is not None or self._retry is not None:
+            return
+        if self._resting or not self._may_ask():
+            return
+        pause = self._not_before - time.monotonic_ns()
+        if pause > 0:
+            loop = asyncio.get_running_loop()
+            self._retry = loop.call_later(pause / SECOND, self._pause_over)
             return
         if self.readers is not None and self.readers.unread():
             self._trust()
         self._ask(0)
 
+    def _pause_over(self) -> None:
+        self._retry = None
+        self._not_before = 0
+        self.watch()
+
     def move(self, address: Address, settings: Settings) -> None:
         """Ask at another address from now on, first for the whole list, then for changes.
 
@@ -190,11 +224,14 @@
         ours, for as long as the next change takes to come.
         """
         self._terms = terms(settings)
+        self._caller.go_by(settings)
         if address == self._address:
             return
         self.log(f"discovery is at {address} now")
         self._address = address
         self._drop_call()
+        self._caller.reset()
+        self._not_before = 0
         self._trust()
         if not self._resting and self._may_ask():
             self._ask(0)
@@ -258,6 +295,17 @@
         call, self._call = self._call, None
         if call is not None:
             call.drop()
+        self._drop_probe()
+        if self._retry is not None:
+            self._retry.cancel()
+            self._retry = None
+
+    def _drop_probe(self) -> None:
+        probe, self._probe = self._probe, None
+        if isinstance(probe, Probe):
+            probe.drop()
+        elif probe is not None:
+            probe.cancel()
 
     def _ask(self, wait: int) -> None:
         """Ask for what has changed, waiting for it so many ns, or for the whole list."""
@@ -267,25 +315,62 @@
         target = LIST
         if not self._anew:
             target += f"?from={self.roster.rev}&hold_ms={max(wait // MS, 1)}"
-        limit = wait + spans.late if self._waits else spans.answer
+        limit = wait + spans.late if self._waits else self._caller.limit(self._rows())
+        self._asked_at, self._limit = time.monotonic_ns(), limit
         self._call = Call(
             self._address, target, limit / SECOND, self._answered, connect=spans.connect / SECOND
         )
+        if not self._waits and limit > spans.answer:
+            self._probe_in(spans.answer)
+
+    def _rows(self) -> int:
+        return len(self.roster.endpoints)
+
+    def _probe_in(self, span: int) -> None:
+        loop = asyncio.get_running_loop()
+        self._probe = loop.call_later(span / SECOND, self._send_probe)
+
+    def _send_probe(self) -> None:
+        """A service that no connection reaches any more will not answer the call that is out."""
+        self._probe = Probe(self._address, self._terms.connect / SECOND, self._probed)
+
+    def _probed(self, reached: bool) -> None:
+        if reached:
+            self._probe_in(self._caller.probe_every())
+            return
+        self.log("discovery is out of reach: the call that waits for it is given up")
+        self._drop_call()
+        self._fail(Failure.UNREACHED)
+
+    def _fail(self, failure: Failure) -> None:
+        """Count a failed call; the host asks to watch again."""
+        now = time.monotonic_ns()
+        took = now - self._asked_at
+        self._not_before = now + self._caller.failed(failure, took, self._rows())
+        self._told(Update.FAILED, [], [])
 
     def _answered(self, answer: Answer | None) -> None:
-        self._call = None
+        call, self._call = self._call, None
+        self._drop_probe()
+        took = time.monotonic_ns() - self._asked_at
         if answer is None and self._waits:
             # The watch fell silent or broke: what it may have missed is asked for at once.
             # Only where that fails too is the service given a pause.
             self.log("the watch of the list ended without an answer: asking what it missed")
             self._ask(0)
-        elif self._take(answer.body if answer is not None and answer.status == 200 else None):
+            return
+        body = answer.body if answer is not None and answer.status == 200 else None
+        if self._take(body):
+            if not self._waits:
+                self._caller.answered(took)
             # At once: after 200 ms discovery would count it as a new watch, and
             # what changed in between as told late. Whoever was told may have ended this.
             if self._call is None and not self._resting and self._may_ask():
                 self._ask(self._terms.hold)
         else:
-            self._told(Update.FAILED, [], [])
+            connected = call is not None and call.connected
+            in_queue = 0 if self._waits else took  # a watch waits for news
+            self._fail(failure_of(in_queue, self._limit, connected, body is not None))
 
     def _take(self, body: bytes | None, own: bool = True) -> bool:
         """Pass on an answer, to us or not; False where it failed and the list in hand stays."""
--- a/windrelay/httpcall.py
+++ b/windrelay/httpcall.py
@@ -40,7 +40,7 @@
 
     __slots__ = (
         "_body", "_done", "_end_at", "_handle", "_head", "_headers", "_parser", "_size", "_task",
-        "_tls", "_transport",
+        "_tls", "_transport", "connected",
     )  # fmt: skip
 
     def __init__(
@@ -63,6 +63,7 @@
         self._size = 0
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
+        self.connected = False  # whether the connection has come up
         self._end_at = loop.time() + wait
         self._handle = loop.call_later(min(wait, connect), self.end, None)
         self._task = loop.create_task(self._connect(address))
@@ -76,6 +77,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
+        self.connected = True
         if self._done is None:
             self._transport.abort()
         else:
@@ -128,3 +130,43 @@
             self._transport.abort()
         else:
             self._task.cancel()
+
+
+class Probe(asyncio.Protocol):
+    """One connection that is opened and closed with nothing asked; `done` is told once whether
+    it came up within `connect` seconds."""
+
+    __slots__ = ("_done", "_handle", "_task")
+
+    def __init__(self, address: Address, connect: float, done: Callable[[bool], None]) -> None:
+        loop = asyncio.get_running_loop()
+        self._done: Callable[[bool], None] | None = done
+        self._handle = loop.call_later(connect, self._end, False)
+        self._task = loop.create_task(self._connect(address))
+
+    async def _connect(self, address: Address) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.create_connection(lambda: self, address.host, address.port)
+        except OSError:
+            self._end(False)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        cast(asyncio.Transport, transport).abort()
+        self._end(True)
+
+    def _end(self, reached: bool) -> None:
+        done = self._done
+        if done is not None:
+            self._forget()
+            done(reached)
+
+    def drop(self) -> None:
+        """Give it up and tell nobody."""
+        if self._done is not None:
+            self._forget()
+            self._task.cancel()
+
+    def _forget(self) -> None:
+        self._done = None
+        self._handle.cancel()
