--- a/flinthatch/fleet/beliefs.py
+++ b/flinthatch/fleet/beliefs.py
@@ -1,8 +1,8 @@
-"""What a node holds of servers from all nodes' words, and what it makes of it.
+"""What a node holds of servers from all nodes' messages, and what it makes of it.
 
 Merging is a join of semilattices (commutative, associative, idempotent; Shapiro et al.,
-"Conflict-free Replicated Data Types", 2011, section 2), so words may come twice, late and
-in any order. RULES is the one table of whose word wins where copies differ. State is
+"Conflict-free Replicated Data Types", 2011, section 2), so messages may come twice, late and
+in any order. RULES is the one table of which record wins where copies differ. State is
 bounded by servers, not by servers times nodes: of a server's witnesses the WITNESSES that
 rank first by rendezvous hashing are kept (Thaler and Ravishankar, 1998), and the least of
 a union is the least of the leasts.
@@ -14,19 +14,19 @@
 from typing import Generic, NamedTuple, TypeVar, cast
 from zlib import crc32
 
-from flinthatch.fleet.words import Listed, Reading, Seen, mark
+from flinthatch.fleet.messages import Listed, Observation, Reading, mark
 from flinthatch.model import SECOND, State, Told
 
 PARTS = 8  # of a digest
-WITNESSES = 3  # kept of one server in one zone: more would be told of more than words allow
-STRUCK_SUM = 3  # failures that all witnesses together have seen, for a server to be silent
-STRUCK_BY = 2  # witnesses, where there are so many nodes: one may itself be cut off
+WITNESSES = 3  # kept of one server in one zone: more would be told of more than messages allow
+FAILURES_SUM = 3  # failures that all witnesses together have seen, for a server to be silent
+FAILURE_WITNESSES = 2  # witnesses, where there are so many nodes: one may itself be cut off
 CUT_OFF = 3  # a witness against more than one in so many servers is itself in doubt ...
 CUT_OFF_LEAST = 3  # ... from so many on
 SLOW_RATIO = 24  # sixteenths: half as slow again as the fleet
 FULL_ROW = 3  # turned away so often in a row, others need not try
 KEEP_LISTED = 600 * SECOND
-KEEP_SEEN = 15 * SECOND
+KEEP_OBSERVATION = 15 * SECOND
 KEEP_READING = 60 * SECOND
 TOO_OLD = SECOND // 2  # left of a record's time: less is not worth passing on
 
@@ -47,11 +47,11 @@
         KEEP_LISTED,
         "a drain is never undone by a node that has not heard of it yet",
     ),
-    Seen: Rule(
+    Observation: Rule(
         "the node whose attempts they were",
         "the later incarnation of it, then its higher number",
-        KEEP_SEEN,
-        "only its writer takes a sight back; others' sights stand beside it",
+        KEEP_OBSERVATION,
+        "only its writer takes an observation back; others' stand beside it",
     ),
     Reading: Rule(
         "the node that reads the list",
@@ -60,7 +60,7 @@
         "only the reader knows how its calls went; the versions it names are ordered by themselves",
     ),
 }
-R = TypeVar("R", bound=Listed | Seen | Reading)
+R = TypeVar("R", bound=Listed | Observation | Reading)
 
 
 class Held(NamedTuple, Generic[R]):
@@ -72,8 +72,8 @@
         return cast(R, self.record._replace(age=max(now - self.born, 0)))
 
 
-Rows = dict[int, Held[Listed | Seen]]  # of one server, by writer
-Key = tuple[int, int]  # a server, and the witness or -1 for the list's word
+Rows = dict[int, Held[Listed | Observation]]  # of one server, by writer
+Key = tuple[int, int]  # a server, and the witness or -1 for the list's record
 
 
 def rank(server: int, node: int) -> int:
@@ -81,7 +81,7 @@
     return crc32(b"%d %d" % (server, node))
 
 
-def version(record: Listed | Seen | Reading) -> tuple[int, ...]:
+def version(record: Listed | Observation | Reading) -> tuple[int, ...]:
     """What copies of one key are ordered by; of two that are alike in it the contents decide."""
     if isinstance(record, Listed):
         return (record.rev, record.boot, State.DRAINING - record.state)
@@ -106,19 +106,19 @@
 
     def __init__(self, nodes: int, zones: int) -> None:
         self._zones = max(zones, 1)
-        self._few = min(STRUCK_BY, max(nodes // self._zones - 1, 1))
+        self._few = min(FAILURE_WITNESSES, max(nodes // self._zones - 1, 1))
         self._held: dict[int, Rows] = {}
         self.digest = [0] * PARTS
         self.changed: set[int] = set()  # servers whose records have, since last looked at
 
     # ---- merging --------------------------------------------------------
 
-    def merge(self, now: int, record: Listed | Seen) -> bool:
+    def merge(self, now: int, record: Listed | Observation) -> bool:
         """Take a record in; whether it was news."""
         if record.age >= RULES[type(record)].counts:
             return False
         rows = self._held.setdefault(record.server, {})
-        writer = record.origin if isinstance(record, Seen) else -1
+        writer = record.origin if isinstance(record, Observation) else -1
         old = rows.get(writer)
         if old is None and writer >= 0 and not self._room(rows, record.server, writer):
             return False
@@ -147,7 +147,7 @@
         ranks = [(rank(server, w), w) for w in rows if w >= 0 and w % self._zones == zone]
         return max(ranks) if len(ranks) >= WITNESSES else None
 
-    def _flip(self, record: Listed | Seen) -> None:
+    def _flip(self, record: Listed | Observation) -> None:
         self.digest[record.server % PARTS] ^= mark(record)
 
     def _drop(self, server: int, writer: int) -> None:
@@ -165,7 +165,7 @@
                     self._drop(server, writer)
 
     def outdate(self, rev: int) -> None:
-        """The list service itself counts from anew: its words above this version are of no use."""
+        """The list service counts from anew: its records above this version are of no use."""
         for server, rows in list(self._held.items()):
             held = rows.get(-1)
             if held is not None and isinstance(held.record, Listed) and held.record.rev > rev:
@@ -173,7 +173,7 @@
 
     # ---- what is held ----------------------------------------------------
 
-    def get(self, now: int, key: Key) -> Listed | Seen | None:
+    def get(self, now: int, key: Key) -> Listed | Observation | None:
         """A record with its age as of now; None where too little of its time is left."""
         held = self._held.get(key[0], {}).get(key[1])
         if held is None:
@@ -181,7 +181,7 @@
         record = held.aged(now)
         return None if RULES[type(record)].counts - record.age < TOO_OLD else record
 
-    def part(self, now: int, number: int) -> Iterator[Listed | Seen]:
+    def part(self, now: int, number: int) -> Iterator[Listed | Observation]:
         """All that is worth passing on of one part of the digest."""
         for server, rows in self._held.items():
             if server % PARTS == number:
@@ -193,22 +193,22 @@
     def servers(self) -> list[int]:
         return list(self._held)
 
-    def rows(self, server: int) -> list[Held[Listed | Seen]]:
+    def rows(self, server: int) -> list[Held[Listed | Observation]]:
         return list(self._held.get(server, {}).values())
 
     def room_for(self, server: int, node: int) -> bool:
-        """Whether this node's sight of a server is one that is kept."""
+        """Whether this node's observation of a server is one that is kept."""
         rows = self._held.get(server, {})
         last = self._last(rows, server, node)
         return node in rows or last is None or (rank(server, node), node) < last
 
     def listed(self, server: int, boot: int, rev: int) -> State | None:
-        """The list's stricter word on this server's start, from a version we have not had."""
+        """The list's stricter state of this server's start, from a version we have not had."""
         held = self._held.get(server, {}).get(-1)
         if held is None or not isinstance(held.record, Listed):
             return None
-        word = held.record
-        return State(word.state) if word.rev > rev and word.boot == boot else None
+        record = held.record
+        return State(record.state) if record.rev > rev and record.boot == boot else None
 
     # ---- what it comes to ---------------------------------------------------
 
@@ -217,7 +217,7 @@
         against: dict[int, int] = {}
         for rows in self._held.values():
             for writer, held in rows.items():
-                if isinstance(held.record, Seen) and held.record.struck:
+                if isinstance(held.record, Observation) and held.record.failures:
                     against[writer] = against.get(writer, 0) + 1
         most = max(CUT_OFF_LEAST, servers // CUT_OFF)
         return {writer for writer, n in against.items() if n > most}
@@ -225,7 +225,7 @@
     def judge(
         self, server: int, boot: int, node: int, believed: set[int]
     ) -> tuple[Told, int, int, bool] | None:
-        """What others' sights of a server come to for `node`: (what, ratio, birth, cold).
+        """What others' observations of a server come to for `node`: (what, ratio, birth, cold).
 
         `born` is when the youngest of them was, so that the node's own later answers go
         before it. Evidence from one zone binds that zone alone: unreachable from there is
@@ -235,7 +235,7 @@
         rows = [
             (held.record, held.born)
             for writer, held in self._held.get(server, {}).items()
-            if isinstance(held.record, Seen)
+            if isinstance(held.record, Observation)
             and writer != node
             and writer in believed
             and writer % self._zones == mine
@@ -244,11 +244,11 @@
         if not rows:
             return None
         born = max(b for _, b in rows)
-        struck = [r for r, _ in rows if r.struck]
-        cold = any(r.cold for r in struck)
-        if struck:
-            enough = sum(r.struck for r in struck) >= STRUCK_SUM
-            if enough and len(struck) >= self._few:
+        failed = [r for r, _ in rows if r.failures]
+        cold = any(r.cold for r in failed)
+        if failed:
+            enough = sum(r.failures for r in failed) >= FAILURES_SUM
+            if enough and len(failed) >= self._few:
                 return Told.SILENT, 0, born, cold
             if enough:
                 return Told.DOUBTED, 0, born, cold
--- a/flinthatch/fleet/desk.py
+++ b/flinthatch/fleet/bridge.py
@@ -1,6 +1,7 @@
 """Between one node's Balancer and its part in the fleet: what each is told of the other.
 
-The Balancer's own attempts become sights; what the words come to becomes its narrow events.
+The Balancer's own attempts become observations; what others' records come to becomes its
+narrow events.
 The only way for hearsay into the ordinary path, the same in the real node and in the world.
 """
 
@@ -10,51 +11,51 @@
 
 from flinthatch.balancer import Balancer
 from flinthatch.fleet.fleet import Change, Fleet
-from flinthatch.fleet.seats import Seats
+from flinthatch.fleet.slots import Slots
 from flinthatch.model import SECOND, Listing, State, Told, Update
 
 PEAK = SECOND // 2  # the most in flight counts for one to two of these
 HEADROOM = 1.25  # of it, that a lender keeps, and ...
-KEPT = 1  # ... so many seats beside
+KEPT = 1  # ... so many slots beside
 
 
-class Tidings(NamedTuple):
+class BalancerUpdate(NamedTuple):
     """What the Balancer is to hear."""
 
     changes: list[Change]
     draining: list[Listing]
-    deal: bool  # others live now than did, or loans are others
+    deal: bool  # others live now than did, or leases are others
 
 
-class Desk:
+class BalancerBridge:
     """See the module's docstring."""
 
     def __init__(self, fleet: Fleet, balancer: Balancer) -> None:
         s = balancer.settings
         self.fleet = fleet
         self.balancer = balancer
-        self.seats = Seats(s.node // s.zones, balancer.peers, fleet.terms.seats, self._living_at)
+        self.slots = Slots(s.node // s.zones, balancer.peers, fleet.terms.slots, self._living_at)
         self.living = 0  # as of the last deal
         self._flips = -1
-        self.seats.out = fleet.loans.out()
+        self.slots.out = fleet.leases.out()
         self._pressed = False
         self._peaks = [0, 0]  # most in flight in this span and the one before
         self._span = 0
         self._zone, self._zones = s.node % s.zones, s.zones
-        balancer.seats = self.seats
+        balancer.seats = self.slots
 
     def _living_at(self, place: int) -> bool:
         """A node beyond what our list of the nodes names is never taken for dead."""
         node = place * self._zones + self._zone
         return node >= self.fleet.terms.nodes or self.fleet.members.living(node)
 
-    def look(self, now: int) -> None:
+    def report(self, now: int) -> None:
         """Say what this node's own attempts have come to, where there is something to say."""
         self.need(now)
         own = self.fleet.own
         for b in self.balancer.backends.values():
             if b.strikes or b.fulls > 1 or b.lat > 1.5 or b.id in own:
-                self.fleet.saw(now, b.id, b.strikes, b.gone, b.fulls, b.lat, b.seen)
+                self.fleet.observe(now, b.id, b.strikes, b.gone, b.fulls, b.lat, b.seen)
 
     def need(self, now: int) -> None:
         """Say how many classes this node can lend, and whether it needs to borrow."""
@@ -68,56 +69,56 @@
         self._peaks = [b.running, self._peaks[0]]
         ready = [x for x in b.backends.values() if x.local and x.state == State.READY]
         rows = [(x.deal, int(b.level + x.offset)) for x in ready if x.cold_until <= b.now]
-        own = sum(self.seats.own(deal, depth, len(ready), False) for deal, depth in rows)
-        deep = b.level >= self.seats.most(len(ready))
+        own = sum(self.slots.own(deal, depth, len(ready), False) for deal, depth in rows)
+        deep = b.level >= self.slots.most(len(ready))
         fleet.wants = self._pressed and deep
         need = peak * HEADROOM + KEPT
         fleet.keeps = deep and need > own
         needy = self._pressed or fleet.keeps
-        fleet.spare = 0 if needy else self.seats.spare(rows, len(ready), need, own)
+        fleet.spare = 0 if needy else self.slots.spare(rows, len(ready), need, own)
         self._pressed = False
 
-    def collect(self, now: int) -> Tidings | None:
+    def collect(self, now: int) -> BalancerUpdate | None:
         """What is new for the Balancer by now."""
         changes = [c for c in self.fleet.changes(now) if not self._known_better(c)]
         draining = self._draining()
-        members, loans = self.fleet.members, self.fleet.loans
+        members, leases = self.fleet.members, self.fleet.leases
         free = members.unheard(now)
-        deal = members.flips != self._flips or loans.changed or free != self.seats.free
+        deal = members.flips != self._flips or leases.changed or free != self.slots.free
         if deal:
-            self._flips, loans.changed = members.flips, False
+            self._flips, leases.changed = members.flips, False
             self.living = members.count()
-            self.seats.free = free
-            self.seats.look()
-            self.seats.out = loans.out()
-            self.seats.borrowed = [(n // self._zones, c) for n, c in self.fleet.borrowed(now)]
-        return Tidings(changes, draining, deal) if changes or draining or deal else None
+            self.slots.free = free
+            self.slots.refresh()
+            self.slots.out = leases.out()
+            self.slots.borrowed = [(n // self._zones, c) for n, c in self.fleet.borrowed(now)]
+        return BalancerUpdate(changes, draining, deal) if changes or draining or deal else None
 
-    def quit(self, now: int) -> Tidings | None:
-        """This process speaks no more, and can't say when a loan has ended: it ends here.
+    def quit(self, now: int) -> BalancerUpdate | None:
+        """This process speaks no more, and can't say when a lease has ended: it ends here.
 
         What it has lent stays lent: whoever speaks for the node next has not heard of it.
         """
-        loans = self.fleet.loans
-        if not loans.held:
+        leases = self.fleet.leases
+        if not leases.held:
             return None
-        loans.held.clear()
-        loans.changed = True
+        leases.held.clear()
+        leases.changed = True
         return self.collect(now)
 
-    def tell(self, now: int, tidings: Tidings) -> None:
-        """Tell it, in the host's own event."""
+    def apply(self, now: int, update: BalancerUpdate) -> None:
+        """Tell the Balancer, in the host's own event."""
         b = self.balancer
-        for c in tidings.changes:
+        for c in update.changes:
             b.on_told(now, c.server, c.told, c.ratio, c.cold)
-        if tidings.draining:
-            b.on_members(now, Update.TOLD, tidings.draining)
-        elif tidings.deal:
+        if update.draining:
+            b.on_members(now, Update.TOLD, update.draining)
+        elif update.deal:
             b.recap()
         b.dispatch(now)
 
     def _known_better(self, change: Change) -> bool:
-        """Whether this node has had an answer of its own since that sight."""
+        """Whether this node has had an answer of its own since that observation."""
         b = self.balancer.backends.get(change.server)
         silent = change.told in (Told.SILENT, Told.DOUBTED)
         return b is not None and silent and not b.strikes and b.seen > change.born
--- a/flinthatch/fleet/copies.py
+++ b/flinthatch/fleet/copies.py
@@ -19,7 +19,7 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
-from flinthatch.fleet.words import MOST_NUMBER, Reading
+from flinthatch.fleet.messages import MOST_NUMBER, Reading
 from flinthatch.membership.revisions import Revisions
 
 WHOLE = -1  # as a step's base: all rows, whatever there was
@@ -57,7 +57,7 @@
 
 
 class Piece(NamedTuple):
-    """The figures of a PIECE word, in their order; `root` is whose tree it goes down, or -1."""
+    """The figures of a PIECE message, in their order; `root` is whose tree it goes down, or -1."""
 
     epoch: int
     rev: int
--- a/flinthatch/fleet/rumours.py
+++ b/flinthatch/fleet/dissemination.py
@@ -1,7 +1,7 @@
-"""Which records still have to be told on, least told first, within a number of tellings.
+"""Which records still have to be gossiped, least sent first, each a number of times.
 
 Demers et al., "Epidemic Algorithms for Replicated Database Maintenance" (1987), section 1.4:
-a rumour is told until it has been told often enough, and hearing it from others counts as
+an update is sent until it has been sent often enough, and hearing it from others counts as
 well. Records are named by keys here; what they say is looked up as they are sent.
 """
 
@@ -11,12 +11,12 @@
 from math import ceil, log2
 from typing import Generic, TypeVar
 
-MOST = 2048  # rumours at once; past it the most told ones go: a digest repairs what is missed
+MOST = 2048  # updates at once; past it the most sent ones go: a digest repairs what is missed
 K = TypeVar("K", bound=Hashable)
 
 
-class Rumours(Generic[K]):
-    """Keys by how often they were told: one dict a number, so that taking the least is a walk
+class DisseminationQueue(Generic[K]):
+    """Keys by how often they were sent: one dict a number, so that taking the least is a walk
     over few entries and counting one up is two dict operations."""
 
     __slots__ = ("_at", "_rows", "limit")
@@ -33,11 +33,11 @@
         return key in self._at
 
     def fresh(self) -> bool:
-        """Whether any has not been told yet."""
+        """Whether any has not been sent yet."""
         return bool(self._rows[0])
 
     def add(self, key: K) -> None:
-        """News: told from the beginning, also where an older record of that key was under way."""
+        """Send from the beginning, also where an older record of that key was under way."""
         self.drop(key)
         if len(self._at) >= MOST:
             for row in reversed(self._rows):
@@ -47,8 +47,8 @@
         self._at[key] = 0
         self._rows[0][key] = None
 
-    def told(self, key: K) -> None:
-        """It was sent, or heard from another: one telling less to go."""
+    def transmitted(self, key: K) -> None:
+        """It was sent, or heard from another: one transmission less to go."""
         at = self._at.get(key)
         if at is None:
             return
@@ -65,7 +65,7 @@
             del self._rows[at][key]
 
     def take(self, wanted: Callable[[K], bool]) -> None:
-        """Offer keys, least told first, each once, until `wanted` says no; taken ones count."""
+        """Offer keys, least sent first, each once, until `wanted` says no; taken ones count."""
         taken = []
         for row in self._rows:
             for key in row:
@@ -76,4 +76,4 @@
                 continue
             break
         for key in taken:
-            self.told(key)
+            self.transmitted(key)
--- a/flinthatch/fleet/loans.py
+++ b/flinthatch/fleet/leases.py
@@ -1,11 +1,11 @@
-"""Seats lent by need: who may use whose, and until when, with nobody's clock read at another.
+"""Slots lent by need: who may use whose, and until when, with nobody's clock read at another.
 
-Of each node's seats those in the upper half of what a server takes may be lent (`Seats`), by
-classes of servers. A loan is a lease (Gray and Cheriton, 1989, section 2) whose borrower counts
-from when it asked and whose lender from when it lent, SLACK longer: the word that lends lies
-between the two, so however long words take, come twice or are lost, the borrower has stopped
+Of each node's slots those in the upper half of what a server takes may be lent (`Slots`), by
+classes of servers. In a lease (Gray and Cheriton, 1989, section 2) the borrower counts from
+when it asked and the lender from when it lent, SLACK longer: the message that lends lies
+between the two, so however long messages take, come twice or are lost, the borrower has stopped
 before the lender goes on. What a node's earlier start has lent is not known to its next one,
-which leaves all that may be lent alone until every such loan has ended.
+which leaves all that may be lent alone until every such lease has ended.
 """
 
 from __future__ import annotations
@@ -17,9 +17,9 @@
 
 SPAN = 2 * SECOND
 SLACK = 500 * MS  # for a borrower's late turn, what it has out by then, and clocks that drift
-CLASSES = 8  # of servers, by their number: what one loan is dealt out in
+CLASSES = 8  # of servers, by their number: what one lease is dealt out in
 ALL = (1 << CLASSES) - 1
-LENDERS = 12  # at once: a word each second and lender, within the pace
+LENDERS = 12  # at once: a message each second and lender, within the pace
 ASK_EVERY = 250 * MS
 ASK_AT_ONCE = 4
 DECLINED = 2 * SECOND  # until one that had nothing to lend is asked again
@@ -36,8 +36,8 @@
     until: int
 
 
-class Loans:
-    """One node's loans, both ways. Bounded by CLASSES and LENDERS, whoever asks how often."""
+class SlotLeases:
+    """One node's leases, both ways. Bounded by CLASSES and LENDERS, whoever asks how often."""
 
     def __init__(self, seed: int) -> None:
         self.lent: dict[int, Lent] = {}  # by class
@@ -54,7 +54,7 @@
     # ---- lending -----------------------------------------------------------
 
     def out(self) -> int:
-        """Classes whose upper seats this node leaves alone."""
+        """Classes whose upper slots this node leaves alone."""
         return ALL if self._restrained else sum(1 << c for c in self.lent)
 
     def lend(self, now: int, to: int, spare: int) -> int:
@@ -80,7 +80,7 @@
         return [(n, h.classes) for n, h in self.held.items() if now < h.until]
 
     def asks(self, now: int, others: list[int], more: bool) -> list[tuple[int, int]]:
-        """(lender, serial) to ask now: those whose loan is half over, and `more` beside them."""
+        """(lender, serial) to ask now: those whose lease is half over, and `more` beside them."""
         if now < self._next:
             return []
         self._next = now + ASK_EVERY
--- a/flinthatch/fleet/members.py
+++ b/flinthatch/fleet/members.py
@@ -12,25 +12,25 @@
 from math import log, log10
 from random import Random
 
-from flinthatch.fleet.words import Kind, Life, Out, Standing, Word, mark
+from flinthatch.fleet.messages import Kind, Life, Message, Outgoing, Standing, mark
 from flinthatch.model import MS, SECOND
 
 PERIOD = 500 * MS
-ANSWER_IN = 200 * MS  # of a period, for the answer to an ASK; what is left is for ASK_FOR
-HELPERS = 3  # nodes asked to ask another
-HEALTH_MOST = 8  # Lifeguard's multiplier: periods and answers are that much slower at most
-TRIES = 2  # periods in a row without an answer, before a suspicion: at 30% loss each
-#            fails 1 time in 20, and one in a row would fill all words with suspicions
-RETRY_IN = 100 * MS  # an ASK is sent so often in a period
-SUSPECT_LEAST = 2  # periods that a suspicion lasts, times the logarithm of the nodes
-SUSPECT_MOST = 4  # of those, while nobody else accuses
-ACCUSERS = 3  # after which it lasts the least
-ALONE = 3 * SECOND  # without a word from anyone
-WIDEST = 8  # nodes asked anew in one period
+ACK_TIMEOUT = 200 * MS  # of a period, for the ACK to a PING; what is left is for PING_REQUEST
+INDIRECT_PROBES = 3  # nodes asked to ask another
+MAX_HEALTH = 8  # Lifeguard's multiplier: periods and answers are that much slower at most
+PING_PERIODS = 2  # periods in a row without an answer, before a suspicion: at 30% loss each
+#            fails 1 time in 20, and one in a row would fill all messages with suspicions
+PING_AGAIN = 100 * MS  # a PING is sent so often in a period
+SUSPICION_MIN = 2  # periods that a suspicion lasts, times the logarithm of the nodes
+SUSPICION_MAX = 4  # of those, while nobody else accuses
+CONFIRMATIONS = 3  # after which it lasts the least
+ISOLATED_AFTER = 3 * SECOND  # without a message from anyone
+MAX_PARALLEL_PROBES = 8  # nodes asked anew in one period
 DEAD_EVERY = 5  # one period in so many asks a dead one: a healed link is found
 STALLED = SECOND  # later than this, and what was silent was we
 DOUBTED_FOR = 30 * SECOND  # a name that two processes speak under
-OLD_WORDS = 3  # of an older incarnation, while a newer one speaks, that tell of two
+OLD_MESSAGES = 3  # of an older incarnation, while a newer one speaks, that tell of two
 
 
 class Peer:
@@ -42,23 +42,23 @@
         self.incarnation = 0
         self.standing = Standing.ALIVE  # until something tells otherwise
         self.since = 0  # of the suspicion
-        self.heard = 0  # its own last word, 0 for none yet
+        self.heard = 0  # its own last message, 0 for none yet
         self.accusers: set[int] = set()
         self.old = 0
         self.doubted_until = 0
 
 
 class Probe:
-    """Of one node: over one period, or over TRIES where it does not answer."""
+    """Of one node: over one period, or over PING_PERIODS where it does not answer."""
 
-    __slots__ = ("asked", "began", "helped", "node", "serial", "tries")
+    __slots__ = ("began", "indirect", "node", "pinged", "serial", "tries")
 
     def __init__(self, node: int, serial: int, now: int) -> None:
         self.node = node
         self.serial = serial
         self.began = now  # of this period
-        self.asked = now  # last
-        self.helped = 0  # times that others were asked
+        self.pinged = now  # last
+        self.indirect = 0  # times that others were asked
         self.tries = 1
 
 
@@ -81,11 +81,11 @@
         self._probes: dict[int, Probe] = {}  # by serial
         self._wide = 1  # new ones a period: doubled while they fail, as after a mass kill
         self._next = 0
-        self._heard = 0  # the last word from anyone
+        self._heard = 0  # the last message from anyone
         self._began = now  # or went on, after a stop
         self._suspects: set[int] = set()
-        # The ASKs sent for others: serial of ours -> (who asked, its serial, of whom, when).
-        self._errands: dict[int, tuple[int, int, int, int]] = {}
+        # The PINGs sent for others: serial of ours -> (who asked, its serial, of whom, when).
+        self._relayed: dict[int, tuple[int, int, int, int]] = {}
 
     # ---- what is known ------------------------------------------------------
 
@@ -102,7 +102,7 @@
         return [n for n, p in self.peers.items() if p.standing <= Standing.SUSPECT]
 
     def believed(self, now: int) -> set[int]:
-        """Whose sights count: not those of a name that two processes speak under."""
+        """Whose observations count: not those of a name that two processes speak under."""
         return {n for n, p in self.peers.items() if p.doubted_until <= now}
 
     def lives(self) -> list[Life]:
@@ -126,17 +126,17 @@
             total ^= mark(life)
         return total
 
-    # ---- words ---------------------------------------------------------------
+    # ---- messages ---------------------------------------------------------------
 
-    def hear(self, now: int, origin: int, incarnation: int) -> bool:
-        """A node has spoken itself; False where its word is of an incarnation gone by."""
+    def receive(self, now: int, origin: int, incarnation: int) -> bool:
+        """A node has spoken itself; False where its message is of an incarnation gone by."""
         p = self.peers[origin]
         self._heard = now
         if incarnation < p.incarnation:
             # A late datagram, or two processes under one name, which does not end.
             if now - p.heard < STALLED:
                 p.old += 1
-                if p.old >= OLD_WORDS:
+                if p.old >= OLD_MESSAGES:
                     p.old = 0
                     p.doubted_until = now + DOUBTED_FOR
             return False
@@ -151,7 +151,7 @@
         """Take in what another says of a node; whether it was news."""
         node, incarnation, standing = life.node, life.incarnation, Standing(life.standing)
         if node == self.me:
-            return self._of_us(incarnation, standing)
+            return self._refute(incarnation, standing)
         p = self.peers[node]
         if incarnation < p.incarnation:
             return False
@@ -169,7 +169,7 @@
         """Whether a record is of an incarnation that we know to be over."""
         return life.node != self.me and life.incarnation < self.peers[life.node].incarnation
 
-    def _of_us(self, incarnation: int, standing: Standing) -> bool:
+    def _refute(self, incarnation: int, standing: Standing) -> bool:
         """Others say that we are gone, or were here later than we know: we say otherwise."""
         if incarnation < self.incarnation or (
             incarnation == self.incarnation and standing == Standing.ALIVE
@@ -177,7 +177,7 @@
             return False
         self.incarnation = incarnation + 1
         self.refuted += 1
-        self.health = min(self.health + 1, HEALTH_MOST)
+        self.health = min(self.health + 1, MAX_HEALTH)
         self.news.append(self.life(self.me))
         return False
 
@@ -193,25 +193,25 @@
             self._suspects.discard(node)
         self.news.append(self.life(node))
 
-    def answer(self, now: int, word: Word) -> list[Out]:
-        """The protocol's own part of a word."""
+    def answer(self, now: int, message: Message) -> list[Outgoing]:
+        """The protocol's own part of a message."""
         me, inc = self.me, self.incarnation
-        if word.kind == Kind.ASK:
-            return [Out(word.origin, Word(Kind.ANSWER, me, inc, word.serial, me))]
-        if word.kind == Kind.ASK_FOR and word.subject in self.peers:
+        if message.kind == Kind.PING:
+            return [Outgoing(message.origin, Message(Kind.ACK, me, inc, message.serial, me))]
+        if message.kind == Kind.PING_REQUEST and message.subject in self.peers:
             self._serial += 1
-            self._errands[self._serial] = (word.origin, word.serial, word.subject, now)
-            return [Out(word.subject, Word(Kind.ASK, me, inc, self._serial))]
-        if word.kind != Kind.ANSWER:
+            self._relayed[self._serial] = (message.origin, message.serial, message.subject, now)
+            return [Outgoing(message.subject, Message(Kind.PING, me, inc, self._serial))]
+        if message.kind != Kind.ACK:
             return []
-        errand = self._errands.get(word.serial)
-        if errand is not None and errand[2] == word.origin:
-            del self._errands[word.serial]
-            back = Word(Kind.ANSWER, me, inc, errand[1], word.origin)
-            return [Out(errand[0], back)]
-        probe = self._probes.get(word.serial)
-        if probe is not None and word.subject == probe.node:
-            del self._probes[word.serial]
+        relayed = self._relayed.get(message.serial)
+        if relayed is not None and relayed[2] == message.origin:
+            del self._relayed[message.serial]
+            back = Message(Kind.ACK, me, inc, relayed[1], message.origin)
+            return [Outgoing(relayed[0], back)]
+        probe = self._probes.get(message.serial)
+        if probe is not None and message.subject == probe.node:
+            del self._probes[message.serial]
             self.health = max(self.health - 1, 0)
         return []
 
@@ -220,61 +220,61 @@
     def stalled(self, now: int) -> None:
         """We were not running: whoever seemed silent meanwhile was not."""
         self._probes.clear()
-        self._errands.clear()
+        self._relayed.clear()
         self._began = now
-        self.health = min(self.health + 1, HEALTH_MOST)
+        self.health = min(self.health + 1, MAX_HEALTH)
         self._next = now + PERIOD
         for node in self._suspects:
             self.peers[node].since = now
 
-    def tick(self, now: int) -> list[Out]:
+    def tick(self, now: int) -> list[Outgoing]:
         """What the protocol sends now; to be called a few times a period."""
         self._end_suspicions(now)
         slower = 1 + self.health
-        out = [o for probe in self._probes.values() for o in self._ask_again(now, probe, slower)]
+        out = [o for probe in self._probes.values() for o in self._ping_again(now, probe, slower)]
         if now < self._next:
             return out
         self._next = now + PERIOD * slower
-        self._errands = {s: e for s, e in self._errands.items() if now - e[3] < 4 * SECOND}
+        self._relayed = {s: e for s, e in self._relayed.items() if now - e[3] < 4 * SECOND}
         failed = False
         for probe in list(self._probes.values()):
-            if probe.tries < TRIES and self.living(probe.node):
+            if probe.tries < PING_PERIODS and self.living(probe.node):
                 probe.tries += 1
-                probe.began = probe.asked = now
-                probe.helped = 0
-                out.append(self._ask(probe))
+                probe.began = probe.pinged = now
+                probe.indirect = 0
+                out.append(self._ping(probe))
             else:
                 del self._probes[probe.serial]
                 failed = failed or self.living(probe.node)
-                self._unanswered(now, probe.node)
-        self._wide = min(2 * self._wide, WIDEST) if failed else 1
+                self._suspect(now, probe.node)
+        self._wide = min(2 * self._wide, MAX_PARALLEL_PROBES) if failed else 1
         for _ in range(self._wide):
             target = self._target()
             if target is not None and all(p.node != target for p in self._probes.values()):
                 self._serial += 1
                 probe = self._probes[self._serial] = Probe(target, self._serial, now)
-                out.append(self._ask(probe))
+                out.append(self._ping(probe))
         return out
 
-    def _ask(self, probe: Probe) -> Out:
+    def _ping(self, probe: Probe) -> Outgoing:
         """Whoever is not held for living is told so, to say otherwise (Lifeguard's buddies)."""
         life = self.life(probe.node)
         records = (life,) if life.standing != Standing.ALIVE else ()
-        word = Word(Kind.ASK, self.me, self.incarnation, probe.serial, records=records)
-        return Out(probe.node, word)
+        message = Message(Kind.PING, self.me, self.incarnation, probe.serial, records=records)
+        return Outgoing(probe.node, message)
 
-    def _ask_again(self, now: int, probe: Probe, slower: int) -> list[Out]:
+    def _ping_again(self, now: int, probe: Probe, slower: int) -> list[Outgoing]:
         """While there is no answer: once more ourselves, then through others."""
-        if now - probe.asked < RETRY_IN * slower:
+        if now - probe.pinged < PING_AGAIN * slower:
             return []
-        probe.asked = now
-        if now - probe.began < ANSWER_IN * slower:
-            return [self._ask(probe)]
-        if probe.helped >= 2 or not self.living(probe.node):
+        probe.pinged = now
+        if now - probe.began < ACK_TIMEOUT * slower:
+            return [self._ping(probe)]
+        if probe.indirect >= 2 or not self.living(probe.node):
             return []
-        probe.helped += 1
-        word = Word(Kind.ASK_FOR, self.me, self.incarnation, probe.serial, probe.node)
-        return [Out(helper, word) for helper in self.some(HELPERS, probe.node)]
+        probe.indirect += 1
+        message = Message(Kind.PING_REQUEST, self.me, self.incarnation, probe.serial, probe.node)
+        return [Outgoing(helper, message) for helper in self.some(INDIRECT_PROBES, probe.node)]
 
     def some(self, count: int, but: int = -1) -> list[int]:
         """So many living others by chance."""
@@ -300,18 +300,18 @@
                 return node
         return None
 
-    def _unanswered(self, now: int, node: int) -> None:
+    def _suspect(self, now: int, node: int) -> None:
         if self.peers[node].standing == Standing.ALIVE:
             self._set(now, node, Standing.SUSPECT)
             self.peers[node].accusers = {self.me}
 
     def alone(self, now: int) -> bool:
         """Whether nobody has been heard for so long that the fault may be ours."""
-        return self._heard > 0 and now - self._heard > ALONE
+        return self._heard > 0 and now - self._heard > ISOLATED_AFTER
 
     def unheard(self, now: int) -> bool:
         """The same, also of a node that has heard nobody since it began."""
-        return now - max(self._heard, self._began) > ALONE
+        return now - max(self._heard, self._began) > ISOLATED_AFTER
 
     def forgive(self, now: int) -> None:
         """Hold for living again whoever has not left: we were the one cut off."""
@@ -322,11 +322,11 @@
     def suspicion(self, accusers: int) -> float:
         """How long a suspicion lasts, ns (Lifeguard, section IV-B)."""
         nodes = self.count()
-        least = SUSPECT_LEAST * max(log10(max(nodes, 1)), 1.0) * PERIOD
-        most = SUSPECT_MOST * least
-        if nodes <= ACCUSERS + 1:
+        least = SUSPICION_MIN * max(log10(max(nodes, 1)), 1.0) * PERIOD
+        most = SUSPICION_MAX * least
+        if nodes <= CONFIRMATIONS + 1:
             return least  # too few to accuse: their number tells nothing
-        part = log(max(accusers, 1)) / log(ACCUSERS)
+        part = log(max(accusers, 1)) / log(CONFIRMATIONS)
         return max(least, most - (most - least) * part)
 
     def _end_suspicions(self, now: int) -> None:
--- a/flinthatch/fleet/words.py
+++ b/flinthatch/fleet/messages.py
@@ -1,4 +1,4 @@
-"""What nodes say to one another, as plain data.
+"""The gossip messages between nodes, as plain data.
 
 Four kinds of record, each a statement that any node may pass on and nobody but its
 writer may change. Times are spans in nanoseconds: no node's clock is read at another.
@@ -14,7 +14,7 @@
 
 MOST_INCARNATION = 1 << 48  # milliseconds since 1970 stay under it for some thousands of years
 MOST_SERIAL = 1 << 32  # an answer repeats it, and has room for five bytes of it
-MOST_STRUCK = 15
+MAX_FAILURES = 15
 MOST_RATIO = 160  # sixteenths
 MOST_NUMBER = 1 << 63  # of versions and the like: what MessagePack has room for
 
@@ -45,7 +45,7 @@
 
 
 class Listed(NamedTuple):
-    """The list service's word on a server that is to get nothing new, by its version."""
+    """The list service's statement on a server that is to get nothing new, by its version."""
 
     server: int
     boot: int  # the server's start as the list gives it, Unix milliseconds, 0 for long ago
@@ -54,7 +54,7 @@
     age: int
 
 
-class Seen(NamedTuple):
+class Observation(NamedTuple):
     """What one node's own attempts at a server have come to; all 0 takes it back."""
 
     server: int
@@ -62,7 +62,7 @@
     origin: int
     incarnation: int
     number: int
-    struck: int  # failures in a row, no answer between
+    failures: int  # failures in a row, no answer between
     cold: int  # 1 where its process seems to have gone: cold once it is back
     full: int  # attempts turned away in a row
     ratio: int  # time taken against the fleet's, in sixteenths
@@ -82,26 +82,26 @@
     age: int  # since the service said so
 
 
-Record = Life | Listed | Seen | Reading
+Record = Life | Listed | Observation | Reading
 
 
 class Kind(IntEnum):
-    """Of a word. The first three are SWIM's: ping, ack, ping-req."""
+    """Of a message. The first three are SWIM's: ping, ack, ping-req."""
 
-    ASK = 0
-    ANSWER = 1
-    ASK_FOR = 2
-    NEWS = 3
+    PING = 0
+    ACK = 1
+    PING_REQUEST = 2
+    GOSSIP = 3
     DIGEST = 4  # here is what I hold, by parts: send what differs
     DONE = 5  # that was all of it
-    BORROW = 6  # lend me seats, for as long as loans last
-    LEND = 7  # these classes, a bit each, as the subject
+    LEASE_REQUEST = 6  # lend me slots, for as long as leases last
+    LEASE_GRANT = 7  # these classes, a bit each, as the subject
     PIECE = 8  # of a step from one version of the list to another (`copies.py`)
     WANT = 9  # here is the version I have: send what I lack, or these pieces
 
 
-class Word(NamedTuple):
-    """One datagram. `subject` is whom an ASK_FOR, or the answer to one, is about.
+class Message(NamedTuple):
+    """One datagram. `subject` is whom a PING_REQUEST, or the answer to one, is about.
 
     A PIECE or WANT has its figures in `digest`, in the order that `copies.py` gives.
     """
@@ -116,11 +116,11 @@
     body: bytes = b""
 
 
-class Out(NamedTuple):
-    """A word and the node it goes to."""
+class Outgoing(NamedTuple):
+    """A message and the node it goes to."""
 
     to: int
-    word: Word
+    message: Message
 
 
 def mark(record: Record) -> int:
@@ -130,7 +130,7 @@
 
 
 def sound(record: Record, nodes: int) -> bool:
-    """Whether a record's figures can be: anything else is dropped, the rest of its word kept."""
+    """Whether a record's figures can be: anything else is dropped, the rest of its message kept."""
     if isinstance(record, Life):
         n, incarnation, standing = record
         return (
@@ -155,8 +155,8 @@
         0 <= record.origin < nodes
         and 0 <= record.incarnation < MOST_INCARNATION
         and record.number >= 0
-        and 0 <= record.struck <= MOST_STRUCK
+        and 0 <= record.failures <= MAX_FAILURES
         and record.cold in (0, 1)
-        and 0 <= record.full <= MOST_STRUCK
+        and 0 <= record.full <= MAX_FAILURES
         and 0 <= record.ratio <= MOST_RATIO
     )
--- a/flinthatch/fleet/readers.py
+++ b/flinthatch/fleet/readers.py
@@ -13,7 +13,7 @@
 
 from flinthatch.fleet.beliefs import RULES, Held, joined
 from flinthatch.fleet.copies import NOTHING, Version, version_of
-from flinthatch.fleet.words import How, Reading, mark
+from flinthatch.fleet.messages import How, Reading, mark
 from flinthatch.model import MS, SECOND
 
 FAILED_FOR = 5 * SECOND  # who was turned away stands behind the others
--- a/flinthatch/fleet/shared.py
+++ b/flinthatch/fleet/shared.py
@@ -26,11 +26,11 @@
     unpack,
 )
 from flinthatch.fleet.members import Members
+from flinthatch.fleet.messages import How, Kind, Message, Outgoing
 from flinthatch.fleet.readers import FIRST_STEP, Readers
-from flinthatch.fleet.words import How, Kind, Out, Word
 from flinthatch.model import MS, SECOND
 
-PIECE_HEAD = 88  # bytes of a PIECE word beside its body, at the most (checked by a test)
+PIECE_HEAD = 88  # bytes of a PIECE message beside its body, at the most (checked by a test)
 FAN = 4  # children of a node in the tree
 RATE = 250  # pieces a second that a node sends: one that reads takes FROM_ONE (`link.py`)
 BURST = 64
@@ -71,7 +71,7 @@
         self.caught_up = False  # this node has asked others what they know
         self.reads = False  # this node asks the service itself
         self.news: list[Taken] = []
-        self.said = False  # this node's own word is new, and to be told on
+        self.said = False  # this node's own record is new, and to be disseminated
         self.counts: Counter[str] = Counter()
         self._asked = now  # when it began to read
         self._unsaid = False  # that it has read
@@ -82,7 +82,7 @@
         self._room = datagram - PIECE_HEAD
         self._pieces = Pieces(self._room)
         self._waiting: list[Packed] = []
-        self._queue: deque[Out] = deque()
+        self._queue: deque[Outgoing] = deque()
         self._pace = Bucket(RATE, BURST, now)
         self._packings = Bucket(PACKINGS, PACKINGS, now)
         self._push: tuple[int, Packed] | None = None  # own news, and when they go out
@@ -115,32 +115,32 @@
         self.readers.say(now, self._members.incarnation, how, self.copy.version)
         self.said = True
 
-    # ---- words ------------------------------------------------------------------
+    # ---- messages ------------------------------------------------------------------
 
-    def hear(self, now: int, word: Word) -> list[Out]:
-        """A word has come from another node."""
-        if word.kind == Kind.PIECE and len(word.digest) == len(Piece._fields):
-            self._piece(now, word, Piece(*word.digest))
-        elif word.kind == Kind.WANT and len(word.digest) >= 4:
-            self._wanted(now, word)
+    def receive(self, now: int, message: Message) -> list[Outgoing]:
+        """A message has come from another node."""
+        if message.kind == Kind.PIECE and len(message.digest) == len(Piece._fields):
+            self._piece(now, message, Piece(*message.digest))
+        elif message.kind == Kind.WANT and len(message.digest) >= 4:
+            self._wanted(now, message)
         else:
             return []
         return self._flush(now)
 
-    def _piece(self, now: int, word: Word, piece: Piece) -> None:
+    def _piece(self, now: int, message: Message, piece: Piece) -> None:
         if self._push is not None and piece.to >= self._push[1].to:
             self._push = None  # another's news are under way already
         if piece.to <= self.copy.version:
             self.counts["pieces of what is known"] += 1
             return
-        got = self._pieces.take(now, piece, word.body)
+        got = self._pieces.take(now, piece, message.body)
         if got is False:
             self.counts["pieces twice or unsound"] += 1
             return
         self._progress = now
         if 0 <= piece.root < self._nodes:
             for child in self._children(piece.root):
-                self._queue_piece(child, piece, word.body)
+                self._queue_piece(child, piece, message.body)
         if isinstance(got, Packed):
             self.copy.keep(got)
             self._waiting = [*self._waiting[1 - WAITING :], got]
@@ -182,7 +182,7 @@
         self.news.append(Taken(step.to.rev, dict(rows), whole))
 
     def _doubted(self, now: int, step: Step) -> bool:
-        """Whether a step would take so much away that one node's word is not enough for it."""
+        """Whether a step would take so much away that one node's statement is not enough for it."""
         if self.copy.loses(step) * DOUBTED <= len(self.copy.rows):
             return False
         if len(self.readers.named(step.to)) >= min(WITNESSES, self._nodes - 1):
@@ -192,9 +192,9 @@
             self.counts["steps that one reader alone names"] += 1
         return True
 
-    def _wanted(self, now: int, word: Word) -> None:
+    def _wanted(self, now: int, message: Message) -> None:
         """Another lacks something: what we have of it, as far as the pace allows."""
-        theirs, check, numbers = Version(*word.digest[:3]), word.digest[3], word.digest[4:]
+        theirs, check, numbers = Version(*message.digest[:3]), message.digest[3], message.digest[4:]
         if len(self._queue) > BUSY:
             self.counts["asked while busy"] += 1
             return
@@ -203,7 +203,7 @@
             # Whoever has a part of it helps: at 30% loss nobody but its reader has all at first.
             found = [p for n in numbers if (p := self._pieces.part(check, n)) is not None]
             for piece, body in found[:ASK_AT_ONCE]:
-                self._queue_piece(word.origin, piece._replace(root=-1), body)
+                self._queue_piece(message.origin, piece._replace(root=-1), body)
             unread = not self.copy.version.epoch
             if found or unread or theirs >= self.copy.version or not self._packings.take(now):
                 return
@@ -212,7 +212,7 @@
         start = self._random.randrange(count)
         rows = [n for n in numbers if 0 <= n < count][:ASK_AT_ONCE]
         for n in rows or [(start + i) % count for i in range(count)]:
-            self._queue_part(word.origin, packed, n, count, -1)
+            self._queue_part(message.origin, packed, n, count, -1)
 
     # ---- sending ------------------------------------------------------------------
 
@@ -238,10 +238,10 @@
     def _queue_piece(self, to: int, piece: Piece, body: bytes) -> None:
         if len(self._queue) < MOST_QUEUED:
             m = self._members
-            word = Word(Kind.PIECE, m.me, m.incarnation, digest=tuple(piece), body=body)
-            self._queue.append(Out(to, word))
+            message = Message(Kind.PIECE, m.me, m.incarnation, digest=tuple(piece), body=body)
+            self._queue.append(Outgoing(to, message))
 
-    def _flush(self, now: int) -> list[Out]:
+    def _flush(self, now: int) -> list[Outgoing]:
         out = []
         while self._queue and self._pace.take(now):
             out.append(self._queue.popleft())
@@ -255,7 +255,7 @@
         """Whether something waits for the pace alone."""
         return bool(self._queue)
 
-    def turn(self, now: int) -> list[Out]:
+    def turn(self, now: int) -> list[Outgoing]:
         """What is to be said now, and whether this node reads by now."""
         self.readers.expire(now)
         self._settle(now)  # a second reader may have named what waits
@@ -270,7 +270,7 @@
         return missing + self._flush(now)
 
     def _choose(self, now: int) -> None:
-        """Whether this node reads from here on, and its own word on that."""
+        """Whether this node reads from here on, and its own record of that."""
         m, readers = self._members, self.readers
         own = readers.held.get(m.me)
         said = now if own is None else now - own.born  # so long ago
@@ -302,7 +302,7 @@
         wait = GIVE_UP + len(self.readers.before(self._members.living)) * DOUBT_STEP
         return now - self._doubt > wait
 
-    def _repair(self, now: int) -> list[Out]:
+    def _repair(self, now: int) -> list[Outgoing]:
         """Ask for what is known of and does not come."""
         best = self.readers.best()
         m = self._members
@@ -328,11 +328,11 @@
         # Mostly of anyone: readers are few, and all who lack something would ask them.
         candidates = [*m.some(OTHERS), self._random.choice(self.readers.named(best))]
         self.counts["asked for what is missing"] += 1
-        word = Word(Kind.WANT, m.me, m.incarnation, digest=have)
-        return [Out(self._random.choice(candidates), word)]
+        message = Message(Kind.WANT, m.me, m.incarnation, digest=have)
+        return [Outgoing(self._random.choice(candidates), message)]
 
     def report(self, now: int) -> dict[str, object]:
-        """For people: the version in hand, and each reader's word with its age in ms."""
+        """For people: the version in hand, and each reader's record with its age in ms."""
         rows = [
             [r.node, How(r.how).name.lower(), r.epoch, r.rev, r.age // MS]
             for r in sorted(self.readers.all(now))
@@ -343,5 +343,5 @@
         }  # fmt: skip
 
     def alone(self, now: int) -> None:
-        """No words go out or come in: this node reads once nobody can be expected to."""
+        """No messages go out or come in: this node reads once nobody can be expected to."""
         self.reads = self._members.unheard(now)
--- a/flinthatch/ports.py
+++ b/flinthatch/ports.py
@@ -18,7 +18,7 @@
 
 
 class Depths(Protocol):
-    """How many of a backend's slots are this node's among the living (see fleet/seats.py)."""
+    """How many of a backend's slots are this node's among the living (see fleet/slots.py)."""
 
     def cap(self, backend: int, deal: int, depth: int, servers: int) -> int: ...
 
--- a/lab/fleets.py
+++ b/lab/fleets.py
@@ -1,4 +1,4 @@
-"""Hundreds of fleet modules in one world: words, links with faults, kills, stops, restarts."""
+"""Hundreds of fleet modules in one world: messages, links with faults, kills, stops, restarts."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from typing import Any
 
 from flinthatch.fleet.fleet import Fleet, Terms
-from flinthatch.fleet.words import Out, Word
+from flinthatch.fleet.messages import Message, Outgoing
 from flinthatch.model import SECOND, State
 from lab.links import Links
 
@@ -25,16 +25,16 @@
         servers: int = 0,
         seed: int = 1,
         zones: int = 1,
-        seats: int = 15,
+        slots: int = 15,
         readers: int = 0,
     ) -> None:
         self.now = 0
         self.random = Random(seed)
         self.links = Links(Random(seed + 1))
-        self.terms = [Terms(nodes, me, zones, seats=seats, readers=readers) for me in range(nodes)]
+        self.terms = [Terms(nodes, me, zones, slots=slots, readers=readers) for me in range(nodes)]
         self.servers = servers
         self.nodes: dict[int, Fleet] = {}
-        self.stopped: dict[int, list[tuple[int, Word]]] = {}
+        self.stopped: dict[int, list[tuple[int, Message]]] = {}
         self.skew = [self.random.randrange(10 * SECOND) for _ in range(nodes)]
         self.sent: Counter[int] = Counter()
         self.got: Counter[int] = Counter()
@@ -71,15 +71,15 @@
         self.stopped.pop(node, None)
 
     def stop(self, node: int) -> None:
-        """SIGSTOP: words wait in its socket, some hundreds of them."""
+        """SIGSTOP: messages wait in its socket, some hundreds of them."""
         self.stopped[node] = []
 
     def go_on(self, node: int) -> None:
         waiting = self.stopped.pop(node)
         if self.nodes[node].stood_still(self.clock(node)):
             waiting = []
-        for source, word in waiting:
-            self._deliver(source, node, word)
+        for source, message in waiting:
+            self._deliver(source, node, message)
         self._arm(node, self.now)
 
     def poke(self, node: int) -> None:
@@ -102,24 +102,24 @@
         self.send(node, fleet.turn(self.clock(node)))
         self._arm(node, max(fleet.due - self.skew[node], self.now + 1))
 
-    def send(self, node: int, out: list[Out]) -> None:
-        for to, word in out:
+    def send(self, node: int, out: list[Outgoing]) -> None:
+        for to, message in out:
             self.sent[node] += 1
             for delay in self.links.passing(node, to):
-                self.later(self.now + delay, self._deliver, node, to, word)
+                self.later(self.now + delay, self._deliver, node, to, message)
 
-    def _deliver(self, source: int, target: int, word: Word) -> None:
+    def _deliver(self, source: int, target: int, message: Message) -> None:
         fleet = self.nodes.get(target)
         if fleet is None:
             return
         if target in self.stopped:
             if len(self.stopped[target]) < 500:
-                self.stopped[target].append((source, word))
+                self.stopped[target].append((source, message))
             return
         if fleet.stood_still(self.clock(target)):
             return  # its host throws away what has waited
         self.got[target] += 1
-        self.send(target, fleet.hear(self.clock(target), word))
+        self.send(target, fleet.receive(self.clock(target), message))
         self._arm(target, max(fleet.due - self.skew[target], self.now + 1))
 
     def run(self, until: int, done: Callable[[], bool] | None = None) -> bool:
--- a/lab/links.py
+++ b/lab/links.py
@@ -1,4 +1,4 @@
-"""Links between nodes whose faults are drawn from a seed: what becomes of each word."""
+"""Links between nodes whose faults are drawn from a seed: what becomes of each message."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
     cut: set[tuple[int, int]] = field(default_factory=set)
 
     def passing(self, source: int, target: int) -> list[int]:
-        """How long each copy of a word is on its way; none where it is lost."""
+        """How long each copy of a message is on its way; none where it is lost."""
         if (source, target) in self.cut or self.random.random() < self.loss:
             return []
         copies = 2 if self.random.random() < self.double else 1
--- a/lab/lists.py
+++ b/lab/lists.py
@@ -15,8 +15,8 @@
 
 from flinthatch import Balancer, Listing, RequestClass, Settings, State, Update
 from flinthatch.fleet.fleet import Fleet
+from flinthatch.fleet.messages import Message, Outgoing
 from flinthatch.fleet.shared import Taken
-from flinthatch.fleet.words import Out, Word
 from flinthatch.membership.asking import ANSWER, HOLD, LATE
 from flinthatch.membership.revisions import Lag, Revisions
 from flinthatch.model import MS, SECOND
@@ -295,7 +295,7 @@
         super().kill(node)
         self.service.forget(self.starters[node].list)
 
-    def send(self, node: int, out: list[Out]) -> None:
+    def send(self, node: int, out: list[Outgoing]) -> None:
         if self.terms[0].readers:
             super().send(node, out)
 
@@ -303,7 +303,7 @@
         super()._turn(node, due)
         self._after(node)
 
-    def _deliver(self, source: int, target: int, word: Word) -> None:
+    def _deliver(self, source: int, target: int, word: Message) -> None:
         super()._deliver(source, target, word)
         self._after(target)
 
--- a/lab/play.py
+++ b/lab/play.py
@@ -1,11 +1,11 @@
-"""Seeds of faults before real Balancers with words between them, and a referee.
+"""Seeds of faults before real Balancers with messages between them, and a referee.
 
     python -m lab.play --seeds 300          # all cores; the seeds that fail, each a command
     python -m lab.play --seed 17            # one again
 
 Drawn from each seed: nodes, servers, loss, delay, doubles, cuts, kills, stops, restarts,
 drains, servers that fall silent. Then all heals. The referee keeps books of its own: the four
-rules at the servers, seats over all nodes, drains that must not come undone, words by pace,
+rules at the servers, slots over all nodes, drains that must not come undone, messages by pace,
 and one picture at the end with nobody held for dead.
 """
 
@@ -18,17 +18,17 @@
 from random import Random
 from typing import Any
 
-from flinthatch.fleet.beliefs import KEEP_SEEN
-from flinthatch.fleet.loans import Held, Loans
-from flinthatch.fleet.words import Listed, Seen, Standing
+from flinthatch.fleet.beliefs import KEEP_OBSERVATION
+from flinthatch.fleet.leases import Held, SlotLeases
+from flinthatch.fleet.messages import Listed, Observation, Standing
 from flinthatch.model import MS, SECOND, State
 from lab.service import Service
 
 FAULTS_FOR = 12 * SECOND
 SETTLE = 12 * SECOND
 LOOK = 100 * MS
-LATE = 8 * SECOND  # that words may be under way in all: what a link takes is not in their age
-WORDS_MOST = 45  # a node and second over the whole: the pace, SWIM's own, and answers
+LATE = 8 * SECOND  # that messages may be under way in all: what a link takes is not in their age
+MAX_MESSAGES = 45  # a node and second over the whole: the pace, SWIM's own, and answers
 
 
 def _always(*_: Any) -> bool:
@@ -59,25 +59,25 @@
 
 
 def _endless(self: Any, now: int, lender: int, serial: int, classes: int) -> None:
-    """A borrower that counts from when the word came, and far."""
+    """A borrower that counts from when the message came, and far."""
     _granted(self, now, lender, serial, classes)
     held = self.held.get(lender)
     if held is not None:
         self.held[lender] = Held(held.classes, held.asked, now + 20 * SECOND)
 
 
-_granted = Loans.granted
+_granted = SlotLeases.granted
 
 
 MUTANTS: dict[str, tuple[str, str, Callable[..., Any]]] = {
     "old-incarnation-believed": ("Members", "merge", _old_merge),
     "drain-forgotten": ("Beliefs", "listed", _forget),
     "ages-begin-anew": ("Beliefs", "get", _ageless),
-    "sight-without-an-end": ("Beliefs", "expire", lambda self, now: None),
-    "seats-without-a-bound": ("Seats", "depth", _bottomless),
-    "dead-node-s-seats-kept": ("Seats", "depth", lambda self, deal, depth, servers: depth),
-    "loan-without-an-end": ("Loans", "granted", _endless),
-    "lent-and-used": ("Loans", "out", lambda self: 0),
+    "observation-without-an-end": ("Beliefs", "expire", lambda self, now: None),
+    "slots-without-a-bound": ("Slots", "depth", _bottomless),
+    "dead-node-s-slots-kept": ("Slots", "depth", lambda self, deal, depth, servers: depth),
+    "lease-without-an-end": ("SlotLeases", "granted", _endless),
+    "lent-and-used": ("SlotLeases", "out", lambda self: 0),
 }
 
 
@@ -86,30 +86,30 @@
 
     def __init__(self, world: Service) -> None:
         self.world = world
-        self.first: dict[tuple[int, ...], int] = {}  # when a sight was first held by anyone
+        self.first: dict[tuple[int, ...], int] = {}  # when an observation was first held by anyone
         self.drained: dict[tuple[int, int], int] = {}  # (node, server) -> its life then
         self.used: dict[tuple[int, int], int] = {}  # since when though known to drain
         self.world.later(LOOK, self.look)
 
-    def sights(self, node: int, server: int) -> None:
-        """A sight counts for its time from when it was first seen anywhere, wherever it goes."""
+    def observations(self, node: int, server: int) -> None:
+        """An observation counts for its time from when it was first seen anywhere."""
         world = self.world
         for held in world.nodes[node].beliefs.rows(server):
             r = held.record
-            if isinstance(r, Seen):
+            if isinstance(r, Observation):
                 name = (r.server, r.origin, r.incarnation, r.number)
                 age = world.now - self.first.setdefault(name, world.now)
-                if age > KEEP_SEEN + LATE and node not in world.stopped:
+                if age > KEEP_OBSERVATION + LATE and node not in world.stopped:
                     world.breach(f"node {node} believes a sight of {age / 1e9:.0f} s")
 
     def look(self) -> None:
         world = self.world
-        self.seats()
+        self.slots()
         for node, host in world.hosts.items():
             fleet = world.nodes[node]
             for server, backend in host.balancer.backends.items():
                 key = (node, server)
-                self.sights(node, server)
+                self.observations(node, server)
                 known = any(
                     isinstance(h.record, Listed) and h.record.rev > fleet.rev
                     for h in fleet.beliefs.rows(server)
@@ -127,10 +127,10 @@
                     world.breach(f"node {node} knows that {server} drains and uses it")
         world.later(world.now + LOOK, self.look)
 
-    def seats(self) -> None:
+    def slots(self) -> None:
         """All nodes' caps at a server: what it takes, but where pressure goes past the dead."""
         world = self.world
-        most = world.terms[0].seats
+        most = world.terms[0].slots
         whole = all(world.nodes[n].members.count() == len(world.terms) for n in world.hosts)
         if not whole and any(h.balancer.level > most - 1 for h in world.hosts.values()):
             return
@@ -139,17 +139,17 @@
             for h in world.hosts.values()
         }
         if len(lists) > 1:
-            return  # the order of seats follows the list, and these go by two
+            return  # the order of slots follows the list, and these go by two
         least = -(-3 * len(world.terms) // max(len(min(lists, default=())), 1))
         for server in range(len(world.pool)):
             # One that is stopped sends nothing, and sees to its caps before it does again.
             going = [h for n, h in world.hosts.items() if n not in world.stopped]
             caps = [h.balancer.backends[server] for h in going]
             if any(b.cold_until for b in caps):
-                continue  # dealt by warmth, as without words
+                continue  # dealt by warmth, as without gossip
             total = sum(b.cap for b in caps if b.state == State.READY)
             if total > max(most, least):
-                world.breach(f"{total} seats at server {server}")
+                world.breach(f"{total} slots at server {server}")
 
     def survivors(self) -> None:
         """With nodes dead and known as such, the living hold about the level together."""
@@ -166,12 +166,12 @@
         asked = sum(h.balancer.level for h in world.hosts.values()) / living
         for server in range(len(world.pool)):
             rows = [h.balancer.backends[server] for h in world.hosts.values()]
-            # One that is slow, cold or draining has fewer seats whoever lives.
+            # One that is slow, cold or draining has fewer slots whoever lives.
             if all(b.lat < 1.5 and not b.cold_until and b.state == State.READY for b in rows):
                 held += sum(b.cap for b in rows)
-                level += min(asked, world.terms[0].seats * living / len(world.terms))
+                level += min(asked, world.terms[0].slots * living / len(world.terms))
         if held < 0.7 * level:
-            world.breach(f"{living} living nodes hold {held} seats of {level:.0f}")
+            world.breach(f"{living} living nodes hold {held} slots of {level:.0f}")
 
     def pictures(self) -> set[tuple[int, ...]]:
         return {tuple(f.beliefs.digest) for f in self.world.nodes.values()}
@@ -186,17 +186,17 @@
         if not world.run(world.now + 3 * SECOND, lambda: len(self.pictures()) == 1):
             world.breach(f"{len(self.pictures())} pictures at the end")
         busiest = max(world.sent.values()) * SECOND / world.now
-        if busiest > WORDS_MOST:
-            world.breach(f"{busiest:.0f} words a second of one node")
+        if busiest > MAX_MESSAGES:
+            world.breach(f"{busiest:.0f} messages a second of one node")
 
 
 def play(seed: int) -> list[str]:
     """One seed's breaches."""
     draw = Random(seed)
     nodes, servers = draw.randint(3, 9), draw.randint(4, 8)
-    # Every other seed has few seats, and one node that gets most of what all servers can do.
-    rate, hot, seats = (150.0, [0], 6) if seed % 2 else (30.0, [], 15)
-    world = Service(nodes, servers, seed, True, rate * servers, hot, 16, seats)
+    # Every other seed has few slots, and one node that gets most of what all servers can do.
+    rate, hot, slots = (150.0, [0], 6) if seed % 2 else (30.0, [], 15)
+    world = Service(nodes, servers, seed, True, rate * servers, hot, 16, slots)
     referee = Referee(world)
     world.start_all()
     world.run(2 * SECOND)
@@ -212,7 +212,7 @@
         _mass_kill(world, referee, draw)
     _heal(world)
     world.run(world.now + SETTLE)
-    world.run(world.now + KEEP_SEEN)  # what was seen in the faults has had its time
+    world.run(world.now + KEEP_OBSERVATION)  # what was seen in the faults has had its time
     referee.end()
     return world.breaches
 
--- a/lab/service.py
+++ b/lab/service.py
@@ -13,8 +13,8 @@
 from typing import NamedTuple
 
 from flinthatch import Balancer, Effect, Listing, Outcome, RequestClass, Settings, State, Update
-from flinthatch.fleet.desk import Desk
-from flinthatch.fleet.words import Out, Word
+from flinthatch.fleet.bridge import BalancerBridge
+from flinthatch.fleet.messages import Message, Outgoing
 from flinthatch.model import MS, SECOND
 from lab.fleets import World
 from lab.lists import ListClient, ListService, listing, row
@@ -32,7 +32,7 @@
 
 def trouble(world: Service, what: str) -> None:
     """`drain`: of 3 servers, told to node 0 first; `silent`, `slow`, `tight` (takes 4): one in
-    eight is; `kill`: 3 are silent, and 7 nodes in 10 are killed with them; `cut`: every word is
+    eight is; `kill`: 3 are silent, and 7 nodes in 10 are killed with them; `cut`: every message is
     lost; `replaced`: 6 servers in 10 within 7 s, each told to one node first."""
     if what == "kill":
         for node in range(len(world.terms) * 7 // 10):
@@ -178,7 +178,7 @@
             fleet.listed(now, self.client.rev, boots, whole)
             for r in found:
                 world.tell(self.node, r.backend, r.state)
-            if world.words:
+            if world.gossip:
                 found = [
                     r._replace(state=fleet.over(r.backend, boot, r.state))
                     for r, (_, boot, _s) in zip(found, boots, strict=True)
@@ -207,18 +207,18 @@
 
 
 class Service(World):
-    """See the module's docstring; `words` off is the program as it is without peers."""
+    """See the module's docstring; `gossip` off is the program as it is without peers."""
 
     def __init__(
         self,
         nodes: int,
         servers: int,
         seed: int,
-        words: bool,
+        gossip: bool,
         rate: float,
         hot: Sequence[int] = (),
         times: int = 8,
-        seats: int = 15,
+        slots: int = 15,
         readers: int | None = None,
     ) -> None:
         """`rate`: requests a second in all; `hot` nodes get so many `times` what others do.
@@ -226,16 +226,16 @@
         With `readers` the list is asked of a service, by so many for all (0: each for itself).
         """
         listed = 0 if readers is not None else servers
-        super().__init__(nodes, listed, seed, seats=seats, readers=readers or 0)
+        super().__init__(nodes, listed, seed, slots=slots, readers=readers or 0)
         self.lists: ListService | None = None
         if readers is not None:
             self.lists = ListService(self, {f"s{i}": row(i) for i in range(servers)})
         self.known: Callable[[int], tuple[int, dict[str, str]]] = lambda _node: (0, {})
-        self.words = words
+        self.gossip = gossip
         self._weights = {node: times for node in hot}
         self.pool = [Server() for _ in range(servers)]
         self.hosts: dict[int, Host] = {}
-        self.desks: dict[int, Desk] = {}
+        self.bridges: dict[int, BalancerBridge] = {}
         self.breaches: list[str] = []
         self.counts: Counter[str] = Counter()
         self.by_second: dict[int, Counter[str]] = {}
@@ -267,8 +267,8 @@
         fleet = super().start(node)
         host = self.hosts[node] = Host(self, node)
         now = self.clock(node)
-        if self.words:
-            self.desks[node] = Desk(fleet, host.balancer)
+        if self.gossip:
+            self.bridges[node] = BalancerBridge(fleet, host.balancer)
         host.balancer.start(now)
         if host.client is not None:
             host.client.begin()
@@ -296,7 +296,7 @@
     def kill(self, node: int) -> None:
         super().kill(node)
         host = self.hosts.pop(node, None)
-        self.desks.pop(node, None)
+        self.bridges.pop(node, None)
         self._front = [n for n in self._front if n != node]
         if host is not None and host.client is not None:
             host.client.service.forget(host.client)
@@ -304,8 +304,8 @@
             for sent in host.open.values():
                 self.pool[sent.server].held -= 1
 
-    def send(self, node: int, out: list[Out]) -> None:
-        if self.words:
+    def send(self, node: int, out: list[Outgoing]) -> None:
+        if self.gossip:
             super().send(node, out)
 
     def timer(self, host: Host, token: int) -> None:
@@ -317,25 +317,25 @@
         host.balancer.on_timer(host.now, token)
 
     def _turn(self, node: int, due: int) -> None:
-        desk = self.desks.get(node)
-        if desk is not None and node not in self.stopped:
-            desk.look(self.clock(node))
+        bridge = self.bridges.get(node)
+        if bridge is not None and node not in self.stopped:
+            bridge.report(self.clock(node))
         super()._turn(node, due)
         self._settle(node)
 
-    def _deliver(self, source: int, target: int, word: Word) -> None:
-        super()._deliver(source, target, word)
+    def _deliver(self, source: int, target: int, message: Message) -> None:
+        super()._deliver(source, target, message)
         self._settle(target)
 
     def _settle(self, node: int) -> None:
-        host, desk = self.hosts.get(node), self.desks.get(node)
-        if host is None or desk is None or node in self.stopped:
+        host, bridge = self.hosts.get(node), self.bridges.get(node)
+        if host is None or bridge is None or node in self.stopped:
             return
         if host.client is not None:
             host.client.after()
-        tidings = desk.collect(self.clock(node))
-        if tidings is not None:
-            desk.tell(self.clock(node), tidings)
+        update = bridge.collect(self.clock(node))
+        if update is not None:
+            bridge.apply(self.clock(node), update)
 
     # ---- the list --------------------------------------------------------------
 
@@ -405,7 +405,7 @@
         fleet.listed(now, rev, [(s, 0, state) for s, state in news], False)
         for server, state in news:
             self.tell(node, server, state)
-        rows = [Listing(s, fleet.over(s, 0, state) if self.words else state) for s, state in news]
+        rows = [Listing(s, fleet.over(s, 0, state) if self.gossip else state) for s, state in news]
         host.balancer.on_members(now, Update.DELTA, rows)
 
     # ---- requests ---------------------------------------------------------------
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,4 +1,4 @@
-"""The rules between nodes without any link: merging, who wins, who lives, whose seats."""
+"""The rules between nodes without any link: merging, who wins, who lives, whose slots."""
 
 from __future__ import annotations
 
@@ -10,23 +10,32 @@
 from hypothesis import strategies as st
 
 from flinthatch.balancer import Balancer
-from flinthatch.fleet.beliefs import KEEP_SEEN, Beliefs
-from flinthatch.fleet.desk import Desk, Tidings
-from flinthatch.fleet.fleet import DIGEST_SIZE, HEAD, SIZES, Fleet, Terms
-from flinthatch.fleet.loans import SLACK, SPAN, Loans
-from flinthatch.fleet.members import ALONE, DOUBTED_FOR, Members
-from flinthatch.fleet.rumours import Rumours
-from flinthatch.fleet.seats import Seats
-from flinthatch.fleet.words import Kind, Life, Listed, Record, Seen, Standing, Word, sound
+from flinthatch.fleet.beliefs import KEEP_OBSERVATION, Beliefs
+from flinthatch.fleet.bridge import BalancerBridge, BalancerUpdate
+from flinthatch.fleet.dissemination import DisseminationQueue
+from flinthatch.fleet.fleet import DIGEST_SIZE, MESSAGE_HEAD, RECORD_SIZES, Fleet, Terms
+from flinthatch.fleet.leases import SLACK, SPAN, SlotLeases
+from flinthatch.fleet.members import DOUBTED_FOR, ISOLATED_AFTER, Members
+from flinthatch.fleet.messages import (
+    Kind,
+    Life,
+    Listed,
+    Message,
+    Observation,
+    Record,
+    Standing,
+    sound,
+)
+from flinthatch.fleet.slots import Slots
 from flinthatch.model import MS, SECOND, Listing, RequestClass, Settings, State, Told, Update
-from windrelay.peers.codec import BadWord, decode, encode
+from windrelay.peers.codec import BadMessage, decode, encode
 
 DRAINING, GONE = State.DRAINING, State.GONE
 
 
-def sight(server: int, origin: int, number: int = 1, **what: int) -> Seen:
-    figures = {"struck": 0, "cold": 0, "full": 0, "ratio": 0, "age": 0} | what
-    return Seen(server, 7, origin, 1, number, **figures)
+def observation(server: int, origin: int, number: int = 1, **what: int) -> Observation:
+    figures = {"failures": 0, "cold": 0, "full": 0, "ratio": 0, "age": 0} | what
+    return Observation(server, 7, origin, 1, number, **figures)
 
 
 LISTED = st.builds(
@@ -34,7 +43,7 @@
     st.sampled_from([int(DRAINING), int(GONE)]), st.integers(0, 3).map(lambda s: s * SECOND),
 )  # fmt: skip
 SEEN = st.builds(
-    Seen, st.integers(0, 1), st.sampled_from([0, 7]), st.integers(0, 9), st.integers(1, 2),
+    Observation, st.integers(0, 1), st.sampled_from([0, 7]), st.integers(0, 9), st.integers(1, 2),
     st.integers(1, 3), st.integers(0, 3), st.integers(0, 1), st.integers(0, 3),
     st.sampled_from([0, 24, 54]), st.integers(0, 3).map(lambda s: s * SECOND),
 )  # fmt: skip
@@ -52,22 +61,23 @@
     once, again = Beliefs(10, 2), Beliefs(10, 2)
     shuffled = records + random.choices(records, k=5) if records else []
     random.shuffle(shuffled)
-    for beliefs, words in ((once, records), (again, shuffled)):
-        for record in words:
-            assert isinstance(record, Listed | Seen)
+    for beliefs, messages in ((once, records), (again, shuffled)):
+        for record in messages:
+            assert isinstance(record, Listed | Observation)
             beliefs.merge(10 * SECOND, record)
     assert held(once) == held(again)
 
 
-def test_every_order_of_a_drain_a_return_and_sights_ends_alike() -> None:
-    """3 nodes, 2 servers: all orders of six words, and of any five and four of them whole."""
-    words: list[Listed | Seen] = [
+def test_every_order_of_a_drain_a_return_and_observations_ends_alike() -> None:
+    """3 nodes, 2 servers: all orders of six messages, and of any five and four of them whole."""
+    messages: list[Listed | Observation] = [
         Listed(0, 7, 4, DRAINING, 0), Listed(0, 7, 5, GONE, 0), Listed(1, 7, 4, DRAINING, 0),
-        sight(0, 1, 1, struck=3), sight(0, 1, 2), sight(1, 2, 1, struck=2, cold=1),
+        observation(0, 1, 1, failures=3), observation(0, 1, 2),
+        observation(1, 2, 1, failures=2, cold=1),
     ]  # fmt: skip
-    ends: dict[frozenset[Listed | Seen], set[str]] = {}
+    ends: dict[frozenset[Listed | Observation], set[str]] = {}
     for size in (4, 5, 6):
-        for order in permutations(words, size):
+        for order in permutations(messages, size):
             beliefs = Beliefs(3, 1)
             for record in order:
                 beliefs.merge(SECOND, record)
@@ -78,67 +88,73 @@
 
 def test_a_word_passed_round_grows_no_younger_and_ends() -> None:
     beliefs = Beliefs(3, 1)
-    beliefs.merge(0, sight(0, 1, struck=3))
-    assert not beliefs.merge(4 * SECOND, sight(0, 1, struck=3, age=0))
+    beliefs.merge(0, observation(0, 1, failures=3))
+    assert not beliefs.merge(4 * SECOND, observation(0, 1, failures=3, age=0))
     found = beliefs.get(5 * SECOND, (0, 1))
     assert found is not None and found.age == 5 * SECOND
-    beliefs.expire(KEEP_SEEN)
+    beliefs.expire(KEEP_OBSERVATION)
     assert not beliefs.servers() and beliefs.digest == [0] * len(beliefs.digest)
-    assert not beliefs.merge(0, sight(0, 1, struck=3, age=KEEP_SEEN))
+    assert not beliefs.merge(0, observation(0, 1, failures=3, age=KEEP_OBSERVATION))
 
 
 def test_a_drain_holds_until_a_newer_list_says_otherwise() -> None:
     fleet = Fleet(Terms(3, 0), 1, 1, 0)
     fleet.listed(0, 4, [(9, 7, State.READY)], True)
-    fleet.hear(1, Word(Kind.NEWS, 1, 5, records=(Listed(9, 7, 6, DRAINING, 0),)))
+    fleet.receive(1, Message(Kind.GOSSIP, 1, 5, records=(Listed(9, 7, 6, DRAINING, 0),)))
     assert fleet.over(9, 7, State.READY) == DRAINING
-    fleet.hear(2, Word(Kind.NEWS, 2, 5, records=(Listed(9, 7, 5, DRAINING, 0),)))
+    fleet.receive(2, Message(Kind.GOSSIP, 2, 5, records=(Listed(9, 7, 5, DRAINING, 0),)))
     fleet.listed(3, 5, [(9, 7, State.READY)], True)  # ours lags behind theirs
     assert fleet.over(9, 7, State.READY) == DRAINING
     assert fleet.over(9, 8, State.READY) == State.READY  # it has started anew since
     fleet.listed(4, 7, [(9, 7, State.READY)], True)
     assert fleet.over(9, 7, State.READY) == State.READY
     # A service that counts from anew outdates what it said under higher versions.
-    fleet.hear(5, Word(Kind.NEWS, 1, 5, records=(Listed(9, 7, 90, DRAINING, 0),)))
+    fleet.receive(5, Message(Kind.GOSSIP, 1, 5, records=(Listed(9, 7, 90, DRAINING, 0),)))
     assert fleet.over(9, 7, State.READY) == DRAINING
     fleet.listed(6, 2, [(9, 7, State.READY)], True)
     assert fleet.over(9, 7, State.READY) == State.READY
 
 
 @pytest.mark.parametrize(
-    ("sights", "zones", "verdict"),
+    ("observations", "zones", "verdict"),
     [
-        ([sight(9, 1, struck=3)], 1, Told.DOUBTED),  # one alone may be cut off itself
-        ([sight(9, 1, struck=1), sight(9, 2, struck=2)], 1, Told.SILENT),
-        ([sight(9, 1, struck=1), sight(9, 2, struck=1)], 1, None),
-        ([sight(9, 1, struck=3), sight(9, 3, struck=3)], 2, None),  # of the other zone
-        ([sight(9, 2, struck=3), sight(9, 4, struck=3)], 2, Told.SILENT),
-        ([sight(9, 1, full=2), sight(9, 2, full=2)], 1, Told.FULL),
-        ([sight(9, 1, ratio=54)], 1, Told.SLOW),
-        ([sight(9, 1, struck=3), sight(9, 1, 2), sight(9, 2, struck=1)], 1, None),  # taken back
-        ([sight(9, 1, struck=3)._replace(boot=6)], 1, None),  # of its start before
-        ([sight(s, 1, struck=3) for s in range(9, 14)], 1, None),  # half of all: it is cut off
+        ([observation(9, 1, failures=3)], 1, Told.DOUBTED),  # one alone may be cut off itself
+        ([observation(9, 1, failures=1), observation(9, 2, failures=2)], 1, Told.SILENT),
+        ([observation(9, 1, failures=1), observation(9, 2, failures=1)], 1, None),
+        # of the other zone
+        ([observation(9, 1, failures=3), observation(9, 3, failures=3)], 2, None),
+        ([observation(9, 2, failures=3), observation(9, 4, failures=3)], 2, Told.SILENT),
+        ([observation(9, 1, full=2), observation(9, 2, full=2)], 1, Told.FULL),
+        ([observation(9, 1, ratio=54)], 1, Told.SLOW),
+        # taken back
+        ([observation(9, 1, failures=3), observation(9, 1, 2), observation(9, 2, failures=1)], 1,
+         None),
+        ([observation(9, 1, failures=3)._replace(boot=6)], 1, None),  # of its start before
+        # half of all: it is cut off
+        ([observation(s, 1, failures=3) for s in range(9, 14)], 1, None),
     ],
-)
-def test_what_sights_come_to(sights: list[Seen], zones: int, verdict: Told | None) -> None:
+)  # fmt: skip
+def test_what_observations_come_to(
+    observations: list[Observation], zones: int, verdict: Told | None
+) -> None:
     fleet = Fleet(Terms(8, 0, zones), 1, 1, 0)
     fleet.listed(0, 1, [(s, 7, State.READY) for s in range(9, 18)], True)
-    for record in sights:
-        fleet.hear(SECOND // 2, Word(Kind.NEWS, 5, 1, records=(record,)))
+    for record in observations:
+        fleet.receive(SECOND // 2, Message(Kind.GOSSIP, 5, 1, records=(record,)))
     told = {c.server: c.told for c in fleet.changes(SECOND // 2)}
     assert told.get(9) == verdict
 
 
 def test_what_cannot_be_is_dropped_and_the_rest_of_its_word_kept() -> None:
-    good = sight(9, 1, struck=1)
+    good = observation(9, 1, failures=1)
     bad: list[Record] = [
-        good._replace(struck=99), good._replace(origin=8), good._replace(age=-1),
+        good._replace(failures=99), good._replace(origin=8), good._replace(age=-1),
         good._replace(ratio=1 << 40), good._replace(number=-1), Life(8, 1, 0), Life(2, 1 << 60, 2),
         Life(2, 1, 9), Listed(9, 7, -1, DRAINING, 0), Listed(9, 7, 1, State.READY, 0),
     ]  # fmt: skip
     assert not any(sound(record, 8) for record in bad)
     fleet = Fleet(Terms(8, 0), 1, 1, 0)
-    fleet.hear(1, Word(Kind.NEWS, 1, 1, records=(*bad, good)))
+    fleet.receive(1, Message(Kind.GOSSIP, 1, 1, records=(*bad, good)))
     assert fleet.counts["unsound"] == len(bad)
     assert fleet.beliefs.servers() == [9]
 
@@ -149,8 +165,10 @@
     fleet.listed(0, 1, [(s, 7, State.READY) for s in range(30)], True)
     for server in range(30):
         for origin in (1, 2):
-            word = Word(Kind.NEWS, origin, 1, records=(sight(server, origin, struck=3),))
-            fleet.hear(SECOND // 2, word)
+            message = Message(
+                Kind.GOSSIP, origin, 1, records=(observation(server, origin, failures=3),)
+            )
+            fleet.receive(SECOND // 2, message)
     silent = [c for c in fleet.changes(SECOND // 2) if c.told in (Told.SILENT, Told.DOUBTED)]
     assert len(silent) <= 10
 
@@ -162,9 +180,9 @@
         fleet.listed(0, 4, [(9, 7, State.READY)], True)
     one.caught_up = True
     one.listed(1, 5, [(9, 0, State.GONE)], False)
-    words = [o.word for o in one.turn(2) if o.to == 1 and o.word.records]
-    assert words
-    other.hear(3, words[0])
+    messages = [o.message for o in one.turn(2) if o.to == 1 and o.message.records]
+    assert messages
+    other.receive(3, messages[0])
     assert other.over(9, 7, State.READY) == State.DRAINING
 
 
@@ -178,26 +196,26 @@
 AIM = RequestClass("balance", 200 * MS, SECOND)
 
 
-def test_a_process_that_speaks_no_more_ends_its_loans_and_one_that_hears_nobody_is_free() -> None:
+def test_a_process_that_speaks_no_more_ends_its_leases_and_one_that_hears_nobody_is_free() -> None:
     balancer = Balancer(Settings((AIM,), balancers=4), 1, Idle())  # type: ignore[arg-type]
     balancer.start(0)
     fleet = Fleet(Terms(4, 0), 1, 1, 0)
-    desk = Desk(fleet, balancer)
+    bridge = BalancerBridge(fleet, balancer)
     balancer.level = 20.0
     balancer.on_members(0, Update.FULL, [Listing(b, State.READY) for b in range(16)])
 
-    def caps(tidings: Tidings | None) -> int:
-        assert tidings is not None
-        desk.tell(balancer.now, tidings)
+    def caps(update: BalancerUpdate | None) -> int:
+        assert update is not None
+        bridge.apply(balancer.now, update)
         return sum(b.cap for b in balancer.backends.values())
 
-    own = caps(desk.collect(1))
-    ((lender, serial),) = fleet.loans.asks(1, [2], True)
-    fleet.loans.granted(1, lender, serial, 255)
-    assert caps(desk.collect(2)) == own + 16 * 2  # two of its seats are in the upper half
-    assert caps(desk.quit(3)) == own and desk.quit(3) is None
-    without = caps(desk.collect(4 * SECOND))
-    assert without == 16 * 5 > own  # a level of 20 among four, as if there were no words
+    own = caps(bridge.collect(1))
+    ((lender, serial),) = fleet.leases.asks(1, [2], True)
+    fleet.leases.granted(1, lender, serial, 255)
+    assert caps(bridge.collect(2)) == own + 16 * 2  # two of its slots are in the upper half
+    assert caps(bridge.quit(3)) == own and bridge.quit(3) is None
+    without = caps(bridge.collect(4 * SECOND))
+    assert without == 16 * 5 > own  # a level of 20 among four, as if there were no messages
 
 
 def test_words_take_out_a_third_of_the_servers_at_most_and_our_own_list_the_others() -> None:
@@ -205,28 +223,28 @@
     balancer = Balancer(Settings((AIM,), balancers=4), 1, Idle())  # type: ignore[arg-type]
     balancer.start(0)
     balancer.on_members(0, Update.FULL, [Listing(b, State.READY) for b in range(9)])
-    desk = Desk(fleet, balancer)
+    bridge = BalancerBridge(fleet, balancer)
     fleet.listed(0, 1, [(b, 7, State.READY) for b in range(9)], True)
     for b in range(9):
-        word = Word(Kind.NEWS, 1, 1, records=(Listed(b, 7, 5, DRAINING, 0),))
-        fleet.hear(1 + b, word)
-    tidings = desk.collect(20)
-    assert tidings is not None and len(tidings.draining) == 3
-    desk.tell(20, tidings)
+        message = Message(Kind.GOSSIP, 1, 1, records=(Listed(b, 7, 5, DRAINING, 0),))
+        fleet.receive(1 + b, message)
+    update = bridge.collect(20)
+    assert update is not None and len(update.draining) == 3
+    bridge.apply(20, update)
     assert sum(b.state == State.READY for b in balancer.backends.values()) == 6
-    # Our own list, still older than the words, takes none back and no other in its place.
+    # Our own list, still older than the messages, takes none back and no other in its place.
     whole = [(b, 7, State.READY) for b in reversed(range(9))]
     fleet.listed(25, 2, whole, True)
     out = {server for server, boot, state in whole if fleet.over(server, boot, state) != state}
-    assert out == {row.backend for row in tidings.draining}
+    assert out == {row.backend for row in update.draining}
     # It says so of one of the three: there is room for another.
-    first = tidings.draining[0].backend
+    first = update.draining[0].backend
     fleet.listed(30, 3, [(first, 7, DRAINING)], False)
-    later = desk.collect(30)
+    later = bridge.collect(30)
     assert later is not None and len(later.draining) == 1 and len(fleet.out) == 3
 
 
-def test_what_the_balancer_hears_only_lessens_and_leaves_its_own_sights_alone() -> None:
+def test_what_the_balancer_hears_only_lessens_and_leaves_its_own_observations_alone() -> None:
     balancer = Balancer(Settings((AIM,), max_attempts=1), 1, Idle())  # type: ignore[arg-type]
     balancer.start(0)
     balancer.on_members(0, Update.FULL, [Listing(b, State.READY) for b in range(4)])
@@ -241,7 +259,7 @@
     assert balancer.backends[1].down_until and balancer.backends[1].cold_until
     balancer.on_told(4, 1, None, 1.0, False)
     assert not balancer.backends[1].down_until and balancer.backends[1].trial
-    # What its own attempts have met, no word takes back.
+    # What its own attempts have met, no message takes back.
     balancer.backends[2].strikes = 4
     balancer.suspend(5, balancer.backends[2], True, False)
     balancer.on_told(50, 2, None, 1.0, False)
@@ -273,15 +291,18 @@
     fleet = Fleet(Terms(4, 0), 1, 1, 0)
     fleet.listed(0, 1, [(9, 7, State.READY)], True)
     for i in range(4):
-        fleet.hear(i, Word(Kind.NEWS, 1, 20, records=(sight(9, 1, 10 + i, struck=3),)))
-        fleet.hear(i, Word(Kind.NEWS, 1, 10, records=()))
+        fleet.receive(
+            i, Message(Kind.GOSSIP, 1, 20, records=(observation(9, 1, 10 + i, failures=3),))
+        )
+        fleet.receive(i, Message(Kind.GOSSIP, 1, 10, records=()))
     assert 1 not in fleet.members.believed(10)
     fleet.spare = 8
-    fleet.loans.begin(0)
-    fleet.loans.expire(SPAN + SLACK)
-    assert fleet.hear(11, Word(Kind.BORROW, 1, 20, 5))[0].word.subject == 0
-    assert fleet.hear(11, Word(Kind.BORROW, 2, 20, 5))[0].word.subject == 255
-    assert fleet.hear(11, Word(Kind.BORROW, 2, 20, 1 << 40)) == []  # no room to repeat it
+    fleet.leases.begin(0)
+    fleet.leases.expire(SPAN + SLACK)
+    assert fleet.receive(11, Message(Kind.LEASE_REQUEST, 1, 20, 5))[0].message.subject == 0
+    assert fleet.receive(11, Message(Kind.LEASE_REQUEST, 2, 20, 5))[0].message.subject == 255
+    without_room = Message(Kind.LEASE_REQUEST, 2, 20, 1 << 40)  # no room to repeat its serial
+    assert fleet.receive(11, without_room) == []
     assert not fleet.changes(10)
     assert 1 in fleet.members.believed(10 + DOUBTED_FOR)
     assert fleet.counts["old"] == 4
@@ -290,27 +311,27 @@
 def test_one_who_was_stopped_finds_out_before_it_tells() -> None:
     fleet = Fleet(Terms(4, 0), 1, 1, 0)
     fleet.listed(0, 1, [(9, 7, State.READY)], True)
-    fleet.hear(1, Word(Kind.DONE, 1, 1))
-    fleet._asked = [1]
-    fleet.hear(1, Word(Kind.DONE, 1, 1))
+    fleet.receive(1, Message(Kind.DONE, 1, 1))
+    fleet._catch_up_asked = [1]
+    fleet.receive(1, Message(Kind.DONE, 1, 1))
     assert fleet.caught_up
-    fleet.saw(2, 9, 3, True, 0, 1.0, 2)
+    fleet.observe(2, 9, 3, True, 0, 1.0, 2)
     fleet.members.merge(3, 2, Life(3, 0, Standing.SUSPECT))
     assert fleet.stood_still(60 * SECOND) and not fleet.stood_still(60 * SECOND)
     out = fleet.turn(60 * SECOND)
     assert not fleet.caught_up and fleet.counts["stalls"] == 1
-    assert Kind.DIGEST in {o.word.kind for o in out}
+    assert Kind.DIGEST in {o.message.kind for o in out}
     assert not fleet.members.unheard(60 * SECOND)  # it was we who were silent
-    assert not any(o.word.records for o in out)  # nothing of what it believed
+    assert not any(o.message.records for o in out)  # nothing of what it believed
     assert fleet.members.living(3)  # the suspicion did not run out while it stood
 
 
-def test_a_rumour_is_told_a_number_of_times_that_grows_with_the_logarithm() -> None:
-    few, many = Rumours[int](20), Rumours[int](1000)
+def test_an_update_is_sent_a_number_of_times_that_grows_with_the_logarithm() -> None:
+    few, many = DisseminationQueue[int](20), DisseminationQueue[int](1000)
     assert (few.limit, many.limit) == (9, 14)
     few.add(1)
     few.add(2)
-    few.told(1)
+    few.transmitted(1)
     taken: list[int] = []
 
     def wanted(key: int) -> bool:
@@ -320,14 +341,14 @@
     few.take(wanted)
     assert taken == [2, 1]  # least told first
     for _ in range(few.limit):
-        few.told(1)
+        few.transmitted(1)
     assert 1 not in few and 2 in few
     for key in range(5000):
         few.add(key)
     assert len(few) == 2048
 
 
-# ---- seats ---------------------------------------------------------------
+# ---- slots ---------------------------------------------------------------
 
 
 @pytest.mark.parametrize(("nodes", "most"), [(2, 3), (4, 5), (5, 15), (6, 4)])
@@ -342,43 +363,43 @@
             deal = (place - rank) % nodes
             caps = []
             for view in product((False, True), repeat=nodes):
-                seats = Seats(place, nodes, most, lambda p, v=view: v[p])  # type: ignore[misc]
-                seats.look()
-                depth = seats.depth(deal, level, 100)
+                slots = Slots(place, nodes, most, lambda p, v=view: v[p])  # type: ignore[misc]
+                slots.refresh()
+                depth = slots.depth(deal, level, 100)
                 deepened = deepened or depth > level
                 caps.append(max(-(-(depth - deal) // nodes), 0))
             total += max(caps)
-        assert total <= max(most, level)  # beyond it no more than without words
+        assert total <= max(most, level)  # beyond it no more than without gossip
     assert deepened
 
 
-def test_the_living_take_over_the_seats_of_the_dead() -> None:
+def test_the_living_take_over_the_slots_of_the_dead() -> None:
     for rank in range(10):
         owned = 0
         for place in (2, 5, 7):
-            seats = Seats(place, 10, 15, lambda p: p in (2, 5, 7))
-            seats.look()
+            slots = Slots(place, 10, 15, lambda p: p in (2, 5, 7))
+            slots.refresh()
             deal = (place - rank) % 10
-            depth = seats.depth(deal, 4, 24)
+            depth = slots.depth(deal, 4, 24)
             owned += max(-(-(depth - deal) // 10), 0)
         assert owned == 4  # as many as the level asks for
-    few = Seats(2, 10, 15, lambda p: p in (2, 5, 7))
-    few.look()
-    assert few.depth(0, 40, 24) == 40  # twelve living seats: pressure gets what it had
-    assert few.depth(0, 64, 24) == 46  # the fifteenth living seat is the last
-    whole = Seats(0, 10, 15, lambda _p: True)
-    whole.look()
+    few = Slots(2, 10, 15, lambda p: p in (2, 5, 7))
+    few.refresh()
+    assert few.depth(0, 40, 24) == 40  # twelve living slots: pressure gets what it had
+    assert few.depth(0, 64, 24) == 46  # the fifteenth living slot is the last
+    whole = Slots(0, 10, 15, lambda _p: True)
+    whole.refresh()
     assert whole.depth(0, 4, 24) == 4
     assert whole.depth(0, 60, 24) == 15  # a level beyond what a server takes
     assert whole.depth(0, 60, 1) == 30  # one server for ten: each needs its few
     assert whole.cap(7, 0, 60, 24) == 2
-    assert ALONE > SPAN + SLACK  # whatever we have lent has ended by the time we are free
-    whole.free = True  # nobody is heard: at least what there is without words
+    assert ISOLATED_AFTER > SPAN + SLACK  # whatever we have lent has ended by the time we are free
+    whole.free = True  # nobody is heard: at least what there is without gossip
     assert whole.cap(7, 0, 60, 24) == 6 and whole.cap(7, 0, 4, 24) == 1
 
 
 class Lender:
-    """One node of the loans' proof: its caps are as of its last turn, up to SLACK ago."""
+    """One node of the leases' proof: its caps are as of its last turn, up to SLACK ago."""
 
     def __init__(self, place: int, skew: int, seed: int) -> None:
         self.place, self.skew, self.starts, self.seed = place, skew, 0, seed
@@ -386,27 +407,27 @@
 
     def start(self, now: int) -> None:
         self.starts += 1
-        self.loans = Loans(self.seed + 7 * self.starts)
-        self.loans.begin(now + self.skew)
-        self.seats = Seats(self.place, 4, 5, lambda _p: True)
+        self.leases = SlotLeases(self.seed + 7 * self.starts)
+        self.leases.begin(now + self.skew)
+        self.slots = Slots(self.place, 4, 5, lambda _p: True)
         self.turn(now)
 
     def turn(self, now: int) -> None:
         self.turned = now
-        self.loans.expire(now + self.skew)
-        self.seats.out = self.loans.out()
-        self.seats.borrowed = self.loans.borrowed(now + self.skew)
+        self.leases.expire(now + self.skew)
+        self.slots.out = self.leases.out()
+        self.slots.borrowed = self.leases.borrowed(now + self.skew)
 
     def cap(self, server: int) -> int:
-        return self.seats.cap(server, (self.place - server) % 4, 20, 9)
+        return self.slots.cap(server, (self.place - server) % 4, 20, 9)
 
 
 def test_whatever_happens_to_words_nobody_uses_a_seat_that_is_lent() -> None:
-    assert max(lending(seed) for seed in range(60)) > 3  # two seats at a server are its own
+    assert max(lending(seed) for seed in range(60)) > 3  # two slots at a server are its own
 
 
 def lending(seed: int) -> int:
-    """Words are lost, late, doubled, of an earlier start; nodes restart and turn late.
+    """Messages are lost, late, doubled, of an earlier start; nodes restart and turn late.
 
     The most that one node had at a server.
     """
@@ -421,16 +442,16 @@
         what = draw.random()
         if what < 0.35:
             others = [n.place for n in nodes if n is not node]
-            for lender, serial in node.loans.asks(now + node.skew, others, True):
+            for lender, serial in node.leases.asks(now + node.skew, others, True):
                 asked.append((node.place, lender, serial))
         elif what < 0.65 and asked:
             borrower, to, serial = draw.choice(asked[-draw.choice((2, 30)) :])
-            classes = nodes[to].loans.lend(now + nodes[to].skew, borrower, draw.randrange(9))
+            classes = nodes[to].leases.lend(now + nodes[to].skew, borrower, draw.randrange(9))
             nodes[to].turn(now)
             answers.append((borrower, to, serial, classes))
         elif what < 0.97 and answers:
             borrower, of, serial, classes = draw.choice(answers[-draw.choice((2, 30)) :])
-            nodes[borrower].loans.granted(now + nodes[borrower].skew, of, serial, classes)
+            nodes[borrower].leases.granted(now + nodes[borrower].skew, of, serial, classes)
             nodes[borrower].turn(now)
         elif what > 0.995:
             node.start(now)
@@ -445,10 +466,10 @@
 
 
 def test_a_lender_keeps_what_it_needs_and_a_borrower_counts_from_its_own_question() -> None:
-    seats = Seats(0, 4, 8, lambda _p: True)
-    rows = [(server % 4, 8) for server in range(16)]  # two seats at each, one of them lent
-    assert [seats.spare(rows, 16, need, 32) for need in (0, 16, 20, 31.9, 32.5)] == [8, 8, 6, 0, 0]
-    lender, borrower = Loans(1), Loans(2)
+    slots = Slots(0, 4, 8, lambda _p: True)
+    rows = [(server % 4, 8) for server in range(16)]  # two slots at each, one of them lent
+    assert [slots.spare(rows, 16, need, 32) for need in (0, 16, 20, 31.9, 32.5)] == [8, 8, 6, 0, 0]
+    lender, borrower = SlotLeases(1), SlotLeases(2)
     lender.begin(0)
     assert lender.lend(SPAN, 1, 8) == 0 and lender.out() == 255  # an earlier start may have lent
     lender.expire(SPAN + SLACK)
@@ -465,8 +486,8 @@
     borrower.granted(2 * SPAN, 5, second[1], 7)
     borrower.granted(2 * SPAN, 5, first[1], 255)  # overtaken by the one after it
     assert borrower.borrowed(3 * SPAN - SECOND - 1) == [(5, 7)]
-    ((_, late),) = Loans(3).asks(0, [5], True)
-    stale = Loans(3)
+    ((_, late),) = SlotLeases(3).asks(0, [5], True)
+    stale = SlotLeases(3)
     stale.asks(0, [5], True)
     stale.granted(SPAN, 5, late, 7)  # longer under way than it would have lasted
     assert stale.held == {} and stale.asks(SPAN + SECOND, [5], True) == []
@@ -480,26 +501,26 @@
     longest: list[Record] = [
         Life(999, (1 << 48) - 1, 3),
         Listed(big, 1 << 47, 1 << 40, 2, 600 * SECOND),
-        Seen(big, 1 << 47, 999, (1 << 48) - 1, 1 << 30, 15, 1, 15, 160, 15 * SECOND),
+        Observation(big, 1 << 47, 999, (1 << 48) - 1, 1 << 30, 15, 1, 15, 160, 15 * SECOND),
     ]
-    bare = len(encode(Word(Kind.DONE, 999, (1 << 48) - 1, 1 << 30, 999), 65535))
-    assert bare <= HEAD
+    bare = len(encode(Message(Kind.DONE, 999, (1 << 48) - 1, 1 << 30, 999), 65535))
+    assert bare <= MESSAGE_HEAD
     for record in longest:
-        word = Word(Kind.NEWS, 999, (1 << 48) - 1, 1 << 30, 999, (), (record,))
-        data = encode(word, 65535)
-        assert len(data) - bare <= SIZES[type(record)]
-        assert decode(data, 65535) == word
-    digest = encode(Word(Kind.DIGEST, 999, (1 << 48) - 1, 1, 999, (0xFFFFFFFF,) * 9), 65535)
-    assert len(digest) <= HEAD + DIGEST_SIZE
+        message = Message(Kind.GOSSIP, 999, (1 << 48) - 1, 1 << 30, 999, (), (record,))
+        data = encode(message, 65535)
+        assert len(data) - bare <= RECORD_SIZES[type(record)]
+        assert decode(data, 65535) == message
+    digest = encode(Message(Kind.DIGEST, 999, (1 << 48) - 1, 1, 999, (0xFFFFFFFF,) * 9), 65535)
+    assert len(digest) <= MESSAGE_HEAD + DIGEST_SIZE
 
 
 def test_what_is_no_word_of_ours_is_told_apart() -> None:
-    word = Word(Kind.NEWS, 1, 2, records=(sight(9, 1, struck=1, age=5 * MS),))
-    data = encode(word, 7)
-    assert decode(data, 7) == word
+    message = Message(Kind.GOSSIP, 1, 2, records=(observation(9, 1, failures=1, age=5 * MS),))
+    data = encode(message, 7)
+    assert decode(data, 7) == message
     for spoilt, cause in (
         (data[:4], "short"), (data[:-1], "broken"), (data[:9] + b"\0" + data[10:], "broken"),
-        (encode(word, 8), "another tier"),
+        (encode(message, 8), "another tier"),
     ):  # fmt: skip
-        with pytest.raises(BadWord, match=cause):
+        with pytest.raises(BadMessage, match=cause):
             decode(spoilt, 7)
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from flinthatch.fleet.words import Kind, Life, Listed, Seen, Standing, Word
+from flinthatch.fleet.messages import Kind, Life, Listed, Message, Observation, Standing
 from flinthatch.model import MS, SECOND, State, Told
 from lab.fleets import World
 
@@ -70,7 +70,7 @@
 
 def test_one_way_links_and_a_leave_are_no_deaths() -> None:
     world = settled(9)
-    world.links.cut = {(0, n) for n in range(2, 9)}  # all hear 1 alone of node 0's words
+    world.links.cut = {(0, n) for n in range(2, 9)}  # all hear 1 alone of node 0's messages
     world.run(world.now + 10 * SECOND)
     assert all(f.members.living(0) for f in world.nodes.values())
     world.links.cut = set()
@@ -99,13 +99,13 @@
     world.links.loss = 0.0
     assert world.run(world.now + 10 * SECOND, lambda: one_picture(world))
     assert not dead_views(world)
-    # Node 3's own list is of version 3 and goes before version 2's word at the others.
+    # Node 3's own list is of version 3 and goes before version 2's message at the others.
     assert drained(world, 8) >= 4 and drained(world, 7) >= 3
 
 
 def test_one_stopped_for_a_minute_brings_nothing_back() -> None:
     world = settled(9)
-    world.nodes[4].saw(world.clock(4), 5, 3, True, 0, 1.0, world.clock(4))
+    world.nodes[4].observe(world.clock(4), 5, 3, True, 0, 1.0, world.clock(4))
     world.stop(4)
     world.run(world.now + 20 * SECOND)
     assert dead_views(world) == {4}
@@ -126,7 +126,7 @@
     world = settled(9)
     drain(world, 0, 2, 7)
     world.run(world.now + SECOND)
-    world.nodes[3].saw(world.clock(3), 5, 3, True, 0, 1.0, world.clock(3))
+    world.nodes[3].observe(world.clock(3), 5, 3, True, 0, 1.0, world.clock(3))
     world.run(world.now + SECOND)
     for node in (2, 3, 6):
         world.skew[node] += 60 * SECOND
@@ -135,7 +135,7 @@
     world.run(world.now + 3 * SECOND)
     assert not dead_views(world) and drained(world, 7) == 8
     assert sum(f.counts["stalls"] for f in world.nodes.values()) == 3
-    world.run(world.now + 16 * SECOND)  # the sight has had its time, by every clock
+    world.run(world.now + 16 * SECOND)  # the observation has had its time, by every clock
     assert all(not f.beliefs.rows(5) for f in world.nodes.values())
 
 
@@ -191,8 +191,8 @@
     send = world.send
 
     def counted(node: int, out: list) -> None:  # type: ignore[type-arg]
-        for to, word in out:
-            if word.kind == Kind.DIGEST and word.subject == to:
+        for to, message in out:
+            if message.kind == Kind.DIGEST and message.subject == to:
                 asked[to] = asked.get(to, 0) + 1
         send(node, out)
 
@@ -207,7 +207,9 @@
 def test_a_silent_server_is_told_once_two_have_met_it_and_taken_back() -> None:
     world = settled(21)
     for witness in (2, 3):
-        world.nodes[witness].saw(world.clock(witness), 6, 2, False, 0, 1.0, world.clock(witness))
+        world.nodes[witness].observe(
+            world.clock(witness), 6, 2, False, 0, 1.0, world.clock(witness)
+        )
     told: dict[int, Told | None] = {}
 
     def ask() -> bool:
@@ -218,7 +220,9 @@
 
     assert world.run(world.now + SECOND, ask)
     for witness in (2, 3):
-        world.nodes[witness].saw(world.clock(witness), 6, 0, False, 0, 1.0, world.clock(witness))
+        world.nodes[witness].observe(
+            world.clock(witness), 6, 0, False, 0, 1.0, world.clock(witness)
+        )
 
     def back() -> bool:
         ask()
@@ -238,11 +242,11 @@
     for i in range(2000):
         records = (
             Listed(7, 0, 4, State.DRAINING, 0), Life(3, 1, Standing.DEAD),
-            Seen(9, 0, 8, 1, i, 3, 0, 0, 0, 0),
+            Observation(9, 0, 8, 1, i, 3, 0, 0, 0, 0),
         )  # fmt: skip
-        word = Word(Kind.NEWS, 8, liar, records=records)
+        message = Message(Kind.GOSSIP, 8, liar, records=records)
         for to in range(8):
-            world.later(began + i * MS, world._deliver, 8, to, word)
+            world.later(began + i * MS, world._deliver, 8, to, message)
     world.run(began + 3 * SECOND)
     assert all(f.members.living(3) for f in world.nodes.values())
     assert drained(world, 7) >= 7
--- a/tests/test_list_world.py
+++ b/tests/test_list_world.py
@@ -23,9 +23,9 @@
     unpack,
 )
 from flinthatch.fleet.members import Members
+from flinthatch.fleet.messages import How, Kind, Life, Message, Outgoing, Reading, Standing, sound
 from flinthatch.fleet.readers import FAILED_FOR, FIRST_STEP, PAUSE, STALE, Readers, rank
 from flinthatch.fleet.shared import PIECE_HEAD, SharedList
-from flinthatch.fleet.words import How, Kind, Life, Out, Reading, Standing, Word, sound
 from flinthatch.model import MS, SECOND
 from lab.lists import LINES, ListWorld, row
 from windrelay.peers.codec import decode, encode
@@ -152,11 +152,11 @@
     most = (1 << 63) - 1
     piece = Piece(most, most, most, most, 4096, 4095, (1 << 32) - 1, 999)
     body = bytes(256 - PIECE_HEAD)
-    word = Word(Kind.PIECE, 999, (1 << 48) - 1, digest=tuple(piece), body=body)
+    word = Message(Kind.PIECE, 999, (1 << 48) - 1, digest=tuple(piece), body=body)
     data = encode(word, 7)
     assert len(data) <= 256 and decode(data, 7) == word
     missing = (most, most, most, (1 << 32) - 1, *range(4000, 4016))
-    assert len(encode(Word(Kind.WANT, 999, (1 << 48) - 1, digest=missing), 7)) <= 256
+    assert len(encode(Message(Kind.WANT, 999, (1 << 48) - 1, digest=missing), 7)) <= 256
 
 
 # ---- who reads ---------------------------------------------------------------------
@@ -223,15 +223,15 @@
     assert PAUSE < FAILED_FOR
 
 
-def send_step(shared: SharedList, step: Step, origin: int, root: int) -> list[Out]:
+def send_step(shared: SharedList, step: Step, origin: int, root: int) -> list[Outgoing]:
     """A step's pieces as words of that node; what is passed on."""
     packed, room = pack(step), 256 - PIECE_HEAD
     total, out = -(-len(packed.data) // room), []
     for n in range(total):
         piece = Piece(*step.to, step.base, total, n, packed.check, root)
         body = packed.data[n * room : (n + 1) * room]
-        word = Word(Kind.PIECE, origin, 9, digest=tuple(piece), body=body)
-        out += shared.hear(MS, word)
+        word = Message(Kind.PIECE, origin, 9, digest=tuple(piece), body=body)
+        out += shared.receive(MS, word)
     return out
 
 
@@ -271,7 +271,7 @@
     shared.caught_up = True
     shared.readers.merge(MS, Reading(1, 9, 1, How.READ, *over.to, 0))
     shared.turn(2 * MS)
-    (asked,) = (o.word for o in shared.turn(SECOND) if o.word.kind == Kind.WANT)
+    (asked,) = (o.message for o in shared.turn(SECOND) if o.message.kind == Kind.WANT)
     assert asked.digest[:3] == NOTHING
     send_step(shared, Step(WHOLE, over.to, dict(flapped.rows)), 1, -1)
     assert shared.copy.rows == flapped.rows and "s3" in shared.copy.rows
@@ -310,9 +310,9 @@
     order = sorted(range(5), key=rank)
     shared = SharedList(Members(order[2], 5, 1, 1), 5, 2, 256, 1, 0)
     shared.caught_up = True
-    shared._members.hear(0, order[0], 9)
+    shared._members.receive(0, order[0], 9)
     now = FIRST_STEP + MS
-    shared._members.hear(now, order[0], 9)
+    shared._members.receive(now, order[0], 9)
     shared.turn(now)
     assert shared.reads  # nobody gave a sign
     for node in order[:2]:
@@ -520,8 +520,8 @@
     lie = Reading(liar, fleet.members.incarnation, 99, How.READ, 5, 10**6, 1, 0)
     for node in range(12):
         if node != liar:
-            said = Word(Kind.NEWS, liar, fleet.members.incarnation, records=(lie,))
-            world.send(node, world.nodes[node].hear(world.clock(node), said))
+            said = Message(Kind.GOSSIP, liar, fleet.members.incarnation, records=(lie,))
+            world.send(node, world.nodes[node].receive(world.clock(node), said))
     world.run(world.now + 8 * SECOND)
     held = [f.shared for f in world.nodes.values() if f.shared]
     asked = sum(s.counts["asked for what is missing"] for s in held)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -17,7 +17,7 @@
 import msgpack
 import pytest
 
-from flinthatch.fleet.words import Kind, Life, Listed, Seen, Word
+from flinthatch.fleet.messages import Kind, Life, Listed, Message, Observation
 from flinthatch.model import State
 from standins.discovery import target
 from standins.fleet import Process, backends, started
@@ -137,7 +137,7 @@
             wait_until(lambda n=n: t.verdicts(n).get(bad) != "-")  # type: ignore[misc]
         said = StringIO()
         assert show([t.nodes[4].admin], said) == 0
-        assert f"server {bad}: " in said.getvalue() and " s ago: struck " in said.getvalue()
+        assert f"server {bad}: " in said.getvalue() and " s ago: failures " in said.getvalue()
         before = received(servers[1])
         for n in (2, 3, 4):
             assert {ask(t.nodes[n], f"s{n}-{i}") for i in range(20)} == {200}
@@ -232,15 +232,17 @@
 
 def test_ten_thousand_words_of_every_bad_kind_cost_no_request(tmp_path: Path) -> None:
     number = tier_number("nodes")
-    word = Word(Kind.NEWS, 1, 50)
-    good = encode(word, number)
+    message = Message(Kind.GOSSIP, 1, 50)
+    good = encode(message, number)
     kinds = {
         "short": b"abc",
         "broken": good[:-1] + b"\xff",
-        "another tier": encode(word, number ^ 1),
-        "misnamed": encode(word._replace(origin=2), number),
-        "unsound": encode(word._replace(records=(Seen(1, 0, 9, 1, 1, 99, 0, 0, 0, 0),)), number),
-        "old": encode(word._replace(incarnation=3), number),
+        "another tier": encode(message, number ^ 1),
+        "misnamed": encode(message._replace(origin=2), number),
+        "unsound": encode(
+            message._replace(records=(Observation(1, 0, 9, 1, 1, 99, 0, 0, 0, 0),)), number
+        ),
+        "old": encode(message._replace(incarnation=3), number),
     }
     with by_hand(tmp_path) as (n, peers, to, server):
         stranger = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -266,7 +268,7 @@
             peers[1].sendto(good, to)
         n.process.send_signal(signal.SIGCONT)
         assert served(n, server) == "HTTP/1.1 200 OK"
-        later = encode(word._replace(incarnation=51), number)
+        later = encode(message._replace(incarnation=51), number)
 
         def heard() -> bool:
             peers[1].sendto(later, to)
@@ -283,7 +285,8 @@
 
     rows = [[9, 1, 2], [1, backend_id("s-1"), 0, 7, int(State.DRAINING), 0, 77]]
     body = struct.pack(">BH", 1, tier_number("nodes"))
-    # A kind of word that comes with a later version, as loans came with this one, then a known one.
+    # A kind of message that comes with a later version, as leases came with this one, then
+    # a known one.
     later = body + msgpack.packb([99, 1, 50, 0, -1, [], [], "more"])
     body += msgpack.packb([3, 1, 50, 0, -1, [], rows, "more"])
     with by_hand(tmp_path) as (n, peers, to, _server):
@@ -306,51 +309,55 @@
     with by_hand(tmp_path) as (n, peers, to, server):
         first = json.loads(n.call("GET /peers")[2])["incarnation"]
         lies = (Life(0, first + 5, 2), Listed(backend_id("s-1"), 3, 9, State.GONE, 0))
-        peers[1].sendto(encode(Word(Kind.NEWS, 1, 50, records=lies), number), to)
+        peers[1].sendto(encode(Message(Kind.GOSSIP, 1, 50, records=lies), number), to)
         wait_until(lambda: json.loads(n.call("GET /peers")[2])["incarnation"] == first + 6)
         assert served(n, server) == "HTTP/1.1 200 OK"  # gone was another start of that server
 
 
-def test_an_idle_node_lends_its_upper_seats_once_and_says_so(tmp_path: Path) -> None:
+def test_an_idle_node_lends_its_upper_slots_once_and_says_so(tmp_path: Path) -> None:
     number = tier_number("nodes")
     with by_hand(tmp_path, 5) as (n, peers, to, server):
 
         def asked(node: int, serial: int) -> int:
             """What this node, which lives, is lent; an answer names its question."""
             peers[node].settimeout(0.1)
-            peers[node].sendto(encode(Word(Kind.BORROW, node, 50, serial), number), to)
+            peers[node].sendto(encode(Message(Kind.LEASE_REQUEST, node, 50, serial), number), to)
             with contextlib.suppress(TimeoutError):
                 while True:
-                    word = decode(peers[node].recv(2048), number)
-                    assert word is not None
-                    if word.kind == Kind.LEND and word.serial == serial:
-                        return word.subject
-                    if word.kind == Kind.ASK:
-                        back = Word(Kind.ANSWER, node, 50, word.serial, node)
+                    message = decode(peers[node].recv(2048), number)
+                    assert message is not None
+                    if message.kind == Kind.LEASE_GRANT and message.serial == serial:
+                        return message.subject
+                    if message.kind == Kind.PING:
+                        back = Message(Kind.ACK, node, 50, message.serial, node)
                         peers[node].sendto(encode(back, number), to)
             return -1
 
         def told() -> bool:
             said = StringIO()
             show([f"127.0.0.1:{n.admin}"], said)
-            return "seats lent: at 8 in 8 servers to node 2" in said.getvalue()
+            return "slots lent: at 8 in 8 servers to node 2" in said.getvalue()
 
         # Nothing at first: an earlier start of this node may have lent what is its own.
         wait_until(lambda: asked(2, 77) == 255 and asked(4, 78) == 0 and told())
-        assert asked(1, 79) == -1  # of another zone: it has no seats at these servers
+        assert asked(1, 79) == -1  # of another zone: it has no slots at these servers
         assert served(n, server) == "HTTP/1.1 200 OK"
         # Two processes under one name: neither may use what the other is lent.
         for serial in range(4):
-            peers[2].sendto(encode(Word(Kind.BORROW, 2, 60, 90), number), to)
-            peers[2].sendto(encode(Word(Kind.BORROW, 2, 50, 91 + serial), number), to)
+            peers[2].sendto(encode(Message(Kind.LEASE_REQUEST, 2, 60, 90), number), to)
+            peers[2].sendto(encode(Message(Kind.LEASE_REQUEST, 2, 50, 91 + serial), number), to)
 
         def refused() -> bool:
-            peers[2].sendto(encode(Word(Kind.BORROW, 2, 60, 99), number), to)
+            peers[2].sendto(encode(Message(Kind.LEASE_REQUEST, 2, 60, 99), number), to)
             with contextlib.suppress(TimeoutError):
                 while True:
-                    word = decode(peers[2].recv(2048), number)
-                    if word is not None and word.kind == Kind.LEND and word.serial == 99:
-                        return word.subject == 0
+                    message = decode(peers[2].recv(2048), number)
+                    if (
+                        message is not None
+                        and message.kind == Kind.LEASE_GRANT
+                        and message.serial == 99
+                    ):
+                        return message.subject == 0
             return False
 
         wait_until(refused)
@@ -379,7 +386,7 @@
         first = t.status(0)["incarnation"]
         with started(("-m", "windrelay"), t.config(0)) as successor:
             successor.read_on()
-            wait_until(lambda: "words between 3 nodes" in successor.heard)
+            wait_until(lambda: "gossip between 3 nodes" in successor.heard)
             other = Process(successor.popen, successor.admin)
             wait_until(lambda: other.call("GET", "/peers")["caught_up"])
             incarnations = [r[2] for r in t.status(1)["nodes"] if r[0] == 0]
@@ -387,10 +394,10 @@
             assert not [r for r in t.status(1)["nodes"] if r[4]]  # nobody is doubted
 
 
-def test_loans_end_whoever_is_stopped_or_upgraded_and_no_server_holds_more(
+def test_leases_end_whoever_is_stopped_or_upgraded_and_no_server_holds_more(
     servers: list[Process], tmp_path: Path
 ) -> None:
-    """Three nodes before servers of three seats; node 0 has all clients, and borrows."""
+    """Three nodes before servers of three slots; node 0 has all clients, and borrows."""
     fleet = tmp_path / "fleet.toml"
     fleet.write_text("version = 1\nseats = 3\n")
     with listen() as free:
--- a/windrelay/__main__.py
+++ b/windrelay/__main__.py
@@ -185,7 +185,9 @@
     def peers(self) -> Reply:
         """What this node has from the others, as JSON."""
         peers = self.node.peers
-        return Reply(404, "no words between nodes") if peers is None else Reply(200, peers.status())
+        if peers is None:
+            return Reply(404, "no gossip between nodes")
+        return Reply(200, peers.status())
 
     def standby(self) -> Reply:
         """Send clients away; a stop does so too, and the answer is the same."""
--- a/windrelay/config.py
+++ b/windrelay/config.py
@@ -50,7 +50,7 @@
     consul: str  # likewise of the consul file
     admin: Address | None  # the second address, where there is one
     fleet: str  # the fleet file's path
-    peer_listen: Address | None  # where words between nodes are allowed
+    peer_listen: Address | None  # where gossip between nodes is allowed
     peers: tuple[Address, ...]  # by the nodes' numbers
     keys: frozenset[str]  # what the file had, for a reload to miss what has gone
 
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -79,7 +79,7 @@
         self.log_lines = 0
         self.balancer = Balancer(config.settings, config.seed, self)
         self.routing: Routing | None = None
-        self.peers: Peers | None = None  # words between nodes, where the settings allow them
+        self.peers: Peers | None = None  # gossip between nodes, where the settings allow them
         self.policies: Attempts | None = None  # with the first routes file
 
     def _members(self) -> Discovery | ConsulMembers:
@@ -125,7 +125,7 @@
             # counts from the first moment on.
             self.discovery.watch()
 
-    # ---- words between nodes ---------------------------------------------
+    # ---- gossip between nodes --------------------------------------------
 
     def _meet_peers(self) -> None:
         """Take part in the fleet, where that is allowed; FleetError where its file is no good."""
@@ -133,9 +133,9 @@
         if config.peer_listen is None or len(config.peers) < 2:
             return
         if config.settings.node >= len(config.peers):
-            self.log(f"no words between nodes: peers name no node {config.settings.node}")
+            self.log(f"no gossip between nodes: peers name no node {config.settings.node}")
             return
-        # Here and not above: without words the node is as small as ever.
+        # Here and not above: without gossip the node is as small as ever.
         from windrelay.peers.link import Peers
 
         self.peers = Peers(self, config)
--- a/windrelay/operator/peers.py
+++ b/windrelay/operator/peers.py
@@ -1,7 +1,7 @@
 """`python -m windrelay peers ADDRESS`: what a running node has from the others.
 
 ADDRESS is the node's second one. Who lives, what is believed of which server, from whom,
-how old, what has come of it, and how many words of each kind were heard, sent or dropped.
+how old, what has come of it, and how many messages of each kind were heard, sent or dropped.
 """
 
 from __future__ import annotations
@@ -59,7 +59,7 @@
     for way, word in (("lent", "to"), ("borrowed", "from")):
         for node, eighths, left in status[way]:
             out.append(
-                f"  seats {way}: at {eighths} in 8 servers {word} node {node}, for {left} ms more"
+                f"  slots {way}: at {eighths} in 8 servers {word} node {node}, for {left} ms more"
             )
     if "list" in status:
         out += _list_lines(status["list"])
@@ -72,9 +72,9 @@
         # Where witnesses say different things the copies stand beside one another.
         out += rows
     if not servers:
-        out.append("no word on any server")
+        out.append("no record of any server")
     counts = ", ".join(f"{name} {n}" for name, n in status["counts"].items())
-    return [*out, f"words: {counts}"]
+    return [*out, f"messages: {counts}"]
 
 
 def _list_lines(held: dict[str, Any]) -> list[str]:
--- a/windrelay/peers/__init__.py
+++ b/windrelay/peers/__init__.py
@@ -1,1 +1,1 @@
-"""Words between nodes: bytes, sockets and pace; what they mean is decided in flinthatch/fleet/."""
+"""Gossip between nodes: bytes, sockets and pace; flinthatch/fleet/ decides what it means."""
--- a/windrelay/peers/codec.py
+++ b/windrelay/peers/codec.py
@@ -1,4 +1,4 @@
-"""A word as one datagram: a checksum, the version, the tier, and MessagePack.
+"""A message as one datagram: a checksum, the version, the tier, and MessagePack.
 
     0  4 bytes  CRC-32 of all that follows
     4  1 byte   version
@@ -7,7 +7,7 @@
                 in a piece of the list its bytes behind them
 
 Records are arrays with their kind first; ages go out in milliseconds. What a reader does not
-know (a kind of word or record, further figures behind those it knows) it skips.
+know (a kind of message or record, further figures behind those it knows) it skips.
 """
 
 from __future__ import annotations
@@ -17,17 +17,17 @@
 
 import msgpack
 
-from flinthatch.fleet.words import Kind, Life, Listed, Reading, Record, Seen, Word
+from flinthatch.fleet.messages import Kind, Life, Listed, Message, Observation, Reading, Record
 from flinthatch.model import MS
 
 VERSION = 1
 _HEAD = struct.Struct(">IBH")
-_KINDS: dict[int, type[Record]] = {0: Life, 1: Listed, 2: Seen, 3: Reading}
+_KINDS: dict[int, type[Record]] = {0: Life, 1: Listed, 2: Observation, 3: Reading}
 _NUMBERS: dict[type[Record], int] = {made: number for number, made in _KINDS.items()}
 _KNOWN = {int(kind) for kind in Kind}
 
 
-class BadWord(ValueError):
+class BadMessage(ValueError):
     """A datagram that is none of ours; the text is what it is counted under."""
 
 
@@ -35,12 +35,12 @@
     return crc32(name.encode()) & 0xFFFF
 
 
-def encode(word: Word, number: int) -> bytes:
-    """A word for the tier of this number."""
-    rows = [_row(record) for record in word.records]
-    fields = [int(word.kind), *word[1:5], list(word.digest), rows]
-    if word.body:
-        fields.append(word.body)
+def encode(message: Message, number: int) -> bytes:
+    """A message for the tier of this number."""
+    rows = [_row(record) for record in message.records]
+    fields = [int(message.kind), *message[1:5], list(message.digest), rows]
+    if message.body:
+        fields.append(message.body)
     packed: bytes = msgpack.packb(fields)
     body = struct.pack(">BH", VERSION, number) + packed
     return struct.pack(">I", crc32(body)) + body
@@ -53,44 +53,44 @@
     return row
 
 
-def decode(data: bytes, number: int) -> Word | None:
-    """The word; None where its kind is not known here. BadWord on anything else."""
+def decode(data: bytes, number: int) -> Message | None:
+    """The message; None where its kind is not known here. BadMessage on anything else."""
     if len(data) < _HEAD.size:
-        raise BadWord("short")
+        raise BadMessage("short")
     check, version, of = _HEAD.unpack_from(data)
     if crc32(data[4:]) != check:
-        raise BadWord("broken")
+        raise BadMessage("broken")
     if version != VERSION:
-        raise BadWord("another version")
+        raise BadMessage("another version")
     if of != number:
-        raise BadWord("another tier")
+        raise BadMessage("another tier")
     try:
         fields = msgpack.unpackb(data[_HEAD.size :])
         kind, origin, incarnation, serial, subject, digest, rows = fields[:7]
         figures = (kind, origin, incarnation, serial, subject, *digest)
         if not all(type(f) is int for f in figures):
-            raise BadWord("unsound")
+            raise BadMessage("unsound")
         if kind not in _KNOWN:
             return None
         records = tuple(r for r in map(_record, rows) if r is not None)
         body = fields[7] if kind == Kind.PIECE and len(fields) > 7 else b""
         if not isinstance(body, bytes):
-            raise BadWord("unsound")
+            raise BadMessage("unsound")
     except (ValueError, TypeError, msgpack.UnpackException) as err:
-        raise BadWord("unsound") from err
-    return Word(Kind(kind), origin, incarnation, serial, subject, tuple(digest), records, body)
+        raise BadMessage("unsound") from err
+    return Message(Kind(kind), origin, incarnation, serial, subject, tuple(digest), records, body)
 
 
 def _record(row: list[int]) -> Record | None:
     """One record; None where its kind is not known here. ValueError on one that is short."""
     if not isinstance(row, list) or not row or not all(type(f) is int for f in row):
-        raise BadWord("unsound")
+        raise BadMessage("unsound")
     made = _KINDS.get(row[0])
     if made is None:
         return None
     count = len(made._fields)
     if len(row) <= count:
-        raise BadWord("unsound")
+        raise BadMessage("unsound")
     figures = row[1 : count + 1]
     if made is not Life:
         figures[-1] *= MS
--- a/windrelay/peers/file.py
+++ b/windrelay/peers/file.py
@@ -15,8 +15,8 @@
 
 KEYS = ("version", "tier", "datagram", "words", "seats", "readers")
 LEAST_DATAGRAM, MOST_DATAGRAM = 128, 1400
-LEAST_WORDS, MOST_WORDS = 5, 1000
-MOST_SEATS = 10_000
+LEAST_MESSAGES, MOST_MESSAGES = 5, 1000
+MOST_SLOTS = 10_000
 MOST_READERS = 16
 
 
@@ -37,12 +37,12 @@
     usual = FleetFile()
     tier = top.text("tier", usual.tier)
     datagram = _within(top, "datagram", usual.datagram, LEAST_DATAGRAM, MOST_DATAGRAM)
-    words = _within(top, "words", usual.words, LEAST_WORDS, MOST_WORDS)
-    seats = _within(top, "seats", usual.seats, 1, MOST_SEATS)
+    messages = _within(top, "words", usual.messages, LEAST_MESSAGES, MOST_MESSAGES)
+    slots = _within(top, "seats", usual.slots, 1, MOST_SLOTS)
     readers = _within(top, "readers", usual.readers, 0, MOST_READERS)
     if top.faults:
         return None, sorted(top.faults)
-    return FleetFile(tier, datagram, words, seats, readers), []
+    return FleetFile(tier, datagram, messages, slots, readers), []
 
 
 def _within(top: Section, key: str, usual: int, least: int, most: int) -> int:
--- a/windrelay/peers/link.py
+++ b/windrelay/peers/link.py
@@ -1,6 +1,6 @@
 """One node's socket to the others: datagrams in and out, who may speak, and the fleet's turns.
 
-Opened only where the settings allow words between nodes. Whatever comes here is bounded
+Opened only where the settings allow messages between nodes. Whatever comes here is bounded
 before it is looked at, and no request waits for any of it.
 """
 
@@ -16,13 +16,13 @@
 from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
 
 from flinthatch import Balancer, Listing, Update
+from flinthatch.fleet.bridge import BalancerBridge
 from flinthatch.fleet.bucket import Bucket
-from flinthatch.fleet.desk import Desk
 from flinthatch.fleet.fleet import Fleet, Terms
-from flinthatch.fleet.words import Out, Standing
+from flinthatch.fleet.messages import Outgoing, Standing
 from flinthatch.model import MS, SECOND
 from windrelay.config import Config
-from windrelay.peers.codec import BadWord, decode, encode, tier
+from windrelay.peers.codec import BadMessage, decode, encode, tier
 from windrelay.peers.terms import FleetFile
 
 if TYPE_CHECKING:
@@ -30,14 +30,14 @@
     from windrelay.discovery import Discovery
 
 READ_ONCE = 32  # datagrams a turn of the loop: requests come in between
-FROM_ONE = 300  # datagrams a second of one node; those that catch up get BULK a second
+FROM_ONE = 300  # datagrams a second of one node; those that catch up get CATCH_UP_RATE a second
 ALL = 1500  # datagrams a second looked at in all
-BUFFER = 64 << 10  # bytes that wait in the socket: a stopped node keeps no more old words
+BUFFER = 64 << 10  # bytes that wait in the socket: a stopped node keeps no more old messages
 BIND_S = 0.1  # until the port is tried again, while another process of this node holds it
 
 
 class Host(Protocol):
-    """What the words ask of the host."""
+    """What the peers' socket asks of the host."""
 
     loop: asyncio.AbstractEventLoop
     balancer: Balancer
@@ -61,7 +61,7 @@
     def __init__(self, host: Host, config: Config) -> None:
         file = FleetFile()
         if config.fleet:
-            # Here and not above: reading TOML takes more memory than all words do.
+            # Here and not above: reading TOML takes more memory than all gossip does.
             from windrelay.peers.file import read_fleet
 
             file = read_fleet(config.fleet)
@@ -82,12 +82,12 @@
         if readers != file.readers:
             host.log("readers: of no use where lists are pushed, or come from Consul")
         terms = Terms(
-            len(config.peers), s.node, s.zones, file.words, file.datagram, file.seats, readers
+            len(config.peers), s.node, s.zones, file.messages, file.datagram, file.slots, readers
         )
         # The wall clock is read here alone, for a number that this node's last start lies
         # under; where it has jumped back, others tell us and we go on from theirs.
         self.fleet = Fleet(terms, config.seed, time.time_ns() // MS, now)
-        self.desk = Desk(self.fleet, host.balancer)
+        self.bridge = BalancerBridge(self.fleet, host.balancer)
         self.shared = None
         if self.fleet.shared is not None:
             # Here and not above: where each node reads for itself it costs nothing.
@@ -115,15 +115,15 @@
         except OSError as err:
             sock.close()
             if not self.counts["port taken"]:
-                self._host.log(f"words between nodes: {self._listen}: {err.strerror}; waiting")
+                self._host.log(f"gossip between nodes: {self._listen}: {err.strerror}; waiting")
             self.counts["port taken"] += 1
-            # Where it is never free this node must come to serve as one without words.
+            # Where it is never free this node must come to serve as one without gossip.
             self._after(time.monotonic_ns())
             self._timer = self._host.loop.call_later(BIND_S, self.open)
             return
         self._sock = sock
         self._host.loop.add_reader(sock, self._read)
-        self._host.log(f"words between {len(self._addresses)} nodes at {self._listen}")
+        self._host.log(f"gossip between {len(self._addresses)} nodes at {self._listen}")
         self._turn()
 
     def close(self, leaving: bool) -> None:
@@ -137,9 +137,9 @@
             self._host.loop.remove_reader(self._sock)
             self._sock.close()
             self._sock = None
-            tidings = self.desk.quit(time.monotonic_ns())
-            if tidings is not None:
-                self._host.moves(self.desk.tell, tidings)
+            update = self.bridge.quit(time.monotonic_ns())
+            if update is not None:
+                self._host.moves(self.bridge.apply, update)
 
     def _discard(self) -> None:
         """Throw away what has waited while we stood still: nobody can tell how old it is."""
@@ -161,7 +161,7 @@
             except BlockingIOError:
                 break
             except OSError:
-                continue  # a refused word of ours is told here: its node says nothing, no more
+                continue  # a refused message of ours is told here: its node says nothing, no more
             self._heard(now, data, source[:2])
         self._after(now)
 
@@ -174,27 +174,27 @@
             self.counts["too many"] += 1
             return
         try:
-            word = decode(data, self._tier)
-        except BadWord as err:
+            message = decode(data, self._tier)
+        except BadMessage as err:
             self.counts[str(err)] += 1
             return
-        if word is None:
+        if message is None:
             self.counts["unknown kind"] += 1
-        elif word.origin != speaker.node:
+        elif message.origin != speaker.node:
             # One who speaks under another's name, or a list in another order.
             self.counts["misnamed"] += 1
         else:
             self.counts["heard"] += 1
-            self._send(self.fleet.hear(now, word))
+            self._send(self.fleet.receive(now, message))
 
-    def _send(self, out: Iterable[Out]) -> None:
+    def _send(self, out: Iterable[Outgoing]) -> None:
         if self._sock is None:
             return
-        for to, word in out:
-            data = encode(word, self._tier)
+        for to, message in out:
+            data = encode(message, self._tier)
             self.counts["sent"] += 1
             self.counts["bytes sent"] += len(data)
-            # Lost like any other word: a full buffer, a route that has gone.
+            # Lost like any other message: a full buffer, a route that has gone.
             with contextlib.suppress(OSError):
                 self._sock.sendto(data, self._addresses[to])
 
@@ -205,18 +205,18 @@
         now = time.monotonic_ns()
         if self.fleet.stood_still(now):
             self._discard()
-        self.desk.look(now)
+        self.bridge.report(now)
         self._send(self.fleet.turn(now))
         self._after(now)
 
     def _after(self, now: int) -> None:
         """Tell the Balancer what is new, and come again when it is time."""
         fleet = self.fleet
-        tidings = self.desk.collect(now)
-        if tidings is not None:
-            self._host.moves(self.desk.tell, tidings)
-        if self.desk.living != self._living:
-            self._living = self.desk.living
+        update = self.bridge.collect(now)
+        if update is not None:
+            self._host.moves(self.bridge.apply, update)
+        if self.bridge.living != self._living:
+            self._living = self.bridge.living
             self._host.log(f"{self._living} of {len(self._addresses)} nodes live")
         if self.shared is not None:
             self.shared.after(now, self._sock is not None)
@@ -271,7 +271,7 @@
             "counts": dict(sorted((self.counts + fleet.counts).items())),
             "health": m.health, "refuted": m.refuted,
         }  # fmt: skip
-        found |= fleet.loans.report(now)
+        found |= fleet.leases.report(now)
         if fleet.shared is not None:
             found["list"] = fleet.shared.report(now)
         return json.dumps(found)
--- a/windrelay/peers/lists.py
+++ b/windrelay/peers/lists.py
@@ -60,7 +60,7 @@
             self._shared.copy.begin(known["rev"], rows)
 
     def after(self, now: int, spoken: bool) -> None:
-        """Read or leave it to others, and go by what they have read; after each turn and word."""
+        """Read or leave it to others, and go by what they read; after each turn and message."""
         shared = self._shared
         if not spoken:
             shared.alone(now)
--- a/windrelay/peers/terms.py
+++ b/windrelay/peers/terms.py
@@ -7,11 +7,11 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetFile:
-    """`datagram`: bytes; `words`: a second; `seats`: requests that every server takes at once;
+    """`datagram`: bytes; `messages`: a second; `slots`: requests that every server takes at once;
     `readers`: nodes that read the list for all, 0 where each does for itself."""
 
     tier: str = "nodes"
     datagram: int = 256
-    words: int = 20
-    seats: int = 15
+    messages: int = 20
+    slots: int = 15
     readers: int = 0
