--- a/lab/lists.py
+++ b/lab/lists.py
@@ -16,6 +16,7 @@
 from typing import NamedTuple
 
 from flinthatch import Balancer, Listing, RequestClass, Settings, State, Update
+from flinthatch.balancer import TIMER_CYCLE
 from flinthatch.fleet.fleet import Fleet
 from flinthatch.fleet.shared import Taken
 from flinthatch.fleet.words import Out, Word
@@ -282,6 +283,8 @@
     def _told(self, update: Update, rows: Mapping[str, str | None]) -> None:
         if self.ready < 0 and rows:
             self.ready = self.world.now
+        if update == Update.DELTA and not rows:
+            return  # without requests all it does is to deal the same servers anew
         skew = self.world.skew[self.node]
         found = [listing(uid, text, skew) for uid, text in rows.items()]
         self.balancer.on_members(self.world.clock(self.node), update, found)
@@ -290,6 +293,8 @@
         self.list.watch()
 
     def set_timer(self, token: int, due: int) -> None:
+        if token == TIMER_CYCLE:
+            return  # no requests: nothing to balance
         self.world.later(due - self.world.skew[self.node], self._timer, token)
 
     def _timer(self, token: int) -> None:
