--- /dev/null
+++ b/flinthatch/scale/assignment.py
@@ -0,0 +1,477 @@
+"""Which nodes hold a service: a pure function of the nodes, the living ones and the services.
+
+The base deal is over all registered nodes of a zone, whether they live or not. Each service has
+in each zone a fixed order of its nodes: probes of a hash ring (multi-probe consistent hashing,
+Appleton and O'Reilly 2015; each service's own probes make the sets of two services independent,
+as in shuffle sharding, AWS Builders' Library), and after the probes all others by rendezvous
+hashing (Thaler and Ravishankar 1998). The service goes to the first nodes of its order that have
+room; room is bounded by the mean times `load_factor` (consistent hashing with bounded loads,
+Mirrokni, Thorup and Zadimoghaddam 2018) and by what the node itself states.
+
+A dead node's services, and these alone, go to the next living nodes of their own order that have
+room, in the same zone. Nothing depends on the order in which nodes died: the assignment is made
+from the base each time. So the loss of a node changes the holders only of services that it
+held, and its return gives the earlier bytes. The exception: where a substitute is full because
+of others' loss, the service that is later in the deal goes one further.
+
+How many nodes of a zone hold a service: enough for the rate that the zone sees once any one
+of the service's other zones is lost, so that a lost zone moves nothing: its share falls on
+nodes that hold the service already. Only a service all of whose zones are lost is dealt to
+another zone.
+
+Alternatives are weighed in docs/design/scale.md.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from hashlib import blake2b
+from math import ceil
+from struct import Struct
+from typing import NamedTuple
+
+from flinthatch.scale.checks import check_nodes, check_services
+from flinthatch.scale.model import NodeSpec, ScaleError, ServiceSpec
+
+RING_POINTS = 16  # of one node: evens out the arcs, the bounded load does the rest
+PROBE_BLOCKS = 8  # hashes of one service and zone, PROBES_A_BLOCK probes each
+PROBES_A_BLOCK = 8
+MASK = (1 << 64) - 1
+
+_PROBES = Struct(f">{PROBES_A_BLOCK}Q")
+
+
+@dataclass(frozen=True, slots=True)
+class AssignmentRules:
+    """What decides how many nodes hold a service, and how much of it one node takes.
+
+    Raises:
+        ScaleError: a figure is out of its range.
+    """
+
+    least_per_zone: int = 2  # holders in each zone that a service's clients come in
+    most_sharers: int = 12  # nodes that share one service's backends: 15 connections, less room
+    node_rate: float = 400.0  # requests a second that a node may take, where it states none
+    load_factor: float = 1.25  # of the mean number of services a node, that one may hold
+    largest_share: float = 0.5  # of a node's rate, that one service may take
+    sharers: Mapping[str, int] = field(default_factory=dict)  # other `most_sharers`, by service
+    everywhere: frozenset[str] = frozenset()  # services that every node of their zones holds
+
+    def __post_init__(self) -> None:
+        if not 1 <= self.least_per_zone <= 64:
+            raise ScaleError(f"rules: least_per_zone is {self.least_per_zone}, must be 1 to 64")
+        if not 1 <= self.most_sharers <= 20_000:
+            raise ScaleError(f"rules: most_sharers is {self.most_sharers}, must be 1 to 20000")
+        if not 0 < self.node_rate <= 1e9:
+            raise ScaleError(f"rules: node_rate is {self.node_rate}, must be over 0, up to 1e9")
+        if not 1 < self.load_factor <= 10:
+            raise ScaleError(f"rules: load_factor is {self.load_factor}, must be over 1, up to 10")
+        if not 0 < self.largest_share <= 1:
+            raise ScaleError(f"rules: largest_share is {self.largest_share}, must be over 0 to 1")
+        for service, most in self.sharers.items():
+            if not 1 <= most <= 20_000:
+                raise ScaleError(f"rules: sharers of {service!r} is {most}, must be 1 to 20000")
+
+
+class Rule(Enum):
+    """What an assignment could not keep."""
+
+    CONNECTIONS = "more nodes share the backends than their connections allow"
+    RATE = "the zone has too few nodes for the rate"
+    LEAST = "fewer nodes of the zone hold it than the least"
+    ROOM = "its nodes are lost and no living node of the zone has room"
+    ZONES = "all its zones are lost, another zone holds it"
+
+
+class Unmet(NamedTuple):
+    """A rule that is not kept for a service; `zone` is empty where it concerns all zones."""
+
+    service: str
+    zone: str
+    rule: Rule
+
+
+@dataclass(frozen=True, slots=True)
+class Assignment:
+    """Who holds what. `holders` names every service, `held` every registered node.
+
+    `digest` is of a canonical form of `holders` (blake2b, 16 bytes as hex): two machines with the
+    same digest have the same assignment.
+    """
+
+    holders: Mapping[str, tuple[str, ...]]
+    held: Mapping[str, tuple[str, ...]]
+    unmet: tuple[Unmet, ...]
+    digest: str
+
+
+def assign(
+    nodes: Sequence[NodeSpec],
+    alive: Collection[str],
+    services: Sequence[ServiceSpec],
+    rules: AssignmentRules,
+) -> Assignment:
+    """Assign services to nodes; see `Assigner`, which is cheaper for a second question.
+
+    Raises:
+        ScaleError: as `Assigner` and `Assigner.with_alive` do.
+    """
+    return Assigner(nodes, services, rules).with_alive(alive)
+
+
+class Assigner:
+    """The base deal, kept, and the assignment for any set of living nodes.
+
+    Raises:
+        ScaleError: the nodes or services can't be used (see `checks`).
+    """
+
+    def __init__(
+        self, nodes: Sequence[NodeSpec], services: Sequence[ServiceSpec], rules: AssignmentRules
+    ) -> None:
+        check_nodes(nodes)
+        check_services(services, nodes)
+        self.rules = rules
+        self.nodes = {node.name: node for node in sorted(nodes, key=lambda node: node.name)}
+        self.services = {spec.name: spec for spec in sorted(services, key=lambda spec: spec.name)}
+        self._zones = _zones_of(self.nodes.values(), rules)
+        self._shares = {spec.name: _share(spec, self._zones, rules) for spec in services}
+        self._order = sorted(services, key=_deal_order)
+        self._place = {spec.name: place for place, spec in enumerate(self._order)}
+        self._base: dict[str, dict[str, tuple[str, ...]]] = {}
+        self._base_unmet: dict[str, tuple[Unmet, ...]] = {}
+        self._deal()
+        self._base_holders = {name: _flat(self._base[name]) for name in self.services}
+        self._base_digests = {
+            name: _service_digest(name, holders) for name, holders in self._base_holders.items()
+        }
+        self._base_held = self._held_of(self._base_holders)
+
+    def with_alive(self, alive: Collection[str]) -> Assignment:
+        """The assignment while these nodes live.
+
+        Costs what the dead nodes held, and a copy of the tables.
+
+        Raises:
+            ScaleError: a name that no registered node has.
+        """
+        living = alive if isinstance(alive, set | frozenset) else frozenset(alive)
+        for name in living:
+            if name not in self.nodes:
+                raise ScaleError(f"alive: unknown node {name!r}, must be a registered one")
+        dead = [name for name in self.nodes if name not in living]
+        return _Repair(self, living, dead).run()
+
+    def _deal(self) -> None:
+        loads = {zone.name: _Loads(zone) for zone in self._zones.values()}
+        slots = {
+            zone.name: sum(share.holders.get(zone.name, 0) for share in self._shares.values())
+            for zone in self._zones.values()
+        }
+        for zone in self._zones.values():
+            loads[zone.name].bound_by_mean(slots[zone.name], self.rules.load_factor)
+        for spec in self._order:
+            share = self._shares[spec.name]
+            unmet = list(share.unmet)
+            dealt: dict[str, tuple[str, ...]] = {}
+            for zone_name, wanted in share.holders.items():
+                zone = self._zones[zone_name]
+                load = loads[zone_name]
+                chosen = _choose(zone, spec.name, wanted, share.rate[zone_name], load)
+                dealt[zone_name] = tuple(sorted(chosen))
+                if len(chosen) < wanted:
+                    unmet.append(Unmet(spec.name, zone_name, _short(chosen, self.rules)))
+            self._base[spec.name] = dealt
+            self._base_unmet[spec.name] = tuple(unmet)
+        self._loads = loads
+        for load in loads.values():
+            load.bound_by_nodes()
+
+    def _held_of(self, holders: Mapping[str, tuple[str, ...]]) -> dict[str, tuple[str, ...]]:
+        held: dict[str, list[str]] = {name: [] for name in self.nodes}
+        for service, names in holders.items():
+            for name in names:
+                held[name].append(service)
+        return {name: tuple(services) for name, services in held.items()}
+
+
+class _Zone:
+    """One zone's nodes, and their points on its ring."""
+
+    def __init__(self, name: str, region: str, nodes: Sequence[NodeSpec], rate: float) -> None:
+        self.name = name
+        self.region = region
+        self.nodes = nodes
+        self.rates = {node.name: node.rate or rate for node in nodes}
+        self.marks = {node.name: _hash64(f"node\0{node.name}") for node in nodes}
+        points = sorted(
+            (point, node.name)
+            for node in nodes
+            for block in range(RING_POINTS // PROBES_A_BLOCK)
+            for point in _points(f"point\0{block}\0{node.name}")
+        )
+        self._points = [point for point, _ in points]
+        self._owners = [name for _, name in points]
+
+    def order(self, service: str) -> Iterator[str]:
+        """Each node of the zone once, in this service's own order."""
+        seen: set[str] = set()
+        for block in range(PROBE_BLOCKS):
+            for probe in _points(f"probe\0{block}\0{self.name}\0{service}"):
+                place = bisect_left(self._points, probe)
+                owner = self._owners[place if place < len(self._points) else 0]
+                if owner not in seen:
+                    seen.add(owner)
+                    yield owner
+        mark = _hash64(f"rank\0{self.name}\0{service}")
+        rest = [(_mix(mark ^ self.marks[name]), name) for name in self.marks if name not in seen]
+        for _, name in sorted(rest):
+            yield name
+
+
+class _Loads:
+    """What the nodes of one zone hold so far, and how much more they may."""
+
+    def __init__(self, zone: _Zone) -> None:
+        self._zone = zone
+        self.services = dict.fromkeys(zone.marks, 0)
+        self.rates = dict.fromkeys(zone.marks, 0.0)
+        self.most = {node.name: node.capacity for node in zone.nodes}
+
+    def bound_by_mean(self, slots: int, load_factor: float) -> None:
+        """A node's part of all slots by its capacity, times the factor, within its capacity."""
+        total = sum(node.capacity for node in self._zone.nodes)
+        for node in self._zone.nodes:
+            part = ceil(load_factor * slots * node.capacity / total)
+            self.most[node.name] = min(node.capacity, max(part, 1))
+
+    def bound_by_nodes(self) -> None:
+        """By what the nodes themselves state: what substitutes may use."""
+        for node in self._zone.nodes:
+            self.most[node.name] = node.capacity
+
+    def take(self, name: str, rate: float) -> bool:
+        """Give the node a share of this rate, unless that is over its part."""
+        if self.services[name] >= self.most[name]:
+            return False
+        if self.rates[name] + rate > self._zone.rates[name]:
+            return False
+        self.services[name] += 1
+        self.rates[name] += rate
+        return True
+
+
+class _Overlay(_Loads):
+    """Loads on top of the base deal's, which stays as it is."""
+
+    def __init__(self, base: _Loads) -> None:
+        self._base = base
+        self._services: dict[str, int] = {}
+        self._rates: dict[str, float] = {}
+
+    def take(self, name: str, rate: float) -> bool:
+        base = self._base
+        services = self._services.get(name, base.services[name])
+        rates = self._rates.get(name, base.rates[name])
+        if services >= base.most[name] or rates + rate > base._zone.rates[name]:
+            return False
+        self._services[name] = services + 1
+        self._rates[name] = rates + rate
+        return True
+
+
+class _Repair:
+    """One set of living nodes: substitutes for the dead ones' services."""
+
+    def __init__(self, assigner: Assigner, living: Collection[str], dead: Sequence[str]) -> None:
+        self._of = assigner
+        self._living = living
+        self._dead = dead
+        dead_of = dict.fromkeys(assigner._zones, 0)
+        for name in dead:
+            dead_of[assigner.nodes[name].zone] += 1
+        self._lost = {
+            zone.name for zone in assigner._zones.values() if dead_of[zone.name] == len(zone.nodes)
+        }
+        self._loads = {name: _Overlay(load) for name, load in assigner._loads.items()}
+
+    def run(self) -> Assignment:
+        of = self._of
+        affected = {service for name in self._dead for service in of._base_held[name]}
+        holders = dict(of._base_holders)
+        unmet = dict(of._base_unmet)
+        digests = dict(of._base_digests)
+        for service in sorted(affected, key=of._place.__getitem__):
+            dealt, faults = self._service(service)
+            holders[service] = _flat(dealt)
+            unmet[service] = faults
+            digests[service] = _service_digest(service, holders[service])
+        held = self._held(affected, holders)
+        all_unmet = tuple(one for name in of.services for one in unmet[name])
+        digest = blake2b(b"".join(digests.values()), digest_size=16).hexdigest()
+        return Assignment(holders, held, all_unmet, digest)
+
+    def _service(self, service: str) -> tuple[dict[str, tuple[str, ...]], tuple[Unmet, ...]]:
+        of = self._of
+        base = of._base[service]
+        unmet = list(of._base_unmet[service])
+        dealt: dict[str, tuple[str, ...]] = {}
+        for zone, before in base.items():
+            dealt[zone] = self._zone_of(service, zone, before)
+            if len(dealt[zone]) < self._asked(service, before):
+                unmet.append(Unmet(service, zone, self._why_short(dealt[zone])))
+        if not any(dealt.values()):
+            elsewhere = self._elsewhere(service)
+            unmet.append(Unmet(service, "", Rule.ZONES))
+            dealt.update(elsewhere)
+        return dealt, tuple(dict.fromkeys(unmet))
+
+    def _zone_of(self, service: str, zone: str, before: tuple[str, ...]) -> tuple[str, ...]:
+        kept = [name for name in before if name in self._living]
+        missing = len(before) - len(kept)
+        nobody_else = len(before) == len(self._of._zones[zone].nodes)
+        if not missing or nobody_else or zone in self._lost:
+            return tuple(kept)
+        rate = self._of._shares[service].rate[zone]
+        kept += self._substitutes(service, zone, missing, rate, before)
+        return tuple(sorted(kept))
+
+    def _substitutes(
+        self, service: str, zone: str, count: int, rate: float, before: Collection[str]
+    ) -> list[str]:
+        chosen: list[str] = []
+        load = self._loads[zone]
+        for name in self._of._zones[zone].order(service):
+            if len(chosen) == count:
+                break
+            if name in self._living and name not in before and load.take(name, rate):
+                chosen.append(name)
+        return chosen
+
+    def _asked(self, service: str, before: Collection[str]) -> int:
+        """How many holders of a zone are a fault to be without: one that all nodes hold has none
+        to put in a dead one's place."""
+        if service in self._of.rules.everywhere:
+            return min(len(before), self._of.rules.least_per_zone)
+        return len(before)
+
+    def _why_short(self, holders: Collection[str]) -> Rule:
+        return Rule.LEAST if len(holders) < self._of.rules.least_per_zone else Rule.ROOM
+
+    def _elsewhere(self, service: str) -> dict[str, tuple[str, ...]]:
+        """Holders in the first zone with a living node: of its home region first."""
+        of = self._of
+        share = of._shares[service]
+        home = of.services[service].region
+        count = sum(share.holders.values())
+        rate = max(share.rate.values())
+        zones = sorted(of._zones.values(), key=lambda zone: (zone.region != home, zone.name))
+        for zone in zones:
+            if zone.name in self._lost:
+                continue
+            chosen = self._substitutes(service, zone.name, count, rate, ())
+            if chosen:
+                return {zone.name: tuple(sorted(chosen))}
+        return {}
+
+    def _held(
+        self, affected: Collection[str], holders: Mapping[str, tuple[str, ...]]
+    ) -> dict[str, tuple[str, ...]]:
+        of = self._of
+        held = dict(of._base_held)
+        changed: dict[str, set[str]] = {name: set() for name in self._dead}
+        for service in affected:
+            before = of._base_holders[service]
+            for name in holders[service]:
+                if name not in before:
+                    changed.setdefault(name, set(held[name])).add(service)
+        for name, services in changed.items():
+            held[name] = tuple(sorted(services))
+        return held
+
+
+@dataclass(frozen=True, slots=True)
+class _Share:
+    """How many nodes of each zone hold a service, and what each takes of its rate."""
+
+    holders: Mapping[str, int]
+    rate: Mapping[str, float]  # of one holder, once one of the other zones is lost
+    unmet: tuple[Unmet, ...]
+
+
+def _share(spec: ServiceSpec, zones: Mapping[str, _Zone], rules: AssignmentRules) -> _Share:
+    worst = spec.rate / max(len(spec.zones) - 1, 1)
+    holders: dict[str, int] = {}
+    rate: dict[str, float] = {}
+    unmet: list[Unmet] = []
+    for name in sorted(spec.zones):
+        zone = zones[name]
+        node_rate = min(zone.rates.values())
+        needed = max(rules.least_per_zone, ceil(worst / (node_rate * rules.largest_share)))
+        everywhere = spec.name in rules.everywhere
+        holders[name] = len(zone.nodes) if everywhere else min(needed, len(zone.nodes))
+        rate[name] = min(worst / holders[name], node_rate)
+        if worst > node_rate * holders[name]:
+            unmet.append(Unmet(spec.name, name, Rule.RATE))
+        if holders[name] < rules.least_per_zone:
+            unmet.append(Unmet(spec.name, name, Rule.LEAST))
+    if sum(holders.values()) > rules.sharers.get(spec.name, rules.most_sharers):
+        unmet.append(Unmet(spec.name, "", Rule.CONNECTIONS))
+    return _Share(holders, rate, tuple(unmet))
+
+
+def _choose(zone: _Zone, service: str, count: int, rate: float, load: _Loads) -> list[str]:
+    chosen: list[str] = []
+    for name in zone.order(service):
+        if len(chosen) == count:
+            break
+        if load.take(name, rate):
+            chosen.append(name)
+    return chosen
+
+
+def _short(chosen: Collection[str], rules: AssignmentRules) -> Rule:
+    return Rule.LEAST if len(chosen) < rules.least_per_zone else Rule.RATE
+
+
+def _deal_order(spec: ServiceSpec) -> tuple[int, int, str]:
+    """Large services first, as they are the hardest to place; by powers of two, so that a small
+    change of a rate leaves the order as it was; a hash within, for names not to decide."""
+    return -int(spec.rate).bit_length(), _hash64(f"deal\0{spec.name}"), spec.name
+
+
+def _zones_of(nodes: Iterable[NodeSpec], rules: AssignmentRules) -> dict[str, _Zone]:
+    by_zone: dict[str, list[NodeSpec]] = {}
+    for node in nodes:
+        by_zone.setdefault(node.zone, []).append(node)
+    return {
+        name: _Zone(name, members[0].region, members, rules.node_rate)
+        for name, members in sorted(by_zone.items())
+    }
+
+
+def _flat(dealt: Mapping[str, tuple[str, ...]]) -> tuple[str, ...]:
+    return tuple(sorted(name for names in dealt.values() for name in names))
+
+
+def _service_digest(service: str, holders: Iterable[str]) -> bytes:
+    form = "\0".join((service, *holders)) + "\n"
+    return blake2b(form.encode(), digest_size=16).digest()
+
+
+def _hash64(text: str) -> int:
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
+def _points(text: str) -> tuple[int, ...]:
+    return _PROBES.unpack(blake2b(text.encode(), digest_size=_PROBES.size).digest())
+
+
+def _mix(value: int) -> int:
+    """The finalizer of SplitMix64 (Steele, Lea and Flood 2014): spreads 64 bits evenly."""
+    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & MASK
+    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & MASK
+    return value ^ (value >> 31)
--- /dev/null
+++ b/flinthatch/scale/checks.py
@@ -0,0 +1,123 @@
+"""Checks of what a control file names: each fault is one line with its place and the rule."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from math import isfinite
+
+from flinthatch.scale.model import MachineSpec, NodeSpec, ScaleError, ServiceSpec
+
+MOST_NODES = 20_000
+MOST_SERVICES = 20_000
+MOST_MACHINES = 64
+MOST_CAPACITY = 20_000  # services a node
+MOST_BACKENDS = 200_000  # backends a service
+MOST_RATE = 1e9  # requests a second
+MOST_NAME = 256  # characters
+
+
+def check_nodes(nodes: Sequence[NodeSpec]) -> None:
+    """Refuse a table of nodes that no assignment can be made of.
+
+    Raises:
+        ScaleError: a name twice or out of bounds, a zone in two regions, a size out of range.
+    """
+    _check_count("nodes", len(nodes), MOST_NODES)
+    _check_names("node", (node.name for node in nodes))
+    _check_zones("node", nodes)
+    for node in nodes:
+        place = f"node {node.name!r}"
+        _check_range(place, "capacity", node.capacity, 1, MOST_CAPACITY)
+        _check_range(place, "rate", node.rate, 0, MOST_RATE)
+
+
+def check_services(services: Sequence[ServiceSpec], nodes: Sequence[NodeSpec]) -> None:
+    """Refuse a table of services that these nodes can't be assigned.
+
+    Raises:
+        ScaleError: a name twice, a region or zone that no node is in, a size out of range.
+    """
+    _check_count("services", len(services), MOST_SERVICES)
+    _check_names("service", (service.name for service in services))
+    regions = {node.region for node in nodes}
+    zones = {node.zone for node in nodes}
+    for service in services:
+        place = f"service {service.name!r}"
+        _check_known(place, "region", service.region, regions)
+        if not service.zones:
+            raise ScaleError(f"{place}: zones names none, it must name at least one")
+        if len(set(service.zones)) != len(service.zones):
+            raise ScaleError(f"{place}: zones names one twice, each may be named once")
+        for zone in service.zones:
+            _check_known(place, "zone", zone, zones)
+        _check_range(place, "rate", service.rate, 0, MOST_RATE)
+        _check_range(place, "backends", service.backends, 0, MOST_BACKENDS)
+
+
+def check_machines(machines: Sequence[MachineSpec], nodes: Sequence[NodeSpec]) -> None:
+    """Refuse a table of control machines that does not fit these nodes.
+
+    Raises:
+        ScaleError: a name twice, a region or zone that no node is in, a zone of another region.
+    """
+    _check_count("machines", len(machines), MOST_MACHINES)
+    _check_names("machine", (machine.name for machine in machines))
+    region_of = {node.zone: node.region for node in nodes}
+    for machine in machines:
+        place = f"machine {machine.name!r}"
+        _check_known(place, "region", machine.region, set(region_of.values()))
+        _check_known(place, "zone", machine.zone, region_of)
+        if region_of[machine.zone] != machine.region:
+            raise ScaleError(
+                f"{place}: zone {machine.zone!r} is in region {region_of[machine.zone]!r}, "
+                f"not in {machine.region!r}"
+            )
+
+
+def check_machine_known(name: str, machines: Iterable[MachineSpec]) -> None:
+    """Refuse the name of a machine that the table does not have.
+
+    Raises:
+        ScaleError: there is no such machine.
+    """
+    _check_known("control", "machine", name, {machine.name for machine in machines})
+
+
+def _check_count(what: str, count: int, most: int) -> None:
+    if not 1 <= count <= most:
+        raise ScaleError(f"{what}: {count} of them, must be 1 to {most}")
+
+
+def _check_names(kind: str, names: Iterable[str]) -> None:
+    seen: set[str] = set()
+    for name in names:
+        if not 0 < len(name) <= MOST_NAME:
+            raise ScaleError(f"{kind} {name[:40]!r}: a name must have 1 to {MOST_NAME} characters")
+        if name in seen:
+            raise ScaleError(f"{kind} {name!r}: named twice, a name must be unique")
+        seen.add(name)
+
+
+def _check_zones(kind: str, nodes: Iterable[NodeSpec]) -> None:
+    region_of: dict[str, str] = {}
+    for node in nodes:
+        place = f"{kind} {node.name!r}"
+        if not node.region or not node.zone:
+            raise ScaleError(f"{place}: region and zone must both be named")
+        region = region_of.setdefault(node.zone, node.region)
+        if region != node.region:
+            raise ScaleError(
+                f"{place}: zone {node.zone!r} is in region {region!r} by another, "
+                f"it can't be in {node.region!r} too"
+            )
+
+
+def _check_range(place: str, what: str, value: float, least: float, most: float) -> None:
+    if not (isfinite(value) and least <= value <= most):
+        raise ScaleError(f"{place}: {what} is {value}, must be {least} to {most:.0f}")
+
+
+def _check_known(place: str, what: str, name: str, known: set[str] | Mapping[str, object]) -> None:
+    if name not in known:
+        some = ", ".join(sorted(known)[:6])
+        raise ScaleError(f"{place}: unknown {what} {name!r}, must be one of {some}")
--- /dev/null
+++ b/flinthatch/scale/holder.py
@@ -0,0 +1,397 @@
+"""The node's side: what is assigned is held, as of a position in each region's log.
+
+Positions never go back: an update of an older epoch or revision changes nothing, one that does
+not follow what is held asks for a snapshot. Of an update each service's change is taken whole or
+not at all. Without any word of control the node serves on with what it holds, and `age` shows for
+how long it has been alone.
+
+A service that moves away is held, followed and served until control has said that it may be
+released and no request of it is out. A node whose requests of it never pause closes it to new
+ones after `linger`.
+
+What clients ask for and nobody assigned costs a bounded table and a bounded rate of questions.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
+
+from flinthatch.fleet.bucket import Bucket
+from flinthatch.model import SECOND
+from flinthatch.scale.model import (
+    START,
+    Change,
+    Delta,
+    Position,
+    Row,
+    ScaleError,
+    Snapshot,
+    Update,
+)
+
+SERVICE_BYTES = 1024  # of a service beside its rows: its record, its entries in tables
+ROW_BYTES = 272  # of a row beside its characters: a tuple, two strings, an entry of a table
+MOST_NAME = 256  # characters of a service's name that clients may ask for
+
+
+@dataclass(frozen=True, slots=True)
+class HolderLimits:
+    """Bounds of one node.
+
+    Raises:
+        ScaleError: a figure is out of its range.
+    """
+
+    services: int = 64  # held or about to be
+    bytes: int = 48 << 20  # of rows and what goes with them
+    unknown: int = 256  # names that clients asked for and that are remembered
+    asks: float = 4.0  # questions of unknown services a second
+    ask_again: int = 10 * SECOND  # until one name is asked for again
+    linger: int = 30 * SECOND  # from when a service may be released until it takes no new request
+
+    def __post_init__(self) -> None:
+        if not 1 <= self.services <= 20_000:
+            raise ScaleError(f"limits: services is {self.services}, must be 1 to 20000")
+        if not 1 << 16 <= self.bytes <= 1 << 34:
+            raise ScaleError(f"limits: bytes is {self.bytes}, must be 65536 to 17179869184")
+        if not 1 <= self.unknown <= 100_000:
+            raise ScaleError(f"limits: unknown is {self.unknown}, must be 1 to 100000")
+        if not 0 < self.asks <= 1000:
+            raise ScaleError(f"limits: asks is {self.asks}, must be over 0, up to 1000")
+        if self.ask_again < 0 or self.linger < 0:
+            raise ScaleError("limits: ask_again and linger must not be negative")
+
+
+class Kind(Enum):
+    """What came of an update."""
+
+    APPLIED = "applied"
+    OLDER = "of an older epoch or revision: ignored"
+    GAP = "does not follow what is held: ask for a snapshot"
+    OVER_LIMIT = "applied, less the services that don't fit"
+    NOT_WANTED = "applied, and nothing of it is held here"
+    MALFORMED = "its positions or its changes contradict themselves: ignored"
+
+
+class Taken(NamedTuple):
+    """What came of an update: the services whose rows changed, and those that don't fit."""
+
+    kind: Kind
+    changed: tuple[str, ...] = ()
+    refused: tuple[str, ...] = ()
+
+
+class Ask(NamedTuple):
+    """Ask control for this service: a client wants it and it is not held."""
+
+    service: str
+
+
+@dataclass(slots=True)
+class _Held:
+    """One service here."""
+
+    region: str
+    wanted: bool = True
+    rows: dict[str, Row] | None = None  # None until the first whole change, and when deleted
+    current: bool = False  # the rows are as of the region's position
+    bytes: int = SERVICE_BYTES
+    out: int = 0  # requests
+    releasable_since: int | None = None
+    closed: bool = False  # takes no new request
+
+
+@dataclass(slots=True)
+class _Region:
+    position: Position = START
+    heard: int | None = None  # when control last said something that is current
+    held: set[str] = field(default_factory=set)
+
+
+class Holder:
+    """What one node holds of the services of these regions."""
+
+    def __init__(self, name: str, regions: Iterable[str], limits: HolderLimits) -> None:
+        self.name = name
+        self.limits = limits
+        self.bytes_held = 0
+        self._regions = {region: _Region() for region in regions}
+        self._services: dict[str, _Held] = {}
+        self._refused: dict[str, int] = {}  # services that don't fit, and what they would take
+        self._dropped: list[str] = []
+        self._asked: OrderedDict[str, int] = OrderedDict()  # names, and when they were asked for
+        self._asks: Bucket | None = None
+
+    def on_wanted(
+        self, now: int, wanted: Mapping[str, str], releasable: Collection[str]
+    ) -> tuple[str, ...]:
+        """Take over what is to be held, services with their regions, and what may be released.
+
+        A service that is in neither stays as it is, if it has been held at all. Returns the
+        services that are over the bound on their number, and are not held for it.
+
+        Raises:
+            ScaleError: a region is unknown, or another than before; nothing has changed then.
+        """
+        self._check_wanted(wanted)
+        for service, held in tuple(self._services.items()):
+            held.wanted = service in wanted
+            if held.wanted:
+                held.releasable_since, held.closed = None, False
+            elif service in releasable:
+                if held.releasable_since is None:
+                    held.releasable_since = now
+            elif held.rows is None:
+                self._drop(service)
+        over = []
+        for service in sorted(wanted.keys() - self._services.keys()):
+            if len(self._services) >= self.limits.services:
+                over.append(service)
+                continue
+            self._services[service] = _Held(wanted[service])
+            self._regions[wanted[service]].held.add(service)
+            self.bytes_held += SERVICE_BYTES
+            self._asked.pop(service, None)
+        self._settle(now)
+        return tuple(over)
+
+    def subscription(self, region: str) -> frozenset[str]:
+        """The services of a region to be followed: all that are held or wanted, less what does
+        not fit.
+
+        Raises:
+            ScaleError: the region is unknown.
+        """
+        return frozenset(self._region(region).held - self._refused.keys())
+
+    def missing(self, region: str) -> frozenset[str]:
+        """Those of `subscription` whose rows have not come, or are of an earlier position.
+
+        Raises:
+            ScaleError: the region is unknown.
+        """
+        return frozenset(
+            service for service in self.subscription(region) if not self._services[service].current
+        )
+
+    def serving(self) -> frozenset[str]:
+        """The services that are held whole and take requests."""
+        return frozenset(
+            service
+            for service, held in self._services.items()
+            if held.rows is not None and not held.closed
+        )
+
+    def on_update(self, now: int, update: Update) -> Taken:
+        """Take an update whole, or nothing of it; see `Kind`.
+
+        Raises:
+            ScaleError: its region is unknown.
+        """
+        region = self._region(update.region)
+        if isinstance(update, Snapshot):
+            taken = self._on_snapshot(region, update)
+        else:
+            taken = self._on_delta(region, update)
+        if taken.kind in (Kind.APPLIED, Kind.OVER_LIMIT, Kind.NOT_WANTED):
+            region.position = update.position
+            region.heard = now
+        self._settle(now)
+        return taken
+
+    def position(self, region: str) -> Position:
+        """As of where a region's services are held.
+
+        Raises:
+            ScaleError: the region is unknown.
+        """
+        return self._region(region).position
+
+    def rows(self, service: str) -> Mapping[str, Row] | None:
+        """A service's backends by uid, None where it is not held whole. Not to be changed."""
+        held = self._services.get(service)
+        return None if held is None else held.rows
+
+    def age(self, now: int, region: str) -> int | None:
+        """Nanoseconds since control last said what is current, None before the first time.
+
+        Raises:
+            ScaleError: the region is unknown.
+        """
+        heard = self._region(region).heard
+        return None if heard is None else now - heard
+
+    def on_request_begins(self, service: str) -> bool:
+        """Whether a request may use the service; if so, `on_request_ends` must follow."""
+        held = self._services.get(service)
+        if held is None or held.rows is None or held.closed:
+            return False
+        held.out += 1
+        return True
+
+    def on_request_ends(self, service: str) -> None:
+        """A request that had begun has ended."""
+        held = self._services.get(service)
+        if held is None or not held.out:
+            return
+        held.out -= 1
+        self._drop_if_idle(service, held)
+
+    def released(self) -> tuple[str, ...]:
+        """The services dropped since the last call: nothing of them has to be kept."""
+        dropped, self._dropped = tuple(self._dropped), []
+        return dropped
+
+    def on_unknown(self, now: int, service: str) -> Ask | None:
+        """A client asked for a service that is not held: whether to ask control for it."""
+        if not 0 < len(service) <= MOST_NAME or service in self._services:
+            return None
+        if self._asks is None:
+            self._asks = Bucket(self.limits.asks, max(self.limits.asks, 1.0), now)
+        asked = self._asked.get(service)
+        if asked is not None and now - asked < self.limits.ask_again:
+            return None
+        if not self._asks.take(now):
+            return None
+        self._asked[service] = now
+        self._asked.move_to_end(service)
+        if len(self._asked) > self.limits.unknown:
+            self._asked.popitem(last=False)
+        return Ask(service)
+
+    def _region(self, name: str) -> _Region:
+        region = self._regions.get(name)
+        if region is None:
+            known = ", ".join(sorted(self._regions))
+            raise ScaleError(f"update: unknown region {name!r}, must be one of {known}")
+        return region
+
+    def _check_wanted(self, wanted: Mapping[str, str]) -> None:
+        for service, region in wanted.items():
+            self._region(region)
+            held = self._services.get(service)
+            if held is not None and held.region != region:
+                raise ScaleError(
+                    f"wanted: service {service!r} is of region {held.region!r}, not {region!r}"
+                )
+
+    def _on_snapshot(self, region: _Region, snapshot: Snapshot) -> Taken:
+        if not _follows(snapshot.position, region.position):
+            return Taken(Kind.OLDER)
+        changed, refused = [], []
+        for service in sorted(region.held):
+            rows = snapshot.services.get(service)
+            held = self._services[service]
+            if rows is None:
+                held.current = False
+            elif self._replace(service, held, dict(rows)):
+                changed.append(service)
+            else:
+                refused.append(service)
+        return _taken(changed, refused, bool(snapshot.services))
+
+    def _on_delta(self, region: _Region, delta: Delta) -> Taken:
+        if delta.base != region.position:
+            newer = delta.position > region.position
+            return Taken(Kind.GAP if newer else Kind.OLDER)
+        if not _sound(delta):
+            return Taken(Kind.MALFORMED)
+        mine = [change for change in delta.changes if change.service in region.held]
+        if not self._complete(mine):
+            return Taken(Kind.GAP)
+        changed: dict[str, None] = {}
+        refused: dict[str, None] = {}
+        for change in mine:
+            held = self._services[change.service]
+            if change.service in self._refused and not change.whole:
+                refused[change.service] = None
+            elif self._replace(change.service, held, _changed(held, change)):
+                changed[change.service] = None
+            else:
+                refused[change.service] = None
+        return _taken(list(changed), list(refused), bool(delta.changes))
+
+    def _complete(self, changes: Iterable[Change]) -> bool:
+        """Whether each service's changes go on from what is held of it."""
+        whole: set[str] = set()
+        for change in changes:
+            if change.whole or change.deleted:
+                whole.add(change.service)
+            elif change.service not in whole and change.service not in self._refused:
+                held = self._services[change.service]
+                if not held.current:
+                    return False
+        return True
+
+    def _replace(self, service: str, held: _Held, rows: dict[str, Row] | None) -> bool:
+        size = SERVICE_BYTES + _size(rows)
+        if self.bytes_held - held.bytes + size > self.limits.bytes and size > held.bytes:
+            held.current = False
+            self._refused[service] = size
+            return False
+        self._refused.pop(service, None)
+        self.bytes_held += size - held.bytes
+        held.rows, held.bytes, held.current = rows, size, True
+        return True
+
+    def _settle(self, now: int) -> None:
+        """What time and room allow: retry what did not fit, close and drop what may go."""
+        for service, size in tuple(self._refused.items()):
+            if self.bytes_held - self._services[service].bytes + size <= self.limits.bytes:
+                del self._refused[service]
+        for service, held in tuple(self._services.items()):
+            since = held.releasable_since
+            if since is not None:
+                held.closed = held.closed or now - since >= self.limits.linger
+                self._drop_if_idle(service, held)
+
+    def _drop_if_idle(self, service: str, held: _Held) -> None:
+        if held.releasable_since is not None and not held.out:
+            self._drop(service)
+
+    def _drop(self, service: str) -> None:
+        held = self._services.pop(service)
+        self._regions[held.region].held.discard(service)
+        self._refused.pop(service, None)
+        self.bytes_held -= held.bytes
+        self._dropped.append(service)
+
+
+def _follows(position: Position, held: Position) -> bool:
+    """Whether what is held may go to this position: neither epoch nor revision goes back."""
+    return position.epoch >= held.epoch and position.revision >= held.revision
+
+
+def _sound(delta: Delta) -> bool:
+    if not _follows(delta.position, delta.base):
+        return False
+    return all(
+        change.position <= delta.position and (change.whole or change.position > delta.base)
+        for change in delta.changes
+    )
+
+
+def _changed(held: _Held, change: Change) -> dict[str, Row] | None:
+    if change.deleted:
+        return None
+    rows = {} if change.whole or held.rows is None else dict(held.rows)
+    for uid in change.removed:
+        rows.pop(uid, None)
+    rows.update((row.uid, row) for row in change.rows)
+    return rows
+
+
+def _size(rows: Mapping[str, Row] | None) -> int:
+    return sum(ROW_BYTES + len(row.uid) + len(row.body) for row in (rows or {}).values())
+
+
+def _taken(changed: Collection[str], refused: Collection[str], any_named: bool) -> Taken:
+    if refused:
+        return Taken(Kind.OVER_LIMIT, tuple(changed), tuple(refused))
+    if any_named and not changed:
+        return Taken(Kind.NOT_WANTED)
+    return Taken(Kind.APPLIED, tuple(changed))
--- /dev/null
+++ b/flinthatch/scale/liveness.py
@@ -0,0 +1,105 @@
+"""Who counts as alive, damped: one who comes and goes does not move services each time.
+
+A node counts as dead after `silence` without a word. It counts as back only once it has been
+heard for `stay` without a gap as long as `silence`; each death within `memory` doubles that wait,
+up to `longest_stay`. The doubling is that of route flap damping (RFC 2439) in its simplest form.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from flinthatch.model import SECOND
+from flinthatch.scale.model import ScaleError
+
+
+@dataclass(frozen=True, slots=True)
+class LivenessRules:
+    """Times in nanoseconds.
+
+    Raises:
+        ScaleError: a time is out of its range.
+    """
+
+    silence: int = 3 * SECOND
+    stay: int = 5 * SECOND
+    longest_stay: int = 300 * SECOND
+    memory: int = 600 * SECOND  # a node that has lived so long starts with `stay` again
+
+    def __post_init__(self) -> None:
+        if not self.silence > 0:
+            raise ScaleError(f"liveness: silence is {self.silence}, must be over 0")
+        if not 0 <= self.stay <= self.longest_stay:
+            raise ScaleError("liveness: stay must be 0 to longest_stay")
+        if self.memory < 0:
+            raise ScaleError(f"liveness: memory is {self.memory}, must not be negative")
+
+
+class LivenessChange(NamedTuple):
+    """Who counts differently now than before."""
+
+    died: tuple[str, ...]
+    returned: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class _Pulse:
+    heard: int
+    since: int  # of the present stretch without a long gap
+    alive: bool = True
+    deaths: int = 0
+    died: int = 0
+
+
+class Liveness:
+    """The state of all registered nodes; others' words count for nothing.
+
+    All count as alive when it begins, and have `silence` to be heard: a control machine that has
+    just begun knows nothing against anybody.
+    """
+
+    def __init__(self, now: int, nodes: Iterable[str], rules: LivenessRules) -> None:
+        self.rules = rules
+        self._pulses = {name: _Pulse(now, now) for name in nodes}
+
+    @property
+    def alive(self) -> frozenset[str]:
+        """Those who count as alive, as of the last `turn`."""
+        return frozenset(name for name, pulse in self._pulses.items() if pulse.alive)
+
+    def on_word(self, now: int, node: str) -> bool:
+        """The node was heard; False where it is not registered."""
+        pulse = self._pulses.get(node)
+        if pulse is None:
+            return False
+        if now - pulse.heard >= self.rules.silence:
+            pulse.since = now
+        pulse.heard = max(now, pulse.heard)
+        return True
+
+    def turn(self, now: int) -> LivenessChange:
+        """Take time on to `now`: who has died or is back since the last turn."""
+        died, returned = [], []
+        for name, pulse in self._pulses.items():
+            silent = now - pulse.heard >= self.rules.silence
+            if pulse.alive and silent:
+                self._die(now, pulse)
+                died.append(name)
+            elif not pulse.alive and not silent and now - pulse.since >= self.stay(name):
+                pulse.alive = True
+                returned.append(name)
+        return LivenessChange(tuple(sorted(died)), tuple(sorted(returned)))
+
+    def stay(self, node: str) -> int:
+        """How long the node must be heard before it counts as back."""
+        doublings = min(max(self._pulses[node].deaths - 1, 0), 32)
+        return min(self.rules.stay << doublings, self.rules.longest_stay)
+
+    def _die(self, now: int, pulse: _Pulse) -> None:
+        if now - pulse.died >= self.rules.memory:
+            pulse.deaths = 0
+        pulse.alive = False
+        pulse.deaths += 1
+        pulse.died = now
--- a/flinthatch/scale/model.py
+++ b/flinthatch/scale/model.py
@@ -85,6 +85,7 @@
     rows: tuple[Row, ...] = ()  # new or changed
     removed: tuple[str, ...] = ()  # uids that have gone
     deleted: bool = False  # the service itself has gone
+    whole: bool = False  # `rows` is all there is: a service's first change at a holder is whole
 
 
 @dataclass(frozen=True, slots=True)
