Zones apart from the deal; words count only if said after what they answer

A service whose zones are all lost is spread over the living zones of its home region. A node's word of serving counts only as of the generation it was told in; a service beyond the bound on bytes still loses what has left.

--- a/flinthatch/scale/assignment.py
+++ b/flinthatch/scale/assignment.py
@@ -24,24 +24,16 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left
-from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from hashlib import blake2b
 from math import ceil
-from struct import Struct
 from typing import NamedTuple
 
 from flinthatch.scale.checks import check_nodes, check_services
 from flinthatch.scale.model import NodeSpec, ScaleError, ServiceSpec
-
-RING_POINTS = 16  # of one node: evens out the arcs, the bounded load does the rest
-PROBE_BLOCKS = 8  # hashes of one service and zone, PROBES_A_BLOCK probes each
-PROBES_A_BLOCK = 8
-MASK = (1 << 64) - 1
-
-_PROBES = Struct(f">{PROBES_A_BLOCK}Q")
+from flinthatch.scale.zones import Loads, Zone, hash64, zones_of
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +75,8 @@
     RATE = "the zone has too few nodes for the rate"
     LEAST = "fewer nodes of the zone hold it than the least"
     ROOM = "its nodes are lost and no living node of the zone has room"
-    ZONES = "all its zones are lost, another zone holds it"
+    ZONES = "no living node of its zones has room, other zones hold it"
+    NOBODY = "no living node has room"
 
 
 class Unmet(NamedTuple):
@@ -137,9 +130,10 @@
         self.rules = rules
         self.nodes = {node.name: node for node in sorted(nodes, key=lambda node: node.name)}
         self.services = {spec.name: spec for spec in sorted(services, key=lambda spec: spec.name)}
-        self._zones = _zones_of(self.nodes.values(), rules)
+        self._zones = zones_of(self.nodes.values(), rules.node_rate)
         self._shares = {spec.name: _share(spec, self._zones, rules) for spec in services}
-        self._order = sorted(services, key=_deal_order)
+        self._order = sorted(services, key=lambda spec: _deal_order(spec, rules.everywhere))
+        self._loads = {name: Loads(zone) for name, zone in self._zones.items()}
         self._place = {spec.name: place for place, spec in enumerate(self._order)}
         self._base: dict[str, dict[str, tuple[str, ...]]] = {}
         self._base_unmet: dict[str, tuple[Unmet, ...]] = {}
@@ -166,30 +160,28 @@
         return _Repair(self, living, dead).run()
 
     def _deal(self) -> None:
-        loads = {zone.name: _Loads(zone) for zone in self._zones.values()}
-        slots = {
-            zone.name: sum(share.holders.get(zone.name, 0) for share in self._shares.values())
-            for zone in self._zones.values()
-        }
-        for zone in self._zones.values():
-            loads[zone.name].bound_by_mean(slots[zone.name], self.rules.load_factor)
+        for name, load in self._loads.items():
+            slots = sum(share.holders.get(name, 0) for share in self._shares.values())
+            load.bound_by_mean(slots, self.rules.load_factor)
         for spec in self._order:
-            share = self._shares[spec.name]
-            unmet = list(share.unmet)
-            dealt: dict[str, tuple[str, ...]] = {}
-            for zone_name, wanted in share.holders.items():
-                zone = self._zones[zone_name]
-                load = loads[zone_name]
-                chosen = _choose(zone, spec.name, wanted, share.rate[zone_name], load)
-                dealt[zone_name] = tuple(sorted(chosen))
-                if len(chosen) < wanted:
-                    unmet.append(Unmet(spec.name, zone_name, _short(chosen, self.rules)))
-            self._base[spec.name] = dealt
-            self._base_unmet[spec.name] = tuple(unmet)
-        self._loads = loads
-        for load in loads.values():
+            self._deal_service(spec.name, self._shares[spec.name])
+        for load in self._loads.values():
             load.bound_by_nodes()
 
+    def _deal_service(self, service: str, share: _Share) -> None:
+        unmet = list(share.unmet)
+        dealt: dict[str, tuple[str, ...]] = {}
+        for zone, wanted in share.holders.items():
+            chosen = _choose(
+                self._zones[zone].order(service), wanted, share.rate[zone], self._loads[zone]
+            )
+            dealt[zone] = tuple(sorted(chosen))
+            if len(chosen) < wanted:
+                rule = Rule.LEAST if len(chosen) < self.rules.least_per_zone else Rule.RATE
+                unmet.append(Unmet(service, zone, rule))
+        self._base[service] = dealt
+        self._base_unmet[service] = tuple(unmet)
+
     def _held_of(self, holders: Mapping[str, tuple[str, ...]]) -> dict[str, tuple[str, ...]]:
         held: dict[str, list[str]] = {name: [] for name in self.nodes}
         for service, names in holders.items():
@@ -198,91 +190,6 @@
         return {name: tuple(services) for name, services in held.items()}
 
 
-class _Zone:
-    """One zone's nodes, and their points on its ring."""
-
-    def __init__(self, name: str, region: str, nodes: Sequence[NodeSpec], rate: float) -> None:
-        self.name = name
-        self.region = region
-        self.nodes = nodes
-        self.rates = {node.name: node.rate or rate for node in nodes}
-        self.marks = {node.name: _hash64(f"node\0{node.name}") for node in nodes}
-        points = sorted(
-            (point, node.name)
-            for node in nodes
-            for block in range(RING_POINTS // PROBES_A_BLOCK)
-            for point in _points(f"point\0{block}\0{node.name}")
-        )
-        self._points = [point for point, _ in points]
-        self._owners = [name for _, name in points]
-
-    def order(self, service: str) -> Iterator[str]:
-        """Each node of the zone once, in this service's own order."""
-        seen: set[str] = set()
-        for block in range(PROBE_BLOCKS):
-            for probe in _points(f"probe\0{block}\0{self.name}\0{service}"):
-                place = bisect_left(self._points, probe)
-                owner = self._owners[place if place < len(self._points) else 0]
-                if owner not in seen:
-                    seen.add(owner)
-                    yield owner
-        mark = _hash64(f"rank\0{self.name}\0{service}")
-        rest = [(_mix(mark ^ self.marks[name]), name) for name in self.marks if name not in seen]
-        for _, name in sorted(rest):
-            yield name
-
-
-class _Loads:
-    """What the nodes of one zone hold so far, and how much more they may."""
-
-    def __init__(self, zone: _Zone) -> None:
-        self._zone = zone
-        self.services = dict.fromkeys(zone.marks, 0)
-        self.rates = dict.fromkeys(zone.marks, 0.0)
-        self.most = {node.name: node.capacity for node in zone.nodes}
-
-    def bound_by_mean(self, slots: int, load_factor: float) -> None:
-        """A node's part of all slots by its capacity, times the factor, within its capacity."""
-        total = sum(node.capacity for node in self._zone.nodes)
-        for node in self._zone.nodes:
-            part = ceil(load_factor * slots * node.capacity / total)
-            self.most[node.name] = min(node.capacity, max(part, 1))
-
-    def bound_by_nodes(self) -> None:
-        """By what the nodes themselves state: what substitutes may use."""
-        for node in self._zone.nodes:
-            self.most[node.name] = node.capacity
-
-    def take(self, name: str, rate: float) -> bool:
-        """Give the node a share of this rate, unless that is over its part."""
-        if self.services[name] >= self.most[name]:
-            return False
-        if self.rates[name] + rate > self._zone.rates[name]:
-            return False
-        self.services[name] += 1
-        self.rates[name] += rate
-        return True
-
-
-class _Overlay(_Loads):
-    """Loads on top of the base deal's, which stays as it is."""
-
-    def __init__(self, base: _Loads) -> None:
-        self._base = base
-        self._services: dict[str, int] = {}
-        self._rates: dict[str, float] = {}
-
-    def take(self, name: str, rate: float) -> bool:
-        base = self._base
-        services = self._services.get(name, base.services[name])
-        rates = self._rates.get(name, base.rates[name])
-        if services >= base.most[name] or rates + rate > base._zone.rates[name]:
-            return False
-        self._services[name] = services + 1
-        self._rates[name] = rates + rate
-        return True
-
-
 class _Repair:
     """One set of living nodes: substitutes for the dead ones' services."""
 
@@ -296,7 +203,9 @@
         self._lost = {
             zone.name for zone in assigner._zones.values() if dead_of[zone.name] == len(zone.nodes)
         }
-        self._loads = {name: _Overlay(load) for name, load in assigner._loads.items()}
+        self._loads = {
+            name: Loads(assigner._zones[name], load) for name, load in assigner._loads.items()
+        }
 
     def run(self) -> Assignment:
         of = self._of
@@ -324,9 +233,8 @@
             if len(dealt[zone]) < self._asked(service, before):
                 unmet.append(Unmet(service, zone, self._why_short(dealt[zone])))
         if not any(dealt.values()):
-            elsewhere = self._elsewhere(service)
-            unmet.append(Unmet(service, "", Rule.ZONES))
-            dealt.update(elsewhere)
+            dealt = self._elsewhere(service)
+            unmet.append(Unmet(service, "", Rule.ZONES if any(dealt.values()) else Rule.NOBODY))
         return dealt, tuple(dict.fromkeys(unmet))
 
     def _zone_of(self, service: str, zone: str, before: tuple[str, ...]) -> tuple[str, ...]:
@@ -336,20 +244,15 @@
         if not missing or nobody_else or zone in self._lost:
             return tuple(kept)
         rate = self._of._shares[service].rate[zone]
-        kept += self._substitutes(service, zone, missing, rate, before)
+        kept += self._substitutes(service, zone, missing, rate, frozenset(before))
         return tuple(sorted(kept))
 
     def _substitutes(
         self, service: str, zone: str, count: int, rate: float, before: Collection[str]
     ) -> list[str]:
-        chosen: list[str] = []
-        load = self._loads[zone]
-        for name in self._of._zones[zone].order(service):
-            if len(chosen) == count:
-                break
-            if name in self._living and name not in before and load.take(name, rate):
-                chosen.append(name)
-        return chosen
+        order = self._of._zones[zone].order(service)
+        others = (name for name in order if name in self._living and name not in before)
+        return _choose(others, count, rate, self._loads[zone])
 
     def _asked(self, service: str, before: Collection[str]) -> int:
         """How many holders of a zone are a fault to be without: one that all nodes hold has none
@@ -362,20 +265,18 @@
         return Rule.LEAST if len(holders) < self._of.rules.least_per_zone else Rule.ROOM
 
     def _elsewhere(self, service: str) -> dict[str, tuple[str, ...]]:
-        """Holders in the first zone with a living node: of its home region first."""
+        """Holders in the living zones of its home region, or else in all that live."""
         of = self._of
         share = of._shares[service]
         home = of.services[service].region
-        count = sum(share.holders.values())
+        living = [zone for name, zone in of._zones.items() if name not in self._lost]
+        zones = [zone for zone in living if zone.region == home] or living
+        count = ceil(sum(share.holders.values()) / max(len(zones), 1))
         rate = max(share.rate.values())
-        zones = sorted(of._zones.values(), key=lambda zone: (zone.region != home, zone.name))
-        for zone in zones:
-            if zone.name in self._lost:
-                continue
-            chosen = self._substitutes(service, zone.name, count, rate, ())
-            if chosen:
-                return {zone.name: tuple(sorted(chosen))}
-        return {}
+        return {
+            zone.name: tuple(sorted(self._substitutes(service, zone.name, count, rate, ())))
+            for zone in zones
+        }
 
     def _held(
         self, affected: Collection[str], holders: Mapping[str, tuple[str, ...]]
@@ -384,7 +285,7 @@
         held = dict(of._base_held)
         changed: dict[str, set[str]] = {name: set() for name in self._dead}
         for service in affected:
-            before = of._base_holders[service]
+            before = frozenset(of._base_holders[service])
             for name in holders[service]:
                 if name not in before:
                     changed.setdefault(name, set(held[name])).add(service)
@@ -402,14 +303,14 @@
     unmet: tuple[Unmet, ...]
 
 
-def _share(spec: ServiceSpec, zones: Mapping[str, _Zone], rules: AssignmentRules) -> _Share:
+def _share(spec: ServiceSpec, zones: Mapping[str, Zone], rules: AssignmentRules) -> _Share:
     worst = spec.rate / max(len(spec.zones) - 1, 1)
     holders: dict[str, int] = {}
     rate: dict[str, float] = {}
     unmet: list[Unmet] = []
     for name in sorted(spec.zones):
         zone = zones[name]
-        node_rate = min(zone.rates.values())
+        node_rate = zone.least_rate
         needed = max(rules.least_per_zone, ceil(worst / (node_rate * rules.largest_share)))
         everywhere = spec.name in rules.everywhere
         holders[name] = len(zone.nodes) if everywhere else min(needed, len(zone.nodes))
@@ -423,9 +324,10 @@
     return _Share(holders, rate, tuple(unmet))
 
 
-def _choose(zone: _Zone, service: str, count: int, rate: float, load: _Loads) -> list[str]:
+def _choose(order: Iterable[str], count: int, rate: float, load: Loads) -> list[str]:
+    """The first `count` nodes that have room, each of which takes its share."""
     chosen: list[str] = []
-    for name in zone.order(service):
+    for name in order:
         if len(chosen) == count:
             break
         if load.take(name, rate):
@@ -433,24 +335,11 @@
     return chosen
 
 
-def _short(chosen: Collection[str], rules: AssignmentRules) -> Rule:
-    return Rule.LEAST if len(chosen) < rules.least_per_zone else Rule.RATE
-
-
-def _deal_order(spec: ServiceSpec) -> tuple[int, int, str]:
-    """Large services first, as they are the hardest to place; by powers of two, so that a small
-    change of a rate leaves the order as it was; a hash within, for names not to decide."""
-    return -int(spec.rate).bit_length(), _hash64(f"deal\0{spec.name}"), spec.name
-
-
-def _zones_of(nodes: Iterable[NodeSpec], rules: AssignmentRules) -> dict[str, _Zone]:
-    by_zone: dict[str, list[NodeSpec]] = {}
-    for node in nodes:
-        by_zone.setdefault(node.zone, []).append(node)
-    return {
-        name: _Zone(name, members[0].region, members, rules.node_rate)
-        for name, members in sorted(by_zone.items())
-    }
+def _deal_order(spec: ServiceSpec, everywhere: Collection[str]) -> tuple[bool, int, int, str]:
+    """The services that all nodes hold, then large ones, as they are the hardest to place; by
+    powers of two, so that a small change of a rate leaves the order as it was."""
+    size = -int(spec.rate).bit_length()
+    return spec.name not in everywhere, size, hash64(f"deal\0{spec.name}"), spec.name
 
 
 def _flat(dealt: Mapping[str, tuple[str, ...]]) -> tuple[str, ...]:
@@ -460,18 +349,3 @@
 def _service_digest(service: str, holders: Iterable[str]) -> bytes:
     form = "\0".join((service, *holders)) + "\n"
     return blake2b(form.encode(), digest_size=16).digest()
-
-
-def _hash64(text: str) -> int:
-    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
-
-
-def _points(text: str) -> tuple[int, ...]:
-    return _PROBES.unpack(blake2b(text.encode(), digest_size=_PROBES.size).digest())
-
-
-def _mix(value: int) -> int:
-    """The finalizer of SplitMix64 (Steele, Lea and Flood 2014): spreads 64 bits evenly."""
-    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & MASK
-    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & MASK
-    return value ^ (value >> 31)
--- a/flinthatch/scale/handover.py
+++ b/flinthatch/scale/handover.py
@@ -7,10 +7,11 @@
 keeps an old one, which costs connections and no request. A service that is gone altogether is
 released at once.
 
-A node that may release has perhaps done so at once: from then on it does not count as serving,
-even if the service comes back to it, until it says so again, as of a generation not older than
-that. `on_assignment` and `on_dead` begin a new generation; a node names the one of the last
-answer that it was given.
+A node's word counts only if it said it after it was told: `on_assignment` and `on_dead` begin a
+new generation, an answer to a node carries the present one, and the node's words name that of the
+last answer it had from this machine (0 if it had none). A node that may release a service has
+perhaps done so at once, so it does not count as serving any more; if the service comes back to
+it, only a word as of that generation or a later one counts.
 
 Nothing of this has to outlive its process: a machine that begins anew learns from the nodes'
 words who serves what, and lets nobody go before it knows enough of those who serve.
@@ -84,7 +85,7 @@
         return sum(len(nodes) for nodes in self._former.values())
 
     def on_assignment(self, assignment: Assignment) -> None:
-        """Begin to move to this assignment.
+        """Begin to move to this assignment. Those whose loss it follows come first, in `on_dead`.
 
         Raises:
             ScaleError: it names a node that is not registered; nothing has changed then.
@@ -93,6 +94,8 @@
             self._check(node)
         self.generation += 1
         before, self._assigned, self._held = self._assigned, assignment.holders, assignment.held
+        if not before:  # the first one tells nobody anything new
+            return
         for service in sorted(before.keys() | self._assigned.keys()):
             old, new = before.get(service, ()), self._assigned.get(service, ())
             if old != new:
@@ -177,8 +180,8 @@
                 _discard(self._serving, service, node)
         for node in new - old:
             self._forget_former(node, service)
-            if service in self._releasable.get(node, ()):
-                _discard(self._releasable, node, service)
+            _discard(self._releasable, node, service)
+            if node not in self._serving.get(service, ()):
                 self._since[node, service] = self.generation
         self._settle(service)
 
--- a/flinthatch/scale/holder.py
+++ b/flinthatch/scale/holder.py
@@ -1,15 +1,19 @@
 """The node's side: what is assigned is held, as of a position in each region's log.
 
 Positions never go back: an update of an older epoch or revision changes nothing, one that does
-not follow what is held asks for a snapshot. Of an update each service's change is taken whole or
-not at all. Without any word of control the node serves on with what it holds, and `age` shows for
-how long it has been alone.
+not follow what is held asks for another. Of an update each service's change is taken whole or not
+at all; where a service does not fit any more, what is held of it shrinks by what has left or is
+leaving, and takes nothing new. Without any word of control the node serves on with what it holds,
+and `age` shows for how long it has been alone.
 
 A service that moves away is held, followed and served until control has said that it may be
-released and no request of it is out. A node whose requests of it never pause closes it to new
-ones after `linger`.
+released and no request of it is out. Where requests of it never pause, it takes no new ones once
+`linger` has gone by.
 
 What clients ask for and nobody assigned costs a bounded table and a bounded rate of questions.
+
+A host asks control with `subscription` and `current` of each region: control sends the changes of
+the current ones, and the others whole. What is not followed is never taken for current again.
 """
 
 from __future__ import annotations
@@ -62,6 +66,10 @@
             raise ScaleError(f"limits: unknown is {self.unknown}, must be 1 to 100000")
         if not 0 < self.asks <= 1000:
             raise ScaleError(f"limits: asks is {self.asks}, must be over 0, up to 1000")
+        if self.services * SERVICE_BYTES > self.bytes:
+            raise ScaleError(
+                f"limits: bytes is {self.bytes}, must be at least {SERVICE_BYTES} a service"
+            )
         if self.ask_again < 0 or self.linger < 0:
             raise ScaleError("limits: ask_again and linger must not be negative")
 
@@ -72,7 +80,7 @@
     APPLIED = "applied"
     OLDER = "of an older epoch or revision: ignored"
     GAP = "does not follow what is held: ask for a snapshot"
-    OVER_LIMIT = "applied, less the services that don't fit"
+    OVER_LIMIT = "applied, less what is new in services that don't fit"
     NOT_WANTED = "applied, and nothing of it is held here"
     MALFORMED = "its positions or its changes contradict themselves: ignored"
 
@@ -122,7 +130,7 @@
         self._regions = {region: _Region() for region in regions}
         self._services: dict[str, _Held] = {}
         self._refused: dict[str, int] = {}  # services that don't fit, and what they would take
-        self._dropped: list[str] = []
+        self._dropped: dict[str, None] = {}
         self._asked: OrderedDict[str, int] = OrderedDict()  # names, and when they were asked for
         self._asks: Bucket | None = None
 
@@ -131,18 +139,21 @@
     ) -> tuple[str, ...]:
         """Take over what is to be held, services with their regions, and what may be released.
 
-        A service that is in neither stays as it is, if it has been held at all. Returns the
-        services that are over the bound on their number, and are not held for it.
+        A service that is in neither stays as it is, if it has been held at all. One that was not
+        wanted and is again has to come whole: control may not have followed it meanwhile. Returns
+        the services that are over the bound on their number, and are not held for it.
 
         Raises:
             ScaleError: a region is unknown, or another than before; nothing has changed then.
         """
         self._check_wanted(wanted)
         for service, held in tuple(self._services.items()):
-            held.wanted = service in wanted
-            if held.wanted:
-                held.releasable_since, held.closed = None, False
-            elif service in releasable:
+            if service in wanted:
+                held.current = held.current and held.wanted
+                held.wanted, held.releasable_since, held.closed = True, None, False
+                continue
+            held.wanted = False
+            if service in releasable:
                 if held.releasable_since is None:
                     held.releasable_since = now
             elif held.rows is None:
@@ -156,26 +167,28 @@
             self._regions[wanted[service]].held.add(service)
             self.bytes_held += SERVICE_BYTES
             self._asked.pop(service, None)
+            self._dropped.pop(service, None)
         self._settle(now)
         return tuple(over)
 
     def subscription(self, region: str) -> frozenset[str]:
-        """The services of a region to be followed: all that are held or wanted, less what does
-        not fit.
+        """The services of a region that control is to send: all that are wanted or still held.
 
         Raises:
             ScaleError: the region is unknown.
         """
-        return frozenset(self._region(region).held - self._refused.keys())
+        return frozenset(self._region(region).held)
 
-    def missing(self, region: str) -> frozenset[str]:
-        """Those of `subscription` whose rows have not come, or are of an earlier position.
+    def current(self, region: str) -> frozenset[str]:
+        """Those of `subscription` of which changes are enough: the others have to come whole.
 
         Raises:
             ScaleError: the region is unknown.
         """
         return frozenset(
-            service for service in self.subscription(region) if not self._services[service].current
+            service
+            for service in self._region(region).held
+            if self._services[service].current or service in self._refused
         )
 
     def serving(self) -> frozenset[str]:
@@ -203,6 +216,18 @@
         self._settle(now)
         return taken
 
+    def on_nothing_newer(self, now: int, region: str, position: Position) -> bool:
+        """Control says that its log is at this position: whether that is what is held.
+
+        Raises:
+            ScaleError: the region is unknown.
+        """
+        state = self._region(region)
+        if position != state.position:
+            return False
+        state.heard = now
+        return True
+
     def position(self, region: str) -> Position:
         """As of where a region's services are held.
 
@@ -243,7 +268,7 @@
 
     def released(self) -> tuple[str, ...]:
         """The services dropped since the last call: nothing of them has to be kept."""
-        dropped, self._dropped = tuple(self._dropped), []
+        dropped, self._dropped = tuple(self._dropped), {}
         return dropped
 
     def on_unknown(self, now: int, service: str) -> Ask | None:
@@ -280,18 +305,17 @@
                 )
 
     def _on_snapshot(self, region: _Region, snapshot: Snapshot) -> Taken:
-        if not _follows(snapshot.position, region.position):
+        if snapshot.position < region.position:
             return Taken(Kind.OLDER)
-        changed, refused = [], []
+        changed: list[str] = []
+        refused: list[str] = []
         for service in sorted(region.held):
             rows = snapshot.services.get(service)
-            held = self._services[service]
             if rows is None:
-                held.current = False
-            elif self._replace(service, held, dict(rows)):
-                changed.append(service)
-            else:
-                refused.append(service)
+                self._services[service].current = False
+                continue
+            change = Change(snapshot.position, service, tuple(rows.values()), whole=True)
+            (changed if self._apply(change) else refused).append(service)
         return _taken(changed, refused, bool(snapshot.services))
 
     def _on_delta(self, region: _Region, delta: Delta) -> Taken:
@@ -306,13 +330,7 @@
         changed: dict[str, None] = {}
         refused: dict[str, None] = {}
         for change in mine:
-            held = self._services[change.service]
-            if change.service in self._refused and not change.whole:
-                refused[change.service] = None
-            elif self._replace(change.service, held, _changed(held, change)):
-                changed[change.service] = None
-            else:
-                refused[change.service] = None
+            (changed if self._apply(change) else refused)[change.service] = None
         return _taken(list(changed), list(refused), bool(delta.changes))
 
     def _complete(self, changes: Iterable[Change]) -> bool:
@@ -327,19 +345,31 @@
                     return False
         return True
 
-    def _replace(self, service: str, held: _Held, rows: dict[str, Row] | None) -> bool:
-        size = SERVICE_BYTES + _size(rows)
-        if self.bytes_held - held.bytes + size > self.limits.bytes and size > held.bytes:
-            held.current = False
+    def _apply(self, change: Change) -> bool:
+        """Take a change of a service that is held; False where it does not fit."""
+        service = change.service
+        held = self._services[service]
+        fits = change.whole or change.deleted or service not in self._refused
+        if fits:
+            rows = _changed(held.rows, change)
+            size = SERVICE_BYTES + _size(rows)
+            fits = size <= held.bytes or self.bytes_held - held.bytes + size <= self.limits.bytes
+            if fits:
+                self._refused.pop(service, None)
+                self._replace(held, rows)
+                return True
             self._refused[service] = size
-            return False
-        self._refused.pop(service, None)
+        self._replace(held, _reduced(held.rows, change))
+        held.current = False
+        return False
+
+    def _replace(self, held: _Held, rows: dict[str, Row] | None) -> None:
+        size = SERVICE_BYTES + _size(rows)
         self.bytes_held += size - held.bytes
         held.rows, held.bytes, held.current = rows, size, True
-        return True
 
     def _settle(self, now: int) -> None:
-        """What time and room allow: retry what did not fit, close and drop what may go."""
+        """What time and room allow: ask again for what did not fit, close and drop what may go."""
         for service, size in tuple(self._refused.items()):
             if self.bytes_held - self._services[service].bytes + size <= self.limits.bytes:
                 del self._refused[service]
@@ -358,7 +388,7 @@
         self._regions[held.region].held.discard(service)
         self._refused.pop(service, None)
         self.bytes_held -= held.bytes
-        self._dropped.append(service)
+        self._dropped[service] = None
 
 
 def _follows(position: Position, held: Position) -> bool:
@@ -375,16 +405,27 @@
     )
 
 
-def _changed(held: _Held, change: Change) -> dict[str, Row] | None:
+def _changed(before: Mapping[str, Row] | None, change: Change) -> dict[str, Row] | None:
     if change.deleted:
         return None
-    rows = {} if change.whole or held.rows is None else dict(held.rows)
+    rows = {} if change.whole or before is None else dict(before)
     for uid in change.removed:
         rows.pop(uid, None)
     rows.update((row.uid, row) for row in change.rows)
     return rows
 
 
+def _reduced(before: Mapping[str, Row] | None, change: Change) -> dict[str, Row] | None:
+    """What is left of the rows, less those that the change takes away or drains."""
+    if before is None:
+        return None
+    named = {row.uid: row for row in change.rows}
+    gone = set(change.removed) | {uid for uid, row in named.items() if row.leaving}
+    if change.whole:
+        gone |= before.keys() - named.keys()
+    return {uid: row for uid, row in before.items() if uid not in gone}
+
+
 def _size(rows: Mapping[str, Row] | None) -> int:
     return sum(ROW_BYTES + len(row.uid) + len(row.body) for row in (rows or {}).values())
 
--- /dev/null
+++ b/flinthatch/scale/zones.py
@@ -0,0 +1,122 @@
+"""One zone's nodes: the order in which a service goes through them, and what they hold so far."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections.abc import Iterable, Iterator, Sequence
+from hashlib import blake2b
+from math import ceil
+from struct import Struct
+
+from flinthatch.scale.model import NodeSpec
+
+POINTS_A_HASH = 8
+RING_HASHES = 2  # of a node, POINTS_A_HASH points each: evens out the arcs of the ring
+PROBE_HASHES = 8  # of a service, as many probes each, before the rest goes by rank
+MASK = (1 << 64) - 1
+
+_POINTS = Struct(f">{POINTS_A_HASH}Q")
+
+
+class Zone:
+    """The registered nodes of one zone, and their points on its hash ring."""
+
+    def __init__(self, nodes: Sequence[NodeSpec], node_rate: float) -> None:
+        self.name = nodes[0].zone
+        self.region = nodes[0].region
+        self.nodes = nodes
+        self.rates = {node.name: node.rate or node_rate for node in nodes}
+        self.least_rate = min(self.rates.values())
+        self._marks = {node.name: hash64(f"node\0{node.name}") for node in nodes}
+        points = sorted(
+            (point, node.name)
+            for node in nodes
+            for number in range(RING_HASHES)
+            for point in _points(f"point\0{number}\0{node.name}")
+        )
+        self._points = [point for point, _ in points]
+        self._owners = [name for _, name in points]
+
+    def order(self, service: str) -> Iterator[str]:
+        """Each node of the zone once, in this service's own order."""
+        seen: set[str] = set()
+        for owner in self._probed(service):
+            if owner not in seen:
+                seen.add(owner)
+                yield owner
+        mark = hash64(f"rank\0{self.name}\0{service}")
+        rest = self._marks.keys() - seen
+        yield from sorted(rest, key=lambda name: (_mix(mark ^ self._marks[name]), name))
+
+    def _probed(self, service: str) -> Iterator[str]:
+        """The nodes whose points follow the service's probes on the ring."""
+        for number in range(PROBE_HASHES):
+            for probe in _points(f"probe\0{number}\0{self.name}\0{service}"):
+                place = bisect_left(self._points, probe)
+                yield self._owners[place % len(self._owners)]
+
+
+class Loads:
+    """What the nodes of one zone hold, and how much more they may.
+
+    A copy for a what-if costs nothing of the zone's size: it keeps what differs from `base`.
+    """
+
+    def __init__(self, zone: Zone, base: Loads | None = None) -> None:
+        self._zone = zone
+        self._base = base
+        self._most: dict[str, int] = base._most if base else {}
+        self._services: dict[str, int] = {}
+        self._rates: dict[str, float] = {}
+
+    def bound_by_mean(self, slots: int, load_factor: float) -> None:
+        """Let each node hold its part of the slots, by its capacity, times the factor at most."""
+        total = sum(node.capacity for node in self._zone.nodes)
+        for node in self._zone.nodes:
+            part = ceil(load_factor * slots * node.capacity / total)
+            self._most[node.name] = min(node.capacity, max(part, 1))
+
+    def bound_by_nodes(self) -> None:
+        """Let each node hold what it states itself: what substitutes may use."""
+        self._most.update((node.name, node.capacity) for node in self._zone.nodes)
+
+    def take(self, name: str, rate: float) -> bool:
+        """Give the node one service with this share of its rate, unless that is over its part.
+
+        One of the two bounds must have been set before.
+        """
+        services, rates = self._load(name)
+        if services >= self._most[name] or rates + rate > self._zone.rates[name]:
+            return False
+        self._services[name] = services + 1
+        self._rates[name] = rates + rate
+        return True
+
+    def _load(self, name: str) -> tuple[int, float]:
+        if name in self._services:
+            return self._services[name], self._rates[name]
+        return self._base._load(name) if self._base else (0, 0.0)
+
+
+def hash64(text: str) -> int:
+    """64 bits that are the same on every machine (`hash` is not)."""
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
+def zones_of(nodes: Iterable[NodeSpec], node_rate: float) -> dict[str, Zone]:
+    """The zones by name, in the order of their names; `node_rate` is for nodes that state none."""
+    by_zone: dict[str, list[NodeSpec]] = {}
+    for node in nodes:
+        by_zone.setdefault(node.zone, []).append(node)
+    return {name: Zone(members, node_rate) for name, members in sorted(by_zone.items())}
+
+
+def _points(text: str) -> tuple[int, ...]:
+    return _POINTS.unpack(blake2b(text.encode(), digest_size=_POINTS.size).digest())
+
+
+def _mix(value: int) -> int:
+    """The finalizer of SplitMix64 (Steele, Lea and Flood 2014): spreads 64 bits evenly."""
+    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & MASK
+    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & MASK
+    return value ^ (value >> 31)
