A holder names each service whose rows changed, and drops before it takes on

A service that did not fit lost its drained backends without being named as changed, and services let go were counted against the bound before those that replace them.

--- a/flinthatch/scale/holder.py
+++ b/flinthatch/scale/holder.py
@@ -86,7 +86,10 @@
 
 
 class Taken(NamedTuple):
-    """What came of an update: the services whose rows changed, and those that don't fit."""
+    """What came of an update: the services whose rows changed, and those that don't fit.
+
+    One may be both: it has lost what left, and takes nothing new.
+    """
 
     kind: Kind
     changed: tuple[str, ...] = ()
@@ -141,7 +144,8 @@
 
         A service that is in neither is kept, if it has been held at all. One that was not
         wanted and is again has to come whole: control may not have followed it meanwhile. Returns
-        the services that are over the bound on their number, and are not held for it.
+        the services that are over a bound and are not held for it: to be tried again when
+        something was released.
 
         Raises:
             ScaleError: a region is unknown, or another than before; nothing has changed then.
@@ -159,9 +163,11 @@
                     self._drop(service)
             elif held.releasable_since is None:
                 held.releasable_since = now
+        self._settle(now)
         over = []
         for service in sorted(wanted.keys() - self._services.keys()):
-            if len(self._services) >= self.limits.services:
+            full = self.bytes_held + SERVICE_BYTES > self.limits.bytes
+            if full or len(self._services) >= self.limits.services:
                 over.append(service)
                 continue
             self._services[service] = _Held(wanted[service])
@@ -169,7 +175,6 @@
             self.bytes_held += SERVICE_BYTES
             self._asked.pop(service, None)
             self._dropped.pop(service, None)
-        self._settle(now)
         return tuple(over)
 
     def subscription(self, region: str) -> frozenset[str]:
@@ -308,16 +313,15 @@
     def _on_snapshot(self, region: _Region, snapshot: Snapshot) -> Taken:
         if snapshot.position < region.position:
             return Taken(Kind.OLDER)
-        changed: list[str] = []
-        refused: list[str] = []
+        mine = []
         for service in sorted(region.held):
             rows = snapshot.services.get(service)
             if rows is None:
                 self._services[service].current = False
-                continue
-            change = Change(snapshot.position, service, tuple(rows.values()), whole=True)
-            (changed if self._apply(change) else refused).append(service)
-        return _taken(changed, refused, bool(snapshot.services))
+            else:
+                all_rows = tuple(rows.values())
+                mine.append(Change(snapshot.position, service, all_rows, whole=True))
+        return self._apply_all(mine, bool(snapshot.services))
 
     def _on_delta(self, region: _Region, delta: Delta) -> Taken:
         if delta.base != region.position:
@@ -328,11 +332,7 @@
         mine = [change for change in delta.changes if change.service in region.held]
         if not self._complete(mine):
             return Taken(Kind.GAP)
-        changed: dict[str, None] = {}
-        refused: dict[str, None] = {}
-        for change in mine:
-            (changed if self._apply(change) else refused)[change.service] = None
-        return _taken(list(changed), list(refused), bool(delta.changes))
+        return self._apply_all(mine, bool(delta.changes))
 
     def _complete(self, changes: Iterable[Change]) -> bool:
         """Whether each service's changes go on from what is held of it."""
@@ -346,6 +346,23 @@
                     return False
         return True
 
+    def _apply_all(self, changes: Iterable[Change], any_named: bool) -> Taken:
+        changed: dict[str, None] = {}
+        refused: dict[str, None] = {}
+        for change in changes:
+            service = change.service
+            before = self._services[service].rows
+            fits = self._apply(change)
+            if not fits:
+                refused[service] = None
+            if fits or len(before or ()) != len(self._services[service].rows or ()):
+                changed[service] = None
+        if refused:
+            return Taken(Kind.OVER_LIMIT, tuple(changed), tuple(refused))
+        if any_named and not changed:
+            return Taken(Kind.NOT_WANTED)
+        return Taken(Kind.APPLIED, tuple(changed))
+
     def _apply(self, change: Change) -> bool:
         """Take a change of a service that is held; False where it does not fit."""
         service = change.service
@@ -370,15 +387,15 @@
         held.rows, held.bytes, held.current = rows, size, True
 
     def _settle(self, now: int) -> None:
-        """What time and room allow: ask again for what did not fit, close and drop what may go."""
-        for service, size in tuple(self._refused.items()):
-            if self.bytes_held - self._services[service].bytes + size <= self.limits.bytes:
-                del self._refused[service]
+        """What time and room allow: close and drop what may go, ask again for what did not fit."""
         for service, held in tuple(self._services.items()):
             since = held.releasable_since
             if since is not None:
                 held.closed = held.closed or now - since >= self.limits.linger
                 self._drop_if_idle(service, held)
+        for service, size in tuple(self._refused.items()):
+            if self.bytes_held - self._services[service].bytes + size <= self.limits.bytes:
+                del self._refused[service]
 
     def _drop_if_idle(self, service: str, held: _Held) -> None:
         if held.releasable_since is not None and not held.out:
@@ -429,11 +446,3 @@
 
 def _size(rows: Mapping[str, Row] | None) -> int:
     return sum(ROW_BYTES + len(row.uid) + len(row.body) for row in (rows or {}).values())
-
-
-def _taken(changed: Collection[str], refused: Collection[str], any_named: bool) -> Taken:
-    if refused:
-        return Taken(Kind.OVER_LIMIT, tuple(changed), tuple(refused))
-    if any_named and not changed:
-        return Taken(Kind.NOT_WANTED)
-    return Taken(Kind.APPLIED, tuple(changed))
--- a/flinthatch/scale/liveness.py
+++ b/flinthatch/scale/liveness.py
@@ -26,7 +26,7 @@
     silence: int = 3 * SECOND
     stay: int = 5 * SECOND
     longest_stay: int = 300 * SECOND
-    memory: int = 600 * SECOND  # a node that has lived so long starts with `stay` again
+    memory: int = 600 * SECOND  # a death so long after the last one counts as the first
 
     def __post_init__(self) -> None:
         if not self.silence > 0:
--- /dev/null
+++ b/tests/test_scale_liveness.py
@@ -0,0 +1,135 @@
+"""Who counts as alive: late to die, later to come back, later still for those who flap."""
+
+from __future__ import annotations
+
+import pytest
+
+from flinthatch.model import MS, SECOND
+from flinthatch.scale.liveness import Liveness, LivenessChange, LivenessRules
+from flinthatch.scale.model import ScaleError
+
+RULES = LivenessRules(
+    silence=3 * SECOND, stay=5 * SECOND, longest_stay=60 * SECOND, memory=600 * SECOND
+)
+STEP = 500 * MS
+NOTHING = LivenessChange((), ())
+
+
+class Run:
+    """One node that speaks or is silent for a while, looked at every half second."""
+
+    def __init__(self) -> None:
+        self.now = 0
+        self.liveness = Liveness(0, ["n", "other"], RULES)
+
+    def until(self, wanted: LivenessChange, speaks: bool, most: int = 120 * SECOND) -> int:
+        """How long it takes for this to come out of a turn."""
+        start = self.now
+        while self.now - start <= most:
+            self.now += STEP
+            self.liveness.on_word(self.now, "other")
+            if speaks:
+                self.liveness.on_word(self.now, "n")
+            change = self.liveness.turn(self.now)
+            if change == wanted:
+                return self.now - start
+            assert change == NOTHING
+        raise AssertionError("never")
+
+    def die(self) -> int:
+        return self.until(LivenessChange(("n",), ()), speaks=False)
+
+    def come_back(self) -> int:
+        return self.until(LivenessChange((), ("n",)), speaks=True)
+
+    def live(self, span: int) -> None:
+        for _ in range(span // STEP):
+            self.now += STEP
+            self.liveness.on_word(self.now, "other")
+            self.liveness.on_word(self.now, "n")
+            assert self.liveness.turn(self.now) == NOTHING
+
+
+def test_all_count_as_alive_at_first_and_die_of_silence() -> None:
+    run = Run()
+    assert run.liveness.alive == {"n", "other"}
+    assert run.die() == RULES.silence
+    assert run.liveness.alive == {"other"}
+
+
+def test_a_short_silence_is_no_death() -> None:
+    liveness = Liveness(0, ["n"], RULES)
+    for now in range(0, 60 * SECOND, RULES.silence - 1):
+        assert liveness.turn(now) == NOTHING
+        liveness.on_word(now, "n")
+
+
+def test_one_is_back_only_after_it_has_stayed() -> None:
+    run = Run()
+    run.die()
+    assert run.come_back() == RULES.stay + STEP  # from its first word on
+    assert run.liveness.alive == {"n", "other"}
+
+
+def test_a_gap_while_it_waits_begins_the_wait_anew() -> None:
+    run = Run()
+    run.die()
+    run.live(4 * SECOND)
+    run.now += RULES.silence
+    run.liveness.on_word(run.now, "other")
+    assert run.liveness.turn(run.now) == NOTHING
+    assert run.come_back() == RULES.stay + STEP
+
+
+def test_each_return_takes_longer_up_to_a_bound() -> None:
+    run = Run()
+    waits = []
+    for _ in range(8):
+        run.die()
+        waits.append((run.come_back() - STEP) // SECOND)
+    assert waits == [5, 10, 20, 40, 60, 60, 60, 60]
+
+
+def test_one_that_has_lived_long_begins_anew() -> None:
+    run = Run()
+    for _ in range(4):
+        run.die()
+        run.come_back()
+    run.live(RULES.memory)
+    run.die()
+    assert run.come_back() == RULES.stay + STEP
+
+
+def test_a_rack_that_goes_and_comes_at_once_is_one_change_each_way() -> None:
+    rack = [f"n{number:02}" for number in range(40)]
+    liveness = Liveness(0, [*rack, "other"], RULES)
+    changes = []
+    for now in range(0, 40 * SECOND, STEP):
+        liveness.on_word(now, "other")
+        if not 5 * SECOND <= now < 12 * SECOND:
+            for node in rack:
+                liveness.on_word(now, node)
+        if (change := liveness.turn(now)) != NOTHING:
+            changes.append(change)
+    assert changes == [LivenessChange(tuple(rack), ()), LivenessChange((), tuple(rack))]
+
+
+def test_the_words_of_strangers_count_for_nothing() -> None:
+    liveness = Liveness(0, ["n"], RULES)
+    assert not liveness.on_word(1, "x")
+    assert liveness.on_word(1, "n")
+    assert liveness.alive == {"n"}
+
+
+@pytest.mark.parametrize(
+    ("rules", "message"),
+    [
+        ({"silence": 0}, "silence is 0, must be over 0"),
+        ({"stay": -1}, "stay must be 0 to longest_stay"),
+        ({"stay": 2, "longest_stay": 1}, "stay must be 0 to longest_stay"),
+        ({"memory": -1}, "memory is -1, must not be negative"),
+    ],
+)
+def test_rules_out_of_range_are_refused(rules: dict[str, int], message: str) -> None:
+    with pytest.raises(ScaleError, match=f"liveness: {message}"):
+        LivenessRules(**rules)
