A late answer says nothing of services that its question did not name

A delta that was asked for before a service was held has none of its changes; taken late, by a position that happened to match, it left the service as of an older place and counted as current. A holder's question is a Subscription, handed back with its answer; what has become current meanwhile has to come whole again.

--- a/flinthatch/scale/holder.py
+++ b/flinthatch/scale/holder.py
@@ -12,8 +12,10 @@
 
 What clients ask for and nobody assigned costs a bounded table and a bounded rate of questions.
 
-A host asks control with `subscription` and `current` of each region: control sends the changes of
-the current ones, and the others whole. What is not followed is never taken for current again.
+A host asks control with the `Subscription` of each region: control sends the changes of its
+current services, and the others whole. A delta says nothing of services that were not current
+when it was asked for, so the host hands the answer over together with the subscription that it
+answers: what has become current meanwhile has to come whole again.
 """
 
 from __future__ import annotations
@@ -96,6 +98,15 @@
     refused: tuple[str, ...] = ()
 
 
+class Subscription(NamedTuple):
+    """What control is asked for of one region, and answers with an update."""
+
+    region: str
+    position: Position
+    services: frozenset[str]  # to be sent: all that are wanted or still held
+    current: frozenset[str]  # those of which changes are enough: the others have to come whole
+
+
 class Ask(NamedTuple):
     """Ask control for this service: a client wants it and it is not held."""
 
@@ -185,6 +196,16 @@
         """
         return frozenset(self._region(region).held)
 
+    def subscribe(self, region: str) -> Subscription:
+        """What to ask control for now.
+
+        Raises:
+            ScaleError: the region is unknown.
+        """
+        return Subscription(
+            region, self.position(region), self.subscription(region), self.current(region)
+        )
+
     def current(self, region: str) -> frozenset[str]:
         """Those of `subscription` of which changes are enough: the others have to come whole.
 
@@ -205,9 +226,12 @@
             if held.rows is not None and not held.closed
         )
 
-    def on_update(self, now: int, update: Update) -> Taken:
+    def on_update(self, now: int, update: Update, asked: Subscription | None = None) -> Taken:
         """Take an update whole, or nothing of it; see `Kind`.
 
+        `asked` is the subscription that it answers; None where nothing was held or dropped since
+        that was made, as with one question at a time.
+
         Raises:
             ScaleError: its region is unknown.
         """
@@ -215,7 +239,7 @@
         if isinstance(update, Snapshot):
             taken = self._on_snapshot(region, update)
         else:
-            taken = self._on_delta(region, update)
+            taken = self._on_delta(region, update, asked)
         if taken.kind in (Kind.APPLIED, Kind.OVER_LIMIT, Kind.NOT_WANTED):
             region.position = update.position
             region.heard = now
@@ -323,7 +347,7 @@
                 mine.append(Change(snapshot.position, service, all_rows, whole=True))
         return self._apply_all(mine, bool(snapshot.services))
 
-    def _on_delta(self, region: _Region, delta: Delta) -> Taken:
+    def _on_delta(self, region: _Region, delta: Delta, asked: Subscription | None) -> Taken:
         if delta.base != region.position:
             newer = delta.position > region.position
             return Taken(Kind.GAP if newer else Kind.OLDER)
@@ -332,6 +356,9 @@
         mine = [change for change in delta.changes if change.service in region.held]
         if not self._complete(mine):
             return Taken(Kind.GAP)
+        if asked is not None and delta.position > delta.base:
+            for service in region.held - asked.current:
+                self._services[service].current = False
         return self._apply_all(mine, bool(delta.changes))
 
     def _complete(self, changes: Iterable[Change]) -> bool:
