--- a/flinthatch/scale/holder.py
+++ b/flinthatch/scale/holder.py
@@ -218,6 +218,14 @@
             if self._services[service].current or service in self._refused
         )
 
+    def missing(self, region: str) -> frozenset[str]:
+        """Those of `subscription` that have to come whole.
+
+        Raises:
+            ScaleError: the region is unknown.
+        """
+        return self.subscription(region) - self.current(region)
+
     def serving(self) -> frozenset[str]:
         """The services that are held whole and take requests."""
         return frozenset(
--- a/tests/test_scale_holder.py
+++ b/tests/test_scale_holder.py
@@ -143,6 +143,7 @@
     assert not holder.on_request_begins("t")
     assert holder.subscription("r") == {"s", "t"}
     assert holder.current("r") == {"s"}
+    assert holder.missing("r") == {"t"}
     part = Change(P(2, 11), "t", (row("c"),))
     also = Change(P(2, 11), "s", (row("c"),))
     assert holder.on_update(2, delta(P(2, 10), P(2, 11), also, part)) == Taken(Kind.GAP)
