--- a/benchmarks/assignment.py
+++ b/benchmarks/assignment.py
@@ -31,16 +31,16 @@
 T = TypeVar("T")
 
 
-def make_nodes(a_zone: int) -> list[NodeSpec]:
+def make_nodes(a_zone: int, capacity: int = CAPACITY) -> list[NodeSpec]:
     return [
-        NodeSpec(f"{zone}-{number:04}", zone[:4], zone, CAPACITY)
+        NodeSpec(f"{zone}-{number:04}", zone[:4], zone, capacity)
         for zone in ZONES
         for number in range(a_zone)
     ]
 
 
-def make_services(count: int, part: float, exponent: float) -> list[ServiceSpec]:
-    """`part` of the full rate and backends, over all zones."""
+def make_services(count: int, rate: float, exponent: float = 1.2) -> list[ServiceSpec]:
+    """Services that share this rate, and its part of all backends, by Zipf's law."""
     weights = [1 / (rank + 1) ** exponent for rank in range(count)]
     total = sum(weights)
     return [
@@ -48,8 +48,8 @@
             f"service-{rank:04}",
             ("east", "west")[rank % 2],
             ZONES,
-            part * RATE * weight / total,
-            max(1, round(part * BACKENDS * weight / total)),
+            rate * weight / total,
+            max(1, round(BACKENDS * rate / RATE * weight / total)),
         )
         for rank, weight in enumerate(weights)
     ]
@@ -216,13 +216,13 @@
     parser.add_argument("--quick", action="store_true")
     args = parser.parse_args()
     a_zone, count, runs = (100, 230, 20) if args.quick else (1950, 4500, 200)
-    part = a_zone / 1950
+    rate = RATE * a_zone / 1950
     plain = AssignmentRules()
     everywhere = AssignmentRules(everywhere=frozenset({f"service-{count - 1:04}"}))
     cases = {
-        "zipf 0.8": (make_services(count, part, 0.8), plain),
-        "zipf 1.2": (make_services(count, part, 1.2), plain),
-        "zipf 1.2, one held by all": (make_services(count, part, 1.2), everywhere),
+        "zipf 0.8": (make_services(count, rate, 0.8), plain),
+        "zipf 1.2": (make_services(count, rate, 1.2), plain),
+        "zipf 1.2, one held by all": (make_services(count, rate, 1.2), everywhere),
     }
     result: dict[str, Any] = {
         "benchmark": "assignment",
--- a/tests/test_scale_assignment.py
+++ b/tests/test_scale_assignment.py
@@ -16,6 +16,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from benchmarks.assignment import ZONES, make_nodes, make_services
 from flinthatch.scale.assignment import (
     Assigner,
     Assignment,
@@ -27,34 +28,9 @@
 from flinthatch.scale.checks import check_machine_known, check_machines
 from flinthatch.scale.model import MachineSpec, NodeSpec, ScaleError, ServiceSpec
 
-ZONES = ("east-1", "east-2", "west-1", "west-2")
 RULES = AssignmentRules()
 
 
-def make_nodes(a_zone: int, capacity: int = 64) -> list[NodeSpec]:
-    return [
-        NodeSpec(f"{zone}-{number:04}", zone[:4], zone, capacity)
-        for zone in ZONES
-        for number in range(a_zone)
-    ]
-
-
-def make_services(count: int, rate: float, exponent: float = 1.2) -> list[ServiceSpec]:
-    """Rates and backends by Zipf's law, over all zones."""
-    weights = [1 / (rank + 1) ** exponent for rank in range(count)]
-    total = sum(weights)
-    return [
-        ServiceSpec(
-            f"service-{rank:04}",
-            ("east", "west")[rank % 2],
-            ZONES,
-            rate * weight / total,
-            ceil(26 * count * weight / total),
-        )
-        for rank, weight in enumerate(weights)
-    ]
-
-
 def names(nodes: Collection[NodeSpec]) -> frozenset[str]:
     return frozenset(node.name for node in nodes)
 
