--- a/tests/test_list_state.py
+++ b/tests/test_list_state.py
@@ -180,5 +180,8 @@
             call.end(Answer(503, {}, b""))
         if told and told[-1] == Update.FAILED:
             d.watch()  # the Balancer's timer
+            if d._retry is not None:  # the pause after failures in a row, over at once
+                d._retry.cancel()
+                d._pause_over()
     d.close()
     assert all(c.dropped for c in FakeCall.out)
