--- a/flinthatch/scale/model.py
+++ b/flinthatch/scale/model.py
@@ -85,6 +85,7 @@
     rows: tuple[Row, ...] = ()  # new or changed
     removed: tuple[str, ...] = ()  # uids that have gone
     deleted: bool = False  # the service itself has gone
+    whole: bool = False  # all rows of the service as of `position`, in place of what was held
 
 
 @dataclass(frozen=True, slots=True)
