--- a/flinthatch/scale/changes.py
+++ b/flinthatch/scale/changes.py
@@ -54,7 +54,8 @@
     """All that a log's successor needs: what a machine that starts empty takes over.
 
     `changed` gives the revision of each service's last change, `gone` that of the last deletion,
-    `epochs` the first revision of each epoch, in order. Rows are shared and never written to.
+    `epochs` the first revision of each epoch, in order, `history` the epoch of the log's first
+    change. Rows are shared and never written to.
     """
 
     position: Position
@@ -62,6 +63,7 @@
     changed: Mapping[str, int] = field(default_factory=dict)
     gone: int = 0
     epochs: tuple[Position, ...] = ()
+    history: int = 0
 
 
 @dataclass(slots=True)
@@ -83,10 +85,12 @@
         self.region = region
         self._most_changes = most_changes
         self._most_bytes = most_bytes
-        self._clear()
+        self.reset()
 
-    def _clear(self) -> None:
+    def reset(self) -> None:
+        """Forget all: a new history follows from its first change on."""
         self.position = START
+        self.history = 0  # the epoch of the first change
         self.bytes = 0  # of the changes in the log
         self._rows: dict[str, Rows] = {}
         self._sizes: dict[str, int] = {}
@@ -110,6 +114,8 @@
             raise ScaleError(
                 f"change log of {self.region}: {change.position} does not follow {self.position}"
             )
+        if self.position == START:
+            self.history = epoch
         if not self._epochs or epoch > self._epochs[-1].epoch:
             self._epochs.append(change.position)
             if len(self._epochs) > MOST_EPOCHS:
@@ -164,8 +170,9 @@
                 f"change log of {self.region}: an image of {image.position}"
                 f" is older than {self.position}"
             )
-        self._clear()
+        self.reset()
         self.position = image.position
+        self.history = image.history
         self._rows = dict(image.rows)
         self._sizes = {name: rows_size(name, rows.values()) for name, rows in self._rows.items()}
         self._changed = dict(image.changed)
@@ -181,7 +188,7 @@
         """The region as of now; later changes leave it as it is. Cost: an entry a service."""
         return LogImage(
             self.position, dict(self._rows), dict(self._changed), self._deleted,
-            tuple(self._epochs),
+            tuple(self._epochs), self.history,
         )  # fmt: skip
 
     def contains(self, position: Position) -> bool:
--- a/flinthatch/scale/messages.py
+++ b/flinthatch/scale/messages.py
@@ -1,7 +1,7 @@
 """What control machines say to each other: typed messages; their bytes are the sender's matter.
 
-Every message names the region whose log it is about. Terms are epochs, indexes are revisions
-(Ongaro and Ousterhout, 2014: "In Search of an Understandable Consensus Algorithm").
+Every message names the region whose log it is about. An epoch is a term and a revision an index
+of Raft (Ongaro and Ousterhout, 2014: "In Search of an Understandable Consensus Algorithm").
 """
 
 from __future__ import annotations
@@ -13,13 +13,14 @@
 
 @dataclass(frozen=True, slots=True)
 class VoteRequest:
-    """Asks for a vote in `epoch`; with `trial` only whether it would be given (a pre-vote)."""
+    """Asks for a vote in `epoch`."""
 
     region: str
     epoch: int
     last: Position  # the candidate's last entry, accepted or not
-    trial: bool = False
-    reload: bool = False  # the region has lost its log: see `Replica.load`
+    trial: bool = False  # only whether it would be given (a pre-vote)
+    reload: bool = False  # a majority of the region has lost its log, which is to be loaded again
+    transfer: bool = False  # the leader itself asks, to go on in a higher epoch
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,7 +32,6 @@
     current: int
     granted: bool
     trial: bool = False
-    reload: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,24 +40,26 @@
 
     region: str
     epoch: int
+    history: int  # the epoch in which the log was loaded; 0 where that is still to come
     previous: Position
     entries: tuple[Change, ...]
     accepted: int  # the revision up to which a majority holds the log
-    serial: int = 0  # grows with each message of this leader, so that late answers are known
+    far: bool = False  # the log does not reach back to the follower: it is to fetch an image
 
 
 @dataclass(frozen=True, slots=True)
 class Appended:
-    """A follower's answer to an `Append` or the last `ImagePart`: it holds all up to `revision`.
+    """A follower's answer to an `Append`.
 
-    Where not `ok`, `revision` is the last that may still match the leader's log.
+    Where `ok`, it holds all up to `revision`; otherwise that is the last that may match.
+    `counts` is False from a machine that has lost its memory: it is sent more, and that is all.
     """
 
     region: str
     epoch: int
     ok: bool
     revision: int
-    serial: int = 0
+    counts: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,9 +68,10 @@
 
     region: str
     position: Position
-    serial: int
-    part: int = 0  # of the image of `image`, where the answers are its parts
-    image: Position | None = None
+    serial: int  # is repeated in the answer
+    reported: int = 0  # the highest epoch that the sender has heard of
+    image: Position | None = None  # of the image whose next part is asked for
+    part: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +82,6 @@
     serial: int
     position: Position
     changes: tuple[Change, ...]
-    epoch: int = 0  # the highest epoch that the sender has heard of
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,27 +95,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ImagePart:
-    """One part of the log's image as of `position`; taken over when all parts are there."""
+    """One part of a log's image as of `position`; taken over when all parts are there."""
 
     region: str
-    epoch: int  # of the leader that sends it; 0 where it answers a `Fetch`
+    serial: int
     position: Position
-    part: int
+    part: int  # from 0
     parts: int
     services: tuple[ServiceImage, ...]
     gone: int
     epochs: tuple[Position, ...]
-    serial: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class ImageWanted:
-    """A follower asks its leader for one part of an image, from part 0 on."""
-
-    region: str
-    epoch: int
-    position: Position
-    part: int
+    history: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,26 +118,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Status:
-    """The answer: whether the sender itself is empty, its epoch, its log and who leads."""
+    """The answer to a `StatusRequest`."""
 
     region: str
     nonce: int
-    empty: bool
+    empty: bool  # the sender itself has lost its memory
     epoch: int
     last: Position  # its last entry, accepted or not
-    leader: str  # "" where it knows none
     reported: int  # the highest epoch that it has heard of from anyone
 
 
 Message = (
-    VoteRequest
-    | Vote
-    | Append
-    | Appended
-    | Fetch
-    | Fetched
-    | ImagePart
-    | ImageWanted
-    | StatusRequest
-    | Status
+    VoteRequest | Vote | Append | Appended | Fetch | Fetched | ImagePart | StatusRequest | Status
 )
