--- a/flinthatch/scale/changes.py
+++ b/flinthatch/scale/changes.py
@@ -54,8 +54,8 @@
     """All that a log's successor needs: what a machine that starts empty takes over.
 
     `changed` gives the revision of each service's last change, `gone` that of the last deletion,
-    `epochs` the first revision of each epoch, in order, `history` the epoch of the log's first
-    change. Rows are shared and never written to.
+    `epochs` the first revision of each epoch, in order, `history` as `ChangeLog` does.
+    Rows are shared and never written to.
     """
 
     position: Position
@@ -63,7 +63,7 @@
     changed: Mapping[str, int] = field(default_factory=dict)
     gone: int = 0
     epochs: tuple[Position, ...] = ()
-    history: int = 0
+    history: Position = START
 
 
 @dataclass(slots=True)
@@ -87,10 +87,13 @@
         self._most_bytes = most_bytes
         self.reset()
 
-    def reset(self) -> None:
-        """Forget all: a new history follows from its first change on."""
-        self.position = START
-        self.history = 0  # the epoch of the first change
+    def reset(self, history: Position = START) -> None:
+        """Forget all: a new history follows.
+
+        `history` is the epoch in which it was begun, and the revision before its first change.
+        """
+        self.position = Position(0, history.revision)
+        self.history = history
         self.bytes = 0  # of the changes in the log
         self._rows: dict[str, Rows] = {}
         self._sizes: dict[str, int] = {}
@@ -114,8 +117,6 @@
             raise ScaleError(
                 f"change log of {self.region}: {change.position} does not follow {self.position}"
             )
-        if self.position == START:
-            self.history = epoch
         if not self._epochs or epoch > self._epochs[-1].epoch:
             self._epochs.append(change.position)
             if len(self._epochs) > MOST_EPOCHS:
--- a/flinthatch/scale/entries.py
+++ b/flinthatch/scale/entries.py
@@ -10,7 +10,7 @@
 from collections.abc import Sequence
 
 from flinthatch.scale.changes import ChangeLog, LogImage, change_size
-from flinthatch.scale.model import START, Change, Position, ScaleError
+from flinthatch.scale.model import Change, Position, ScaleError
 
 
 def marker(position: Position) -> Change:
@@ -36,7 +36,7 @@
 
     @property
     def accepted(self) -> int:
-        """The last revision that was taken into the change log, 0 while loading."""
+        """The last revision that was taken into the change log; none of a load until its end."""
         return self._base.revision
 
     @property
@@ -48,13 +48,13 @@
         """Whether there is a log, or at least the end of a load among the proposed entries."""
         if self.loading:
             return any(not entry.service for entry in self._proposed)
-        return self._base != START
+        return self._base.epoch > 0
 
-    def begin(self, history: int) -> None:
+    def begin(self, history: Position) -> None:
         """A new history is being loaded. What the change log has stays until that has ended."""
         self.history = history
         self.loading = True
-        self._base = START
+        self._base = Position(0, history.revision)
         self._proposed = []
 
     # ---- the leader's side ------------------------------------------------
@@ -72,8 +72,6 @@
             return self._proposed[index - 1].position
         if index == 0:
             return self._base
-        if revision == 0:
-            return START
         epoch = self._log.epoch_at(revision)
         return None if epoch is None else Position(epoch, revision)
 
@@ -135,7 +133,7 @@
         if replaced:
             if all(entry.service for entry in taken):
                 return [], False
-            self._log.reset()
+            self._log.reset(self.history)
             self.loading = False
         for entry in taken:
             self._log.append(entry)
--- a/flinthatch/scale/learning.py
+++ b/flinthatch/scale/learning.py
@@ -15,7 +15,7 @@
 
 from flinthatch.scale.changes import ROW_OVERHEAD, ChangeLog, LogImage
 from flinthatch.scale.messages import Fetch, Fetched, ImagePart, ServiceImage
-from flinthatch.scale.model import Change, Row
+from flinthatch.scale.model import START, Change, Row
 
 MOST_PARTS = 65_536  # of one image; an answer that names more is nonsense
 
@@ -26,7 +26,7 @@
     def __init__(self, log: ChangeLog, sources: Sequence[str], patience: int) -> None:
         """`sources` in the order in which they are asked, each for `patience` nanoseconds."""
         self.counts: Counter[str] = Counter()
-        self.reported = 0  # the highest epoch heard of
+        self.reported = START  # the highest epoch and revision heard of
         self._log = log
         self._sources = tuple(sources)
         self._patience = patience
--- a/flinthatch/scale/messages.py
+++ b/flinthatch/scale/messages.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from flinthatch.scale.model import Change, Position, Row
+from flinthatch.scale.model import START, Change, Position, Row
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,7 +17,8 @@
 
     region: str
     epoch: int
-    last: Position  # the candidate's last entry, accepted or not
+    history: Position  # of the candidate's log, as in `Append`
+    last: Position  # its last entry, accepted or not
     trial: bool = False  # only whether it would be given (a pre-vote)
     reload: bool = False  # a majority of the region has lost its log, which is to be loaded again
     transfer: bool = False  # the leader itself asks, to go on in a higher epoch
@@ -40,7 +41,7 @@
 
     region: str
     epoch: int
-    history: int  # the epoch in which the log was loaded; 0 where that is still to come
+    history: Position  # the epoch in which the log was loaded, the revision before its first
     previous: Position
     entries: tuple[Change, ...]
     accepted: int  # the revision up to which a majority holds the log
@@ -69,7 +70,7 @@
     region: str
     position: Position
     serial: int  # is repeated in the answer
-    reported: int = 0  # the highest epoch that the sender has heard of
+    reported: Position = START  # the highest epoch and revision that the sender has heard of
     image: Position | None = None  # of the image whose next part is asked for
     part: int = 0
 
@@ -105,7 +106,7 @@
     services: tuple[ServiceImage, ...]
     gone: int
     epochs: tuple[Position, ...]
-    history: int
+    history: Position
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,7 +126,7 @@
     empty: bool  # the sender itself has lost its memory
     epoch: int
     last: Position  # its last entry, accepted or not
-    reported: int  # the highest epoch that it has heard of from anyone
+    reported: Position  # the highest epoch and revision that it has heard of from anyone
 
 
 Message = (
