A deterministic world of control machines and hollow nodes, with a referee and faults by seed

Cause: the hard cases have to be caused at will, and judged by someone who is not the product. The seeds found: answers to refused messages multiplied (a follower is now probed with one message at a time), a machine that had restarted counted by what its earlier life held, an image of a lost history was taken by a member of a later one; these are mended. Asked by a subscriber that knows more, a machine sends it elsewhere once and then lets it wait.

--- a/flinthatch/scale/entries.py
+++ b/flinthatch/scale/entries.py
@@ -123,7 +123,8 @@
     def accept(self, revision: int) -> tuple[list[Change], bool]:
         """A majority holds all up to `revision`: what the change log took of it.
 
-        The second value is True where a load has ended and replaced the change log.
+        The second value is True where a load has ended, and all that was taken replaced what the
+        change log had.
         """
         count = min(revision - self._base.revision, len(self._proposed))
         taken = self._proposed[: max(count, 0)]
@@ -139,7 +140,7 @@
             self._log.append(entry)
         del self._proposed[:count]
         self._base = self._log.position
-        return ([], True) if replaced else (taken, False)
+        return taken, replaced
 
     def learn(self, changes: Sequence[Change]) -> None:
         """Accepted changes that follow the change log's position, from whichever machine."""
--- a/flinthatch/scale/member.py
+++ b/flinthatch/scale/member.py
@@ -19,7 +19,7 @@
 from random import Random
 
 from flinthatch.model import MS, SECOND
-from flinthatch.scale.changes import ChangeLog
+from flinthatch.scale.changes import ChangeLog, LogImage
 from flinthatch.scale.entries import Entries, marker
 from flinthatch.scale.messages import (
     Append,
@@ -59,7 +59,7 @@
     hold: int = 400 * MS  # a fetch without news is answered after that
     reload_wait: int = 5 * SECOND  # for reports, before a lost log is loaded again
     missing_wait: int = 30 * SECOND  # the same while a machine of the region does not answer
-    raise_wait: int = 60 * SECOND  # between two epochs begun for a subscriber that is ahead
+    raise_wait: int = 10 * SECOND  # between two epochs begun for a subscriber that is ahead
     most_bytes: int = 256 * 1024  # of changes in one message
     most_proposed: int = 4096  # changes that wait for a majority
 
@@ -72,6 +72,7 @@
     answered: int  # the revision of its last answer
     heard: int  # when it last answered and counted
     match: int = 0  # all up to it are held there
+    probing: bool = False  # one message at a time, until it is known where its log ends
     far: bool = False  # the log does not reach back to it
 
 
@@ -119,7 +120,7 @@
         self._out = out
         self._started = now
         self._reported = START
-        self._raised = now
+        self._raised = now - timing.raise_wait
         self._voted = ""
         self._votes: set[str] = set()
         self._ballot: VoteRequest | None = None
@@ -144,6 +145,11 @@
         """Whether this machine leads and has to load the log from its source."""
         return self.role is Role.LEADER and not self.entries.load_ended()
 
+    def may_restore(self, image: LogImage) -> bool:
+        """Whether an image may be taken over: one of a history that was lost only to serve it
+        on, while this machine has nothing else."""
+        return self.role is Role.EMPTY or image.history >= self.entries.history
+
     def room(self) -> bool:
         """Whether the leader takes one more change."""
         waiting = len(self.entries.proposed)
@@ -366,7 +372,10 @@
     def _heartbeat(self, now: int) -> None:
         self._heartbeat_at = now + self._timing.heartbeat
         for other in self._others:
-            self._send_append(other, ())
+            if self._progress[other].probing and not self._progress[other].far:
+                self._probe(other)
+            else:
+                self._send_append(other, ())
 
     def _send_entries(self, now: int) -> None:
         """What each follower has not been sent, as far as it keeps up."""
@@ -377,6 +386,7 @@
         progress = self._progress[other]
         while (
             not progress.far
+            and not progress.probing
             and progress.next <= self.entries.last.revision
             and progress.next - progress.answered <= MOST_IN_FLIGHT
         ):
@@ -414,11 +424,12 @@
         progress = self._progress[sender]
         if answer.counts:
             progress.heard = now
+        if not answer.counts:
+            progress.match = 0  # it has lost what it held
         if not answer.ok:
-            self._go_back(progress, answer.revision)
-            self._feed(sender)
+            self._go_back(sender, progress, answer.revision)
             return
-        progress.far = False
+        progress.far = progress.probing = False
         if answer.revision > self.entries.last.revision:
             self.counts["nonsense answers"] += 1
             return
@@ -429,12 +440,27 @@
             self._advance()
         self._feed(sender)
 
-    def _go_back(self, progress: _Progress, revision: int) -> None:
-        """Send again from this revision on, or tell the follower to fetch an image."""
+    def _go_back(self, other: str, progress: _Progress, revision: int) -> None:
+        """Send again from this revision on, or tell the follower to fetch an image.
+
+        The same complaint once more is left to the next heartbeat: answers to many messages
+        must not each bring forth as many.
+        """
         last = max(progress.match, min(revision, self.entries.last.revision))
-        progress.next, progress.answered = last + 1, last
+        if progress.probing and last == progress.answered:
+            return
+        progress.next, progress.answered, progress.probing = last + 1, last, True
         previous = self.entries.position_at(last)
         progress.far = previous is None or self.entries.after(previous, 1) is None
+        if not progress.far:
+            self._probe(other)
+
+    def _probe(self, other: str) -> None:
+        """One message of entries, from where its log is thought to end."""
+        progress = self._progress[other]
+        previous = self.entries.position_at(progress.next - 1)
+        entries = previous and self.entries.after(previous, self._timing.most_bytes)
+        self._send_append(other, entries or ())
 
     def _advance(self) -> None:
         """What a majority holds is accepted, once an entry of this epoch is among it."""
--- a/flinthatch/scale/publisher.py
+++ b/flinthatch/scale/publisher.py
@@ -179,7 +179,7 @@
             return Elsewhere(belongs)
         log = self._logs[region]
         if position > log.position:
-            return self._behind(now, node)
+            return self._behind(node, redirected)
         if log.position == START:
             self.counts["not ready"] += 1
             return Later(NOT_READY)
@@ -210,13 +210,14 @@
             return Refusal.NONSENSE_POSITION
         return None
 
-    def _behind(self, now: int, node: str) -> Answer:
-        """The subscriber knows more than this machine: it is sent to another, with nothing."""
+    def _behind(self, node: str, redirected: bool) -> Answer:
+        """The subscriber knows more than this machine: it is sent to another, with nothing.
+
+        One that was sent here already waits a little: the next may know no more.
+        """
         self.counts["behind a subscriber"] += 1
-        for machine in self._placement.others(node, self._living):
-            if machine != self._name:
-                return Elsewhere(machine)
-        return Wait(now + NOT_READY)
+        others = self._placement.others(node, self._living - {self._name})
+        return Elsewhere(others[0]) if others and not redirected else Later(NOT_READY)
 
     def _snapshot(self, now: int, key: _Key, log: ChangeLog, subscriber: _Subscriber) -> Answer:
         size = log.size(subscriber.services)
--- a/flinthatch/scale/replication.py
+++ b/flinthatch/scale/replication.py
@@ -185,7 +185,10 @@
         return drained
 
     def restored(self) -> list[str]:
-        """Drains the regions whose log was replaced by an image since the last call."""
+        """Drains the regions whose log was replaced, by an image or a load, since the last call.
+
+        To be asked before `committed`, which gives the changes of a load as well.
+        """
         drained, self._restored = self._restored, []
         return drained
 
@@ -279,6 +282,8 @@
         if image is None:
             return
         if region == self._region:
+            if not self._member.may_restore(image):
+                return
             self._member.entries.restore(image)
         else:
             self._logs[region].restore(image)
--- /dev/null
+++ b/lab/scale_play.py
@@ -0,0 +1,274 @@
+"""Seeds of faults before the sharded configuration's own classes, and a referee.
+
+    python -m lab.scale_play --seeds 200          # six processes; a command for each that fails
+    python -m lab.scale_play --seed 17            # one again
+
+Drawn from each seed: loss, delay, doubles, one-way cuts, cut regions, control machines and nodes
+killed, stopped and started empty, a rack and a zone gone and back, all while services change.
+Then all heals, and everything must come to be everywhere as the sources say.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from functools import partial
+from multiprocessing import Pool
+from random import Random
+from typing import Any
+
+from flinthatch.model import MS, SECOND
+from flinthatch.scale import holder as holder_module
+from flinthatch.scale.changes import ChangeLog
+from flinthatch.scale.handover import Handover
+from flinthatch.scale.holder import Holder, Kind, Taken
+from lab.scale_world import REGIONS, World
+
+PROCESSES = 6
+FAULTS_FOR = 60 * SECOND
+HEALED_WITHIN = 90 * SECOND
+LONGEST_PAUSE = 6 * SECOND  # between two faults
+STOPPED_FOR = 30 * SECOND
+
+
+@dataclass(frozen=True, slots=True)
+class Mutant:
+    """A fault put into the product's own code, which the seeds must find."""
+
+    owner: Any
+    name: str
+    value: Callable[..., Any]
+
+
+def _older_taken(position: Any, held: Any) -> bool:
+    return True
+
+
+def _gap_ignored(self: Any, region: Any, delta: Any) -> Taken:
+    """A delta is taken whatever it follows."""
+    if delta.position < region.position:
+        return Taken(Kind.OLDER)
+    changed = []
+    for change in delta.changes:
+        if change.service in region.held:
+            held = self._services[change.service]
+            self._replace(change.service, held, holder_module._changed(held, change))
+            changed.append(change.service)
+    return Taken(Kind.APPLIED, tuple(changed))
+
+
+def _untrimmed(self: Any) -> None:
+    """The oldest change is counted as gone and kept."""
+    self._most_changes += 1
+    self._most_bytes += 1 << 20
+
+
+def _released_at_once(self: Any, service: str) -> None:
+    """Former holders may go as soon as others are assigned."""
+    for node in sorted(self._former.get(service, ())):
+        self._let_go(node, service)
+
+
+MUTANTS: dict[str, Mutant] = {
+    "older-epoch-taken": Mutant(holder_module, "_follows", _older_taken),
+    "gap-ignored": Mutant(Holder, "_on_delta", _gap_ignored),
+    "unbounded-log": Mutant(ChangeLog, "_trim", _untrimmed),
+    "release-before-hand-over": Mutant(Handover, "_settle", _released_at_once),
+}
+
+
+class Faults:
+    """Draws what goes wrong next."""
+
+    def __init__(self, world: World, seed: int) -> None:
+        self._world = world
+        self._draw = Random(seed)
+        self._kinds: Sequence[Callable[[], None]] = (
+            self._kill_machine,
+            self._kill_machine,
+            self._stop_machine,
+            self._stop_machine,
+            self._continue_machines,
+            self._start_all,
+            self._kill_all_machines,
+            self._kill_node,
+            self._stop_node,
+            self._zone_gone,
+            self._one_way,
+            self._one_way,
+            self._cut_regions,
+            self._mend,
+            self._mend,
+        )
+
+    def next(self) -> None:
+        """One fault, or one that is mended."""
+        self._draw.choice(self._kinds)()
+
+    def pause(self) -> int:
+        """Nanoseconds until the next one."""
+        return self._draw.randrange(50 * MS, LONGEST_PAUSE)
+
+    def links(self) -> None:
+        """How good the links are in this seed."""
+        links = self._world.links
+        links.loss = self._draw.choice([0.0, 0.0, 0.05, 0.2])
+        links.jitter = self._draw.choice([5 * MS, 50 * MS, SECOND])
+        links.double = self._draw.choice([0.0, 0.2])
+
+    def _kill_machine(self) -> None:
+        """Killed; mostly it begins again soon, with nothing."""
+        world = self._world
+        index = self._draw.randrange(len(world.machine_specs))
+        if index in world.machines:
+            world.kill_machine(index)
+            if self._draw.random() < 0.7:
+                world.later(self._draw.randrange(10 * SECOND), lambda: self._start(index))
+
+    def _start(self, index: int) -> None:
+        if index not in self._world.machines:
+            self._world.start_machine(index)
+
+    def _kill_all_machines(self) -> None:
+        if self._draw.random() < 0.5:
+            return
+        world = self._world
+        for index in list(world.machines):
+            world.kill_machine(index)
+        for index in range(len(world.machine_specs)):
+            world.later(self._draw.randrange(5 * SECOND), partial(self._start, index))
+
+    def _stop_machine(self) -> None:
+        world = self._world
+        running = [index for index in world.machines if index not in world.stopped]
+        if running:
+            index = self._draw.choice(running)
+            life = world.lives[index]
+            world.stop_machine(index)
+            span = STOPPED_FOR if self._draw.random() < 0.5 else self._draw.randrange(5 * SECOND)
+            world.later(span, lambda: self._continue(index, life))
+
+    def _continue(self, index: int, life: int) -> None:
+        if self._world.lives[index] == life and index in self._world.stopped:
+            self._world.continue_machine(index)
+
+    def _continue_machines(self) -> None:
+        for index in list(self._world.stopped):
+            self._world.continue_machine(index)
+
+    def _start_all(self) -> None:
+        for index in range(len(self._world.machine_specs)):
+            self._start(index)
+        for index in range(len(self._world.node_specs)):
+            self._start_node(index)
+
+    def _start_node(self, index: int) -> None:
+        if index not in self._world.nodes:
+            self._world.start_node(index)
+
+    def _kill_node(self) -> None:
+        world = self._world
+        index = self._draw.randrange(len(world.node_specs))
+        world.kill_node(index)
+        world.later(self._draw.randrange(10 * SECOND), lambda: self._start_node(index))
+
+    def _stop_node(self) -> None:
+        world = self._world
+        if world.nodes:
+            index = self._draw.choice(list(world.nodes))
+            world.stop_node(index)
+            world.later(self._draw.randrange(8 * SECOND), lambda: self._continue_node(index))
+
+    def _continue_node(self, index: int) -> None:
+        if index in self._world.stopped_nodes:
+            self._world.continue_node(index)
+
+    def _zone_gone(self) -> None:
+        """All nodes of a zone are gone, and back at once, cold."""
+        world = self._world
+        zone = self._draw.choice(world.node_specs).zone
+        indexes = [i for i, spec in enumerate(world.node_specs) if spec.zone == zone]
+        for index in indexes:
+            world.kill_node(index)
+        span = self._draw.randrange(10 * SECOND)
+        for index in indexes:
+            world.later(span, partial(self._start_node, index))
+
+    def _one_way(self) -> None:
+        world = self._world
+        ends = len(world.machine_specs) + len(world.node_specs)
+        for _ in range(4):
+            machine = self._draw.randrange(len(world.machine_specs))
+            other = self._draw.randrange(ends)
+            pair = (machine, other) if self._draw.random() < 0.5 else (other, machine)
+            world.links.cut.add(pair)
+
+    def _cut_regions(self) -> None:
+        self._world.cut_regions()
+
+    def _mend(self) -> None:
+        self._world.links.cut.clear()
+
+    def heal(self) -> None:
+        """Everything runs and is linked well."""
+        links = self._world.links
+        links.cut.clear()
+        links.loss, links.double, links.jitter = 0.0, 0.0, 5 * MS
+        self._continue_machines()
+        for index in list(self._world.stopped_nodes):
+            self._world.continue_node(index)
+        self._start_all()
+
+
+def play(seed: int, faults_for: int = FAULTS_FOR) -> list[str]:
+    """One seed's breaches."""
+    world = World(seed)
+    faults = Faults(world, seed + 2)
+    loaded = world.run(20 * SECOND, lambda: not world.differences())
+    if not loaded:
+        world.breach("a calm start did not come to an end")
+    world.changing = [300 * MS, SECOND, 3 * SECOND][seed % 3]
+    faults.links()
+    until = world.now + faults_for
+    while world.now < until and not world.breaches:
+        faults.next()
+        world.run(faults.pause())
+    faults.heal()
+    world.heal(HEALED_WITHIN)
+    return world.breaches
+
+
+def play_mutant(name: str, seed: int) -> list[str]:
+    """One seed's breaches with a mutant's fault in the product's code."""
+    mutant = MUTANTS[name]
+    kept = getattr(mutant.owner, mutant.name)
+    setattr(mutant.owner, mutant.name, mutant.value)
+    try:
+        return play(seed)
+    finally:
+        setattr(mutant.owner, mutant.name, kept)
+
+
+def main() -> int:
+    """0 where no seed breaks a rule, 1 where one does."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=200)
+    parser.add_argument("--seed", type=int)
+    args = parser.parse_args()
+    if args.seed is not None:
+        breaches = play(args.seed)
+        print("\n".join(breaches) or "no rule broken")
+        return 1 if breaches else 0
+    with Pool(PROCESSES) as pool:
+        results = pool.map(play, range(args.seeds), chunksize=2)
+    failed = [seed for seed, breaches in enumerate(results) if breaches]
+    for seed in failed:
+        print(f"python -m lab.scale_play --seed {seed}  # {results[seed][0]}")
+    print(f"{args.seeds} seeds over {len(REGIONS)} regions, {len(failed)} broke a rule")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
