A lost history is healed above any position reported late; answers never multiply

Change: a leader that hears of a position above its log begins a new history above it with its own rows; complaints are answered at most four times a heartbeat; a follower names all it has accepted. The world's nodes take a delta only where it covers all that they hold by now.

--- a/flinthatch/scale/entries.py
+++ b/flinthatch/scale/entries.py
@@ -10,7 +10,7 @@
 from collections.abc import Sequence
 
 from flinthatch.scale.changes import ChangeLog, LogImage, change_size
-from flinthatch.scale.model import Change, Position, ScaleError
+from flinthatch.scale.model import Change, Position, Row, ScaleError
 
 
 def marker(position: Position) -> Change:
@@ -50,6 +50,15 @@
             return any(not entry.service for entry in self._proposed)
         return self._base.epoch > 0
 
+    def epoch_accepted(self, epoch: int) -> bool:
+        """Whether an entry of this epoch is accepted, and so all before it."""
+        return not self.loading and self._base.epoch == epoch
+
+    def rows(self) -> dict[str, tuple[Row, ...]]:
+        """All accepted services."""
+        log = self._log
+        return {name: tuple((log.rows(name) or {}).values()) for name in log.services()}
+
     def begin(self, history: Position) -> None:
         """A new history is being loaded. What the change log has stays until that has ended."""
         self.history = history
--- a/flinthatch/scale/member.py
+++ b/flinthatch/scale/member.py
@@ -37,6 +37,7 @@
 MOST_EPOCH = 1 << 22  # reported ones beyond are nonsense
 MOST_ENTERED = 2 * MOST_EPOCH  # no machine begins a later one
 MOST_REVISION = 1 << 40
+PROBES = 4  # of a follower between two heartbeats, at most
 MOST_IN_FLIGHT = 1024  # entries sent to a follower that it has not answered for
 
 
@@ -59,7 +60,7 @@
     hold: int = 400 * MS  # a fetch without news is answered after that
     reload_wait: int = 5 * SECOND  # for reports, before a lost log is loaded again
     missing_wait: int = 30 * SECOND  # the same while a machine of the region does not answer
-    raise_wait: int = 10 * SECOND  # between two epochs begun for a subscriber that is ahead
+    raise_wait: int = 30 * SECOND  # between two histories begun for subscribers that are ahead
     most_bytes: int = 256 * 1024  # of changes in one message
     most_proposed: int = 4096  # changes that wait for a majority
 
@@ -73,6 +74,7 @@
     heard: int  # when it last answered and counted
     match: int = 0  # all up to it are held there
     probing: bool = False  # one message at a time, until it is known where its log ends
+    probed: int = 0  # when the last of these went
     far: bool = False  # the log does not reach back to it
 
 
@@ -181,10 +183,11 @@
             self.counts["nonsense reported"] += 1
             return
         self._reported = highest(self._reported, position)
-        due = now - self._raised >= self._timing.raise_wait
-        if self.role is Role.LEADER and position.epoch > self.epoch and due:
-            # It is of a history that was lost. It gets a snapshot, of a later epoch.
-            self.counts["epochs raised"] += 1
+        ahead = position.epoch > self.epoch or position.revision > self.entries.last.revision
+        settled = self.role is Role.LEADER and self.entries.epoch_accepted(self.epoch)
+        if ahead and settled and now - self._raised >= self._timing.raise_wait:
+            # It is of a history that was lost, and would take nothing of this one.
+            self.counts["histories begun above a report"] += 1
             self._raised = now
             self._ask_for_votes(now, self._epoch_above(), transfer=True)
 
@@ -329,7 +332,9 @@
         if ballot.trial:
             self._ask_for_votes(now, ballot.epoch)
         elif self.epoch == ballot.epoch:
-            self._become_leader(now, ballot.reload)
+            self._become_leader(now, ballot.reload or ballot.transfer)
+            if ballot.transfer:
+                self.load(now, self.entries.rows())
 
     def _become_leader(self, now: int, reload: bool) -> None:
         self.role, self.leader = Role.LEADER, self._name
@@ -373,7 +378,7 @@
         self._heartbeat_at = now + self._timing.heartbeat
         for other in self._others:
             if self._progress[other].probing and not self._progress[other].far:
-                self._probe(other)
+                self._probe(now, other)
             else:
                 self._send_append(other, ())
 
@@ -393,8 +398,7 @@
             previous = self.entries.position_at(progress.next - 1)
             entries = previous and self.entries.after(previous, self._timing.most_bytes)
             if not entries:
-                progress.far = True
-                self._send_append(other, ())
+                progress.far = True  # the next heartbeat says so
                 return
             self._send_append(other, entries)
             progress.next += len(entries)
@@ -427,7 +431,7 @@
         if not answer.counts:
             progress.match = 0  # it has lost what it held
         if not answer.ok:
-            self._go_back(sender, progress, answer.revision)
+            self._go_back(now, sender, progress, answer.revision)
             return
         progress.far = progress.probing = False
         if answer.revision > self.entries.last.revision:
@@ -440,24 +444,23 @@
             self._advance()
         self._feed(sender)
 
-    def _go_back(self, other: str, progress: _Progress, revision: int) -> None:
+    def _go_back(self, now: int, other: str, progress: _Progress, revision: int) -> None:
         """Send again from this revision on, or tell the follower to fetch an image.
 
-        The same complaint once more is left to the next heartbeat: answers to many messages
-        must not each bring forth as many.
+        Complaints that come close together are left to the next heartbeat: the answers to many
+        messages, late or doubled, must not each bring forth as many.
         """
         last = max(progress.match, min(revision, self.entries.last.revision))
-        if progress.probing and last == progress.answered:
-            return
         progress.next, progress.answered, progress.probing = last + 1, last, True
         previous = self.entries.position_at(last)
         progress.far = previous is None or self.entries.after(previous, 1) is None
-        if not progress.far:
-            self._probe(other)
+        if not progress.far and now - progress.probed >= self._timing.heartbeat // PROBES:
+            self._probe(now, other)
 
-    def _probe(self, other: str) -> None:
+    def _probe(self, now: int, other: str) -> None:
         """One message of entries, from where its log is thought to end."""
         progress = self._progress[other]
+        progress.probed = now
         previous = self.entries.position_at(progress.next - 1)
         entries = previous and self.entries.after(previous, self._timing.most_bytes)
         self._send_append(other, entries or ())
@@ -507,7 +510,8 @@
         matched = append.previous.revision + len(append.entries)
         self._accept(min(append.accepted, matched))
         self._try_to_return(append.epoch)
-        self._answer(sender, True, matched)
+        # What is accepted here is in every later leader's log, sent by it or not.
+        self._answer(sender, True, max(matched, self.entries.accepted))
 
     def _before(self, previous: Position) -> int:
         """Where a leader is to begin whose entries don't fit: after what is accepted here."""
--- a/flinthatch/scale/messages.py
+++ b/flinthatch/scale/messages.py
@@ -21,7 +21,7 @@
     last: Position  # its last entry, accepted or not
     trial: bool = False  # only whether it would be given (a pre-vote)
     reload: bool = False  # a majority of the region has lost its log, which is to be loaded again
-    transfer: bool = False  # the leader itself asks, to go on in a higher epoch
+    transfer: bool = False  # the leader itself asks, to begin a history above a position reported
 
 
 @dataclass(frozen=True, slots=True)
--- a/flinthatch/scale/publisher.py
+++ b/flinthatch/scale/publisher.py
@@ -126,8 +126,8 @@
         self._placement = Placement({}, self._machines)
         self._pacer = Pacer(limits.snapshot_rate, limits.snapshot_burst)
         self._subscribers: dict[_Key, _Subscriber] = {}
-        # The nodes that subscribe to each service, by region and service.
-        self._index: dict[tuple[str, str], set[str]] = {}
+        # The nodes that subscribe to each service, by region and service, in the order they came.
+        self._index: dict[tuple[str, str], dict[str, None]] = {}
 
     def on_nodes(self, nodes: Mapping[str, str]) -> None:
         """All registered nodes with their regions, living or not."""
@@ -178,7 +178,7 @@
         if belongs is not None and belongs != self._name and not redirected:
             return Elsewhere(belongs)
         log = self._logs[region]
-        if position > log.position:
+        if position > log.position or position.revision > log.position.revision:
             return self._behind(node, redirected)
         if log.position == START:
             self.counts["not ready"] += 1
@@ -307,7 +307,7 @@
     def _subscriber(self, node: str, region: str, services: frozenset[str]) -> _Subscriber:
         subscriber = self._subscribers.setdefault((node, region), _Subscriber())
         for name in services - subscriber.services:
-            self._index.setdefault((region, name), set()).add(node)
+            self._index.setdefault((region, name), {})[node] = None
         self._unindex(node, region, subscriber.services - services)
         subscriber.services = services
         subscriber.waiting = False
@@ -316,7 +316,7 @@
     def _unindex(self, node: str, region: str, services: frozenset[str]) -> None:
         for name in services:
             nodes = self._index[region, name]
-            nodes.discard(node)
+            nodes.pop(node, None)
             if not nodes:
                 del self._index[region, name]
 
--- a/lab/scale_world.py
+++ b/lab/scale_world.py
@@ -22,7 +22,15 @@
 from flinthatch.scale.holder import Holder, HolderLimits
 from flinthatch.scale.liveness import Liveness, LivenessRules
 from flinthatch.scale.messages import Message
-from flinthatch.scale.model import MachineSpec, NodeSpec, Position, Row, ServiceSpec
+from flinthatch.scale.model import (
+    MachineSpec,
+    NodeSpec,
+    Position,
+    Row,
+    ServiceSpec,
+    Snapshot,
+    Update,
+)
 from flinthatch.scale.publisher import (
     Answer,
     Elsewhere,
@@ -301,6 +309,16 @@
             self.machine[region] = self.world.random.randrange(len(self.world.machine_specs))
             self.ask(region, True)
 
+    def _follows_all(self, question: Question, update: Update) -> bool:
+        """Whether a delta has the changes of all that is held now.
+
+        One that answers an earlier question knows nothing of what came since, at the same
+        position, from another machine.
+        """
+        holder, region = self.holder, question.region
+        current = holder.subscription(region) - holder.missing(region)
+        return isinstance(update, Snapshot) or current <= question.services
+
     def _again(self, question: Question, wait: int, redirected: bool = False) -> None:
         def now() -> None:
             if self._current(question):
@@ -320,7 +338,7 @@
             wanted = {name: world.home[name] for name in reply.told.wanted}
             self.holder.on_wanted(world.now, wanted, reply.told.releasable)
         answer = reply.answer
-        if isinstance(answer, Now):
+        if isinstance(answer, Now) and self._follows_all(question, answer.update):
             taken = self.holder.on_update(world.now, answer.update)
             world.counts[taken.kind.name] += 1
             world.referee.on_update(self.name, self.holder, answer.update, taken.kind)
