--- /dev/null
+++ b/tests/test_scale_changes.py
@@ -0,0 +1,115 @@
+"""A region's change log: what a subscriber resumes from, and what it costs."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from flinthatch.scale.changes import ChangeLog, applied, change_size
+from flinthatch.scale.model import START, Change, Position, Row, ScaleError
+
+
+def change(epoch: int, revision: int, service: str = "a", uid: str = "u1") -> Change:
+    return Change(Position(epoch, revision), service, (Row(uid, f"{epoch}.{revision}"),))
+
+
+def log_of(*changes: Change, most: int = 100) -> ChangeLog:
+    log = ChangeLog("east", most, 1 << 20)
+    for entry in changes:
+        log.append(entry)
+    return log
+
+
+def test_a_subscriber_is_given_the_changes_of_its_services_in_order() -> None:
+    log = log_of(change(1, 1), change(1, 2, "b"), change(2, 3), change(2, 4, "c"))
+    delta = log.since(Position(1, 1), ["a", "b"])
+    assert delta is not None and delta.position == Position(2, 4)
+    assert [entry.position.revision for entry in delta.changes] == [2, 3]
+    assert log.since(Position(2, 4), ["a"]).changes == ()  # type: ignore[union-attr]
+
+
+@pytest.mark.parametrize("position", [START, Position(2, 2), Position(1, 9), Position(9, 2)])
+def test_a_position_of_another_history_gets_no_delta(position: Position) -> None:
+    log = log_of(change(1, 1), change(1, 2), change(3, 3))
+    assert log.since(position, ["a"]) is None and not log.contains(position)
+    assert log.contains(Position(1, 2))
+
+
+def test_a_trimmed_log_reaches_back_for_what_has_not_changed_since() -> None:
+    log = log_of(*(change(1, n, "a" if n < 4 else "b") for n in range(1, 9)), most=3)
+    assert len(log) == 3
+    assert log.missing(Position(1, 3), ["a", "b"]) == {"b"}
+    assert log.since(Position(1, 3), ["a"]) is not None
+    assert log.since(Position(1, 3), ["a", "b"]) is None
+    assert log.since(Position(1, 2), ["a"]) is None
+
+
+def test_the_log_is_bounded_by_changes_and_by_bytes() -> None:
+    size = change_size(change(1, 1))
+    log = ChangeLog("east", 50, size * 10 + 5)
+    for revision in range(1, 10_000):
+        log.append(change(1, revision, f"s{revision % 7}"))
+        assert len(log) <= 10 and log.bytes <= size * 11
+    assert sum(len(entries) for entries in log._by_service.values()) == len(log)
+
+
+def test_a_service_deleted_and_created_again_beyond_the_log_is_sent_whole() -> None:
+    gone = Change(Position(1, 2), "a", deleted=True)
+    filler = [change(1, revision, "b") for revision in range(3, 9)]
+    log = log_of(change(1, 1), gone, *filler, change(1, 9, "a", "u2"), most=3)
+    assert log.missing(Position(1, 1), ["a"]) == {"a"}  # or u1 would be kept for ever
+    assert [row.uid for row in log.whole(["a"])[0].rows] == ["u2"]
+    assert log.whole(["x"])[0].deleted
+
+
+def test_a_change_that_does_not_follow_is_refused() -> None:
+    log = log_of(change(2, 1))
+    for bad in (change(2, 1), change(2, 3), change(1, 2), Change(Position(0, 2), "a")):
+        with pytest.raises(ScaleError, match="does not follow"):
+            log.append(bad)
+    with pytest.raises(ScaleError, match="older"):
+        log.restore(ChangeLog("east", 1, 1).image())
+    with pytest.raises(ScaleError, match="at least 1"):
+        ChangeLog("east", 0, 1)
+
+
+def test_an_image_stays_as_it_is_while_the_log_goes_on() -> None:
+    log = log_of(change(1, 1), change(1, 2, "b"))
+    image = log.image()
+    log.append(change(1, 3, "a", "u2"))
+    assert list(image.rows["a"]) == ["u1"] and image.position == Position(1, 2)
+    other = ChangeLog("east", 10, 1000)
+    other.restore(image)
+    assert other.since(Position(1, 1), ["a"]) is not None  # a has not changed since
+    assert other.missing(Position(1, 1), ["b"]) == {"b"}
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_deltas_lead_to_what_the_snapshot_has(seed: int) -> None:
+    draw = Random(seed)
+    log = ChangeLog("east", 12, 1 << 20)
+    held: dict[str, dict[str, Row]] = {}
+    position = START
+    services = ["a", "b", "c"]
+    for revision in range(1, 300):
+        name = draw.choice(["a", "b", "c", "d"])
+        uid = f"u{draw.randrange(4)}"
+        at = Position(1 + revision // 50, revision)
+        what = draw.random()
+        if what < 0.1:
+            log.append(Change(at, name, deleted=True))
+        elif what < 0.4:
+            log.append(Change(at, name, removed=(uid,)))
+        else:
+            log.append(Change(at, name, (Row(uid, str(revision)),)))
+        if draw.random() < 0.3:
+            delta = log.since(position, services)
+            if delta is None:
+                held = {k: dict(v) for k, v in log.snapshot(services).services.items()}
+            else:
+                for entry in delta.changes:
+                    held[entry.service] = dict(applied(held.get(entry.service, {}), entry))
+            position = log.position
+            expected = {name: log.rows(name) or {} for name in services}
+            assert {name: held.get(name, {}) for name in services} == expected
