--- a/flinthatch/scale/member.py
+++ b/flinthatch/scale/member.py
@@ -89,6 +89,11 @@
     return Position(max(one.epoch, other.epoch), max(one.revision, other.revision))
 
 
+def may_be(position: Position) -> bool:
+    """Whether a reported position is within what any log comes to."""
+    return 0 <= position.epoch <= MOST_EPOCH and 0 <= position.revision <= MOST_REVISION
+
+
 class Member:
     """A member of one region's group."""
 
@@ -179,7 +184,7 @@
 
     def on_reported(self, now: int, position: Position) -> None:
         """Someone holds this position of the region's log."""
-        if position.epoch > MOST_EPOCH or position.revision > MOST_REVISION or min(position) < 0:
+        if not may_be(position):
             self.counts["nonsense reported"] += 1
             return
         self._reported = highest(self._reported, position)
--- a/flinthatch/scale/replication.py
+++ b/flinthatch/scale/replication.py
@@ -14,7 +14,7 @@
 
 from flinthatch.scale.changes import ChangeLog, LogImage
 from flinthatch.scale.learning import Learner, Source
-from flinthatch.scale.member import Member, Role, Timing, highest
+from flinthatch.scale.member import Member, Role, Timing, highest, may_be
 from flinthatch.scale.messages import (
     Append,
     Appended,
@@ -174,7 +174,9 @@
 
     def on_reported(self, now: int, region: str, position: Position) -> None:
         """A subscriber holds this position of a region's log."""
-        if region == self._region:
+        if not may_be(position):
+            self._counts["nonsense reported"] += 1
+        elif region == self._region:
             self._member.on_reported(now, position)
         elif (learner := self._learners.get(region)) is not None:
             learner.reported = highest(learner.reported, position)
--- a/lab/scale_world.py
+++ b/lab/scale_world.py
@@ -11,7 +11,7 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from random import Random
 
@@ -41,7 +41,7 @@
     Refused,
     Wait,
 )
-from flinthatch.scale.replication import Outcome, Replica, Timing
+from flinthatch.scale.replication import Outcome, Replica, Role, Timing
 from lab.links import Links
 from lab.scale_referee import NodeLife, Referee
 
@@ -55,6 +55,8 @@
 HOLD = 2 * SECOND  # a question without news is answered after that
 PATIENCE = 3 * SECOND  # a node asks another machine after that
 RETRY = 3 * SECOND  # a change that was not accepted is proposed again
+LET_GO_AFTER = 5 * SECOND  # a leader has heard of all that its predecessors let go
+LET_GO_FOR = 1500 * MS  # a leader's word on who may release counts so long
 SOON = 10 * MS  # between a node's answer and its next question
 
 
@@ -112,6 +114,14 @@
     generation: int
 
 
+@dataclass(frozen=True, slots=True)
+class LetGo:
+    """What a region's leader lets nodes release of the region's services, by node."""
+
+    region: str
+    releasable: Mapping[str, frozenset[str]]
+
+
 @dataclass(slots=True)
 class _Held:
     question: Question
@@ -144,6 +154,9 @@
         self.living = frozenset(spec.name for spec in world.machine_specs)
         self.held: dict[tuple[int, str], _Held] = {}
         self.pinged = 0
+        self.ticked = world.now
+        self.led_since: int | None = None
+        self.let_go: dict[str, tuple[int, LetGo]] = {}  # by region: when it came, and what
 
     # ---- events -------------------------------------------------------------
 
@@ -153,8 +166,11 @@
         self.replica.on_message(self.world.now, self.world.machine_specs[sender].name, message)
         self.settle()
 
-    def on_ping(self, sender: int) -> None:
+    def on_ping(self, sender: int, let_go: LetGo | None) -> None:
+        """Another machine lives; if it leads its region it says who may release what."""
         self.heard[sender] = self.world.now
+        if let_go is not None:
+            self.let_go[let_go.region] = self.world.now, let_go
 
     def on_report(self, node: str, serving: frozenset[str], generation: int) -> None:
         """A node lives and says what it serves."""
@@ -173,6 +189,11 @@
         """Time has passed."""
         now = self.world.now
         self.replica.on_tick(now)
+        self.ticked = now
+        if self.replica.role is not Role.LEADER:
+            self.led_since = None
+        elif self.led_since is None:
+            self.led_since = now
         self._load()
         self.settle()
         self._turn_liveness()
@@ -212,9 +233,12 @@
 
     def _ping(self) -> None:
         self.pinged = self.world.now
+        let_go = self._own_let_go()
+        if let_go is not None:
+            self.let_go[self.spec.region] = self.world.now, let_go
         for other in range(len(self.world.machine_specs)):
             if other != self.index:
-                self.world.ping(self.index, other)
+                self.world.ping(self.index, other, let_go)
         living = frozenset(
             spec.name
             for other, spec in enumerate(self.world.machine_specs)
@@ -233,9 +257,23 @@
             if held is not None:
                 self._try(held)
 
+    def _own_let_go(self) -> LetGo | None:
+        """One machine a region decides, or two could let both last servers go."""
+        now, region = self.world.now, self.spec.region
+        if self.led_since is None or now - self.led_since < LET_GO_AFTER:
+            return None
+        home = frozenset(self.world.specs_of(region))
+        names = [spec.name for spec in self.world.node_specs]
+        return LetGo(region, {name: self.handover.releasable(name) & home for name in names})
+
     def _told(self, node: int) -> Told:
         name = self.world.node_specs[node].name
-        return Told(self.handover.wanted(name), self.handover.releasable(name))
+        now = self.world.now
+        words = [word for at, word in self.let_go.values() if now - at < LET_GO_FOR]
+        if now - self.ticked > 2 * self.world.size.tick:
+            words = []  # it was stopped, and what it knew is old
+        releasable = frozenset[str]().union(*(word.releasable[name] for word in words))
+        return Told(self.handover.wanted(name), releasable)
 
     def _try(self, held: _Held) -> None:
         world, question = self.world, held.question
@@ -694,11 +732,13 @@
         self.counts[type(message).__name__] += 1
         self._pass(sender, to, lambda: self._at_machine(to, arrive))
 
-    def ping(self, sender: int, to: int) -> None:
+    def ping(self, sender: int, to: int, let_go: LetGo | None) -> None:
         """A machine says that it lives."""
-        self._pass(
-            sender, to, lambda: self._at_machine(to, lambda machine: machine.on_ping(sender))
-        )
+
+        def arrive(machine: Machine) -> None:
+            machine.on_ping(sender, let_go)
+
+        self._pass(sender, to, lambda: self._at_machine(to, arrive))
 
     def report(self, node: int, to: int, serving: frozenset[str], generation: int) -> None:
         """A node says what it serves."""
