--- a/lab/scale_play.py
+++ b/lab/scale_play.py
@@ -98,6 +98,9 @@
             self._zone_gone,
             self._one_way,
             self._one_way,
+            self._late_updates,
+            self._late_updates,
+            self._late_updates,
             self._cut_regions,
             self._mend,
             self._mend,
@@ -205,6 +208,15 @@
             pair = (machine, other) if self._draw.random() < 0.5 else (other, machine)
             world.links.cut.add(pair)
 
+    def _late_updates(self) -> None:
+        """Deltas after a gap, as if those before had been lost, and snapshots of long ago."""
+        if not self._world.machines:
+            return
+        for node in list(self._world.nodes.values()):
+            for region in REGIONS:
+                self._world.skip_a_delta(node, region)
+                self._world.repeat_a_snapshot(node, region)
+
     def _cut_regions(self) -> None:
         self._world.cut_regions()
 
@@ -229,6 +241,7 @@
     loaded = world.run(20 * SECOND, lambda: not world.differences())
     if not loaded:
         world.breach("a calm start did not come to an end")
+    _come_and_go(world, seed % len(world.node_specs))
     world.changing = [300 * MS, SECOND, 3 * SECOND][seed % 3]
     faults.links()
     until = world.now + faults_for
@@ -240,6 +253,16 @@
     return world.breaches
 
 
+def _come_and_go(world: World, node: int) -> None:
+    """One node dies and comes back, and nothing else is wrong."""
+    world.referee.calm = True
+    world.kill_node(node)
+    world.run(9 * SECOND)  # longer than what a node that died serves counts as served
+    world.start_node(node)
+    world.run(12 * SECOND)
+    world.referee.calm = False
+
+
 def play_mutant(name: str, seed: int) -> list[str]:
     """One seed's breaches with a mutant's fault in the product's code."""
     mutant = MUTANTS[name]
--- a/lab/scale_referee.py
+++ b/lab/scale_referee.py
@@ -8,8 +8,8 @@
 from __future__ import annotations
 
 from bisect import bisect_right
-from collections import defaultdict
-from collections.abc import Callable, Iterable, Mapping
+from collections import Counter, defaultdict
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -94,19 +94,25 @@
         home: Mapping[str, str],
         clock: Callable[[], int],
         breach: Callable[[str], None],
-        serving: Callable[[str], Iterable[str]],
+        others_serving: Callable[[str, str], list[str]],
+        asked_for: Callable[[str], list[str]],
     ) -> None:
-        """`home` gives each service's region, `serving` the living nodes that serve a service."""
+        """`home` gives each service's region, `others_serving` the zones of those who serve a
+        service beside a node, `asked_for` the zones of those who are to."""
         self.books: dict[str, _RegionBook] = defaultdict(_RegionBook)
         self.checks = 0
+        # In a calm world each zone must have as many as are asked for before one is let go. Under
+        # faults control's machines know different things, and one other server has to do.
+        self.calm = False
         self._home = home
         self._clock = clock
         self._breach = breach
-        self._serving = serving
+        self._others_serving = others_serving
+        self._asked_for = asked_for
         self._positions: dict[tuple[NodeLife, str], Position] = {}
         self._drains: dict[tuple[NodeLife, str, str], Drained] = {}
         self._were_serving: dict[NodeLife, frozenset[str]] = {}
-        self._served: dict[str, int] = {}  # when a service was last seen at a node that died
+        self._served: dict[str, int] = {}  # when a server of it last died, or all had to stop
 
     # ---- what was written -----------------------------------------------------
 
@@ -158,6 +164,8 @@
             if not (loaded or kept) or not change.whole:
                 self._breach(f"{change.position} was neither proposed nor loaded")
         chain.services[change.service].add(change.position.revision, rows)
+        if rows is None:
+            self._served[change.service] = self._clock()  # those that serve it stop, in any order
 
     def _before(self, book: _RegionBook, service: str) -> Rows | None:
         """A service's rows at the end of the chain before the last."""
@@ -215,8 +223,12 @@
             return
         if self._clock() - self._served.get(service, -UNKNOWN_DEATH) < UNKNOWN_DEATH:
             return
-        if not any(name != node.name for name in self._serving(service)):
+        others = self._others_serving(service, node.name)
+        if not others:
             self._breach(f"{node.name} released {service}, which nobody else serves")
+        short = Counter(self._asked_for(service)) - Counter(others)
+        if self.calm and short:
+            self._breach(f"{node.name} released {service}: others are missing in {dict(short)}")
 
     def on_node_gone(self, holder: Holder) -> None:
         """A node died: what it served may be taken for served a while longer."""
--- a/lab/scale_world.py
+++ b/lab/scale_world.py
@@ -54,6 +54,7 @@
 SILENCE = 2 * SECOND  # a machine that was not heard for so long counts as dead
 HOLD = 2 * SECOND  # a question without news is answered after that
 PATIENCE = 3 * SECOND  # a node asks another machine after that
+SOURCE_TURN = 200 * MS  # between two looks of a source
 RETRY = 3 * SECOND  # a change that was not accepted is proposed again
 LET_GO_AFTER = 5 * SECOND  # a leader has heard of all that its predecessors let go
 LET_GO_FOR = 1500 * MS  # a leader's word on who may release counts so long
@@ -72,7 +73,7 @@
         default_factory=lambda: Limits(snapshot_rate=20_000, snapshot_burst=20_000, small=1_000)
     )
     timing: Timing = field(default_factory=Timing)
-    tick: int = TICK
+    pace: int = 1  # how many times slower machines and nodes speak, in worlds of hours
     everywhere: bool = False  # the first service of each region is held by every node
 
     def loaded(self) -> int:
@@ -147,7 +148,8 @@
         self.publisher = Publisher(self.spec, world.machine_specs, self.logs, size.limits)
         self.publisher.on_nodes({node.name: node.region for node in world.node_specs})
         names = [node.name for node in world.node_specs]
-        self.liveness = Liveness(world.now, names, LivenessRules())
+        rules = LivenessRules(silence=3 * SECOND * size.pace, stay=5 * SECOND * size.pace)
+        self.liveness = Liveness(world.now, names, rules)
         self.handover = Handover(world.node_specs)
         self.handover.on_assignment(world.assigner.with_alive(self.liveness.alive))
         self.heard = dict.fromkeys(range(len(world.machine_specs)), world.now)
@@ -181,7 +183,7 @@
         """A node's question is answered now or held."""
         now = self.world.now
         self.replica.on_reported(now, question.region, question.position)
-        held = _Held(question, now + HOLD)
+        held = _Held(question, now + HOLD * self.world.size.pace)
         self.held[question.node, question.region] = held
         self._try(held)
 
@@ -197,7 +199,7 @@
         self._load()
         self.settle()
         self._turn_liveness()
-        if now - self.pinged >= PING:
+        if now - self.pinged >= PING * self.world.size.pace:
             self._ping()
         for held in list(self.held.values()):
             due = held.again is not None and held.again <= now
@@ -242,7 +244,8 @@
         living = frozenset(
             spec.name
             for other, spec in enumerate(self.world.machine_specs)
-            if other == self.index or self.world.now - self.heard[other] < SILENCE
+            if other == self.index
+            or self.world.now - self.heard[other] < SILENCE * self.world.size.pace
         )
         if living != self.living:
             self.living = living
@@ -269,8 +272,12 @@
     def _told(self, node: int) -> Told:
         name = self.world.node_specs[node].name
         now = self.world.now
-        words = [word for at, word in self.let_go.values() if now - at < LET_GO_FOR]
-        if now - self.ticked > 2 * self.world.size.tick:
+        words = [
+            word
+            for at, word in self.let_go.values()
+            if now - at < LET_GO_FOR * self.world.size.pace
+        ]
+        if now - self.ticked > 2 * self.world.tick:
             words = []  # it was stopped, and what it knew is old
         releasable = frozenset[str]().union(*(word.releasable[name] for word in words))
         return Told(self.handover.wanted(name), releasable)
@@ -333,7 +340,7 @@
             redirected,
         )
         self.world.ask(machine, question)
-        self.world.later(PATIENCE, lambda: self._unanswered(question))
+        self.world.later(PATIENCE * self.world.size.pace, lambda: self._unanswered(question))
 
     def _current(self, question: Question) -> bool:
         alive = self.world.nodes.get(self.index) is self
@@ -341,7 +348,7 @@
 
     def _unanswered(self, question: Question) -> None:
         if self.index in self.world.stopped_nodes:
-            self.world.later(PATIENCE, lambda: self._unanswered(question))
+            self.world.later(PATIENCE * self.world.size.pace, lambda: self._unanswered(question))
         elif self._current(question):
             region = question.region
             self.machine[region] = self.world.random.randrange(len(self.world.machine_specs))
@@ -489,6 +496,7 @@
     def __init__(self, seed: int, size: Size | None = None) -> None:
         self.size = size or Size()
         self.now = 0
+        self.tick = TICK * self.size.pace
         self.random = Random(seed)
         self.links = Links(Random(seed + 1))
         self.breaches: list[str] = []
@@ -520,13 +528,16 @@
         self.home = {spec.name: spec.region for spec in specs}
         everywhere = frozenset(f"{region}-s0" for region in REGIONS if self.size.everywhere)
         self.assigner = Assigner(self.node_specs, specs, AssignmentRules(everywhere=everywhere))
-        self.referee = Referee(self.home, lambda: self.now, self.breach, self.serving)
+        self.referee = Referee(
+            self.home, lambda: self.now, self.breach, self.others_serving, self.asked_for
+        )
         self.lives: Counter[int] = Counter()
         self.node_lives: Counter[int] = Counter()
         self.machines: dict[int, Machine] = {}
         self.nodes: dict[int, Node] = {}
         self.stopped: dict[int, list[Callable[[Machine], None]]] = {}  # machines, what waits
         self.stopped_nodes: dict[int, list[Callable[[Node], None]]] = {}
+        self._late: dict[tuple[int, int, str], Snapshot] = {}  # by node, life and region
         self.changing = 0  # mean nanoseconds between two changes of a region, 0 for none
         for i in range(len(self.machine_specs)):
             self.start_machine(i)
@@ -577,10 +588,10 @@
 
     def _turn_source(self, region: str) -> None:
         source = self.sources[region]
-        if self.changing and self.random.random() < 200 * MS / self.changing:
+        if self.changing and self.random.random() < SOURCE_TURN * self.size.pace / self.changing:
             source.change()
         source.turn()
-        self.later(200 * MS, lambda: self._turn_source(region))
+        self.later(SOURCE_TURN * self.size.pace, lambda: self._turn_source(region))
 
     # ---- processes ------------------------------------------------------------
 
@@ -600,14 +611,14 @@
         """A control machine begins with nothing."""
         self.lives[index] += 1
         machine = self.machines[index] = Machine(self, index)
-        self._tick(machine, self.random.randrange(self.size.tick))
+        self._tick(machine, self.random.randrange(self.tick))
 
     def _tick(self, machine: Machine, wait: int) -> None:
         def tick() -> None:
             if self.machines.get(machine.index) is machine:
                 if machine.index not in self.stopped:
                     machine.on_tick()
-                self._tick(machine, self.size.tick)
+                self._tick(machine, self.tick)
 
         self.later(wait, tick)
 
@@ -636,7 +647,7 @@
             if self.nodes.get(node.index) is node:
                 if node.index not in self.stopped_nodes:
                     node.report()
-                self._report(node, REPORT)
+                self._report(node, REPORT * self.size.pace)
 
         self.later(wait, report)
 
@@ -660,6 +671,49 @@
         """The living nodes that serve a service."""
         return [node.spec.name for node in self.nodes.values() if service in node.holder.serving()]
 
+    def others_serving(self, service: str, name: str) -> list[str]:
+        """The zones of all other nodes that serve a service."""
+        return [
+            node.spec.zone
+            for node in self.nodes.values()
+            if node.spec.name != name and service in node.holder.serving()
+        ]
+
+    def asked_for(self, service: str) -> list[str]:
+        """The zones of all nodes that are to hold a service, while those live that do."""
+        alive = [node.spec.name for node in self.nodes.values()]
+        holders = self.assigner.with_alive(alive).holders[service]
+        return [self.node_specs[self.node_index[holder]].zone for holder in holders]
+
+    def skip_a_delta(self, node: Node, region: str) -> None:
+        """A machine takes it that a node has all but the last change, and sends that alone."""
+        newest = max(self.machines.values(), key=lambda machine: machine.logs[region].position)
+        log = newest.logs[region]
+        epoch = log.epoch_at(log.position.revision - 1)
+        services = node.holder.subscription(region)
+        base = Position(epoch or 0, log.position.revision - 1)
+        delta = log.since(base, services)
+        if base > node.holder.position(region) and delta is not None and delta.changes:
+            self._send_unasked(newest.index, node, delta)
+
+    def repeat_a_snapshot(self, node: Node, region: str) -> None:
+        """A snapshot that was made when this was last done comes now."""
+        newest = max(self.machines.values(), key=lambda machine: machine.logs[region].position)
+        snapshot = newest.logs[region].snapshot(node.holder.subscription(region))
+        late = self._late.get((node.index, node.life, region))
+        self._late[node.index, node.life, region] = snapshot
+        if late is not None:
+            self._send_unasked(newest.index, node, late)
+
+    def _send_unasked(self, machine: int, node: Node, update: Update) -> None:
+        region = update.region
+        services = node.holder.subscription(region)
+        position = node.holder.position(region)
+        question = Question(
+            node.index, node.life, 0, region, position, services, services, None, False
+        )
+        self.reply(Reply(machine, question, Now(update, 0), Told(), 0))
+
     def differences(self) -> list[str]:
         """What is not everywhere as the sources say."""
         found = []
