--- a/lab/scale_play.py
+++ b/lab/scale_play.py
@@ -20,10 +20,10 @@
 from typing import Any
 
 from flinthatch.model import MS, SECOND
-from flinthatch.scale import holder as holder_module
 from flinthatch.scale.changes import ChangeLog
 from flinthatch.scale.handover import Handover
 from flinthatch.scale.holder import Holder, Kind, Taken
+from flinthatch.scale.model import Change
 from lab.scale_world import REGIONS, World
 
 PROCESSES = 6
@@ -42,21 +42,25 @@
     value: Callable[..., Any]
 
 
-def _older_taken(position: Any, held: Any) -> bool:
-    return True
+def _older_taken(self: Any, region: Any, snapshot: Any) -> Taken:
+    """A snapshot is taken whatever its position."""
+    rows = {name: snapshot.services.get(name) for name in sorted(region.held)}
+    changes = [
+        Change(snapshot.position, name, tuple(held.values()), whole=True)
+        for name, held in rows.items()
+        if held is not None
+    ]
+    taken: Taken = self._apply_all(changes, True)
+    return taken
 
 
-def _gap_ignored(self: Any, region: Any, delta: Any) -> Taken:
+def _gap_ignored(self: Any, region: Any, delta: Any, asked: Any) -> Taken:
     """A delta is taken whatever it follows."""
     if delta.position < region.position:
         return Taken(Kind.OLDER)
-    changed = []
-    for change in delta.changes:
-        if change.service in region.held:
-            held = self._services[change.service]
-            self._replace(change.service, held, holder_module._changed(held, change))
-            changed.append(change.service)
-    return Taken(Kind.APPLIED, tuple(changed))
+    mine = [change for change in delta.changes if change.service in region.held]
+    taken: Taken = self._apply_all(mine, True)
+    return taken
 
 
 def _untrimmed(self: Any) -> None:
@@ -72,7 +76,7 @@
 
 
 MUTANTS: dict[str, Mutant] = {
-    "older-epoch-taken": Mutant(holder_module, "_follows", _older_taken),
+    "older-epoch-taken": Mutant(Holder, "_on_snapshot", _older_taken),
     "gap-ignored": Mutant(Holder, "_on_delta", _gap_ignored),
     "unbounded-log": Mutant(ChangeLog, "_trim", _untrimmed),
     "release-before-hand-over": Mutant(Handover, "_settle", _released_at_once),
--- a/lab/scale_world.py
+++ b/lab/scale_world.py
@@ -19,7 +19,7 @@
 from flinthatch.scale.assignment import Assigner, AssignmentRules
 from flinthatch.scale.changes import ChangeLog
 from flinthatch.scale.handover import Handover
-from flinthatch.scale.holder import Holder, HolderLimits
+from flinthatch.scale.holder import Holder, HolderLimits, Subscription
 from flinthatch.scale.liveness import Liveness, LivenessRules
 from flinthatch.scale.messages import Message
 from flinthatch.scale.model import (
@@ -96,13 +96,15 @@
     node: int
     life: int
     serial: int
-    region: str
-    position: Position
-    services: frozenset[str]
-    held: frozenset[str]
+    asked: Subscription
     told: Told | None  # by the machine that is asked, in this life of the node
     redirected: bool
 
+    @property
+    def region(self) -> str:
+        """The region that it is about."""
+        return self.asked.region
+
 
 @dataclass(frozen=True, slots=True)
 class Reply:
@@ -182,7 +184,7 @@
     def on_question(self, question: Question) -> None:
         """A node's question is answered now or held."""
         now = self.world.now
-        self.replica.on_reported(now, question.region, question.position)
+        self.replica.on_reported(now, question.region, question.asked.position)
         held = _Held(question, now + HOLD * self.world.size.pace)
         self.held[question.node, question.region] = held
         self._try(held)
@@ -290,9 +292,9 @@
             world.now,
             world.node_specs[question.node].name,
             question.region,
-            question.position,
-            question.services | here,
-            question.held,
+            question.asked.position,
+            question.asked.services | here,
+            question.asked.current,
             question.redirected,
         )
         if isinstance(answer, Wait):
@@ -326,19 +328,9 @@
     def ask(self, region: str, redirected: bool) -> None:
         """Ask this region's machine, and another if nothing comes."""
         self.serial[region] += 1
-        machine, holder = self.machine[region], self.holder
-        services = holder.subscription(region)
-        question = Question(
-            self.index,
-            self.life,
-            self.serial[region],
-            region,
-            holder.position(region),
-            services,
-            services - holder.missing(region),
-            self.told.get(machine),
-            redirected,
-        )
+        machine = self.machine[region]
+        asked, told = self.holder.subscribe(region), self.told.get(machine)
+        question = Question(self.index, self.life, self.serial[region], asked, told, redirected)
         self.world.ask(machine, question)
         self.world.later(PATIENCE * self.world.size.pace, lambda: self._unanswered(question))
 
@@ -354,16 +346,6 @@
             self.machine[region] = self.world.random.randrange(len(self.world.machine_specs))
             self.ask(region, True)
 
-    def _follows_all(self, question: Question, update: Update) -> bool:
-        """Whether a delta has the changes of all that is held now.
-
-        One that answers an earlier question knows nothing of what came since, at the same
-        position, from another machine.
-        """
-        holder, region = self.holder, question.region
-        current = holder.subscription(region) - holder.missing(region)
-        return isinstance(update, Snapshot) or current <= question.services
-
     def _again(self, question: Question, wait: int, redirected: bool = False) -> None:
         def now() -> None:
             if self._current(question):
@@ -383,8 +365,8 @@
             wanted = {name: world.home[name] for name in reply.told.wanted}
             self.holder.on_wanted(world.now, wanted, reply.told.releasable)
         answer = reply.answer
-        if isinstance(answer, Now) and self._follows_all(question, answer.update):
-            taken = self.holder.on_update(world.now, answer.update)
+        if isinstance(answer, Now):
+            taken = self.holder.on_update(world.now, answer.update, question.asked)
             world.counts[taken.kind.name] += 1
             world.referee.on_update(self.name, self.holder, answer.update, taken.kind)
         world.referee.look_at(self.name, self.holder)
@@ -706,11 +688,8 @@
             self._send_unasked(newest.index, node, late)
 
     def _send_unasked(self, machine: int, node: Node, update: Update) -> None:
-        region = update.region
-        services = node.holder.subscription(region)
-        position = node.holder.position(region)
         question = Question(
-            node.index, node.life, 0, region, position, services, services, None, False
+            node.index, node.life, 0, node.holder.subscribe(update.region), None, False
         )
         self.reply(Reply(machine, question, Now(update, 0), Told(), 0))
 
