--- a/tests/test_scale_replication.py
+++ b/tests/test_scale_replication.py
@@ -8,12 +8,17 @@
 
 from flinthatch.model import MS, SECOND
 from flinthatch.scale.changes import ChangeLog, change_size
+from flinthatch.scale.entries import Entries, marker
+from flinthatch.scale.learning import Learner
+from flinthatch.scale.member import Member
 from flinthatch.scale.messages import (
     Append,
+    Appended,
     Fetch,
     Fetched,
     ImagePart,
     Message,
+    Vote,
     VoteRequest,
 )
 from flinthatch.scale.model import START, Change, MachineSpec, Position, Row
@@ -217,17 +222,68 @@
     assert group.replicas[leader].epoch < 2000  # and it did not raise epochs meanwhile
 
 
-def test_a_follower_that_hears_nobody_does_not_disturb_its_leader() -> None:
+@pytest.mark.parametrize("kinds", [(Append,), (Append, Vote, Fetched, ImagePart)])
+def test_a_follower_that_does_not_hear_its_leader_does_not_disturb_it(
+    kinds: tuple[type, ...],
+) -> None:
     group = started()
     leader, epoch = group.leader(), group.replicas[group.leader()].epoch
     deaf = next(name for name in EAST if name != leader)
-    group.drops = lambda a, b, message: b == deaf
+    group.drops = lambda a, b, message: b == deaf and isinstance(message, kinds)
     group.run(20 * SECOND)
     group.drops = lambda a, b, message: False
     group.run(3 * SECOND)
     assert group.leader() == leader and group.replicas[leader].epoch == epoch
 
 
+def test_entries_of_an_earlier_epoch_are_accepted_with_one_of_the_leader_s_own() -> None:
+    """Raft, section 5.4.2: a majority alone does not make them final."""
+    log = ChangeLog("east", 100, 1 << 20)
+    out: list[tuple[str, Message]] = []
+    member = Member("east", "east-0", EAST, log, 1, 0, Timing(), out)
+    log.append(Change(Position(1, 1), "a"))
+    member.entries = Entries(log)
+    member.role, member.epoch = Role.FOLLOWER, 2
+    older = Change(Position(2, 2), "a", (Row("u", "x"),))
+    assert member.entries.take(Position(1, 1), (older,))
+    member.on_tick(3 * SECOND)
+    member.on_vote(3 * SECOND, "east-1", Vote("east", 3, 2, True, trial=True))
+    member.on_vote(3 * SECOND, "east-1", Vote("east", 3, 3, True))
+    assert member.role is Role.LEADER and member.entries.last == Position(3, 3)
+    member.on_appended(3 * SECOND, "east-1", Appended("east", 3, True, 2))
+    assert log.position == Position(1, 1) and member.accepted == []
+    member.on_appended(3 * SECOND, "east-1", Appended("east", 3, True, 3))
+    assert log.position == Position(3, 3)
+
+
+def test_a_load_is_taken_with_its_last_entry_or_not_at_all() -> None:
+    log = ChangeLog("east", 100, 1 << 20)
+    log.append(Change(Position(1, 1), "old"))
+    entries = Entries(log)
+    entries.begin(Position(5, 1000))
+    loaded = tuple(Change(Position(5, 1000 + n), f"s{n}", whole=True) for n in (1, 2))
+    assert entries.take(Position(0, 1000), loaded)
+    assert entries.accept(1002) == ([], False)
+    assert list(log.services()) == ["old"] and log.position == Position(1, 1)
+    assert entries.take(Position(5, 1002), (marker(Position(5, 1003)),))
+    taken, replaced = entries.accept(1003)
+    assert replaced and len(taken) == 3 and list(log.services()) == ["s1", "s2"]
+
+
+def test_a_learner_refuses_images_that_are_older_or_nonsense() -> None:
+    log = ChangeLog("east", 100, 1 << 20)
+    log.append(Change(Position(3, 1), "a"))
+    learner = Learner(log, ["east-0", "east-1"], SECOND)
+    for number, (position, parts) in enumerate(
+        [(Position(2, 9), 1), (Position(3, 1), 1), (Position(4, 2), 0), (Position(4, 2), 1 << 30)]
+    ):
+        asked = learner.poll(0)
+        assert asked is not None
+        part = ImagePart("east", asked[1].serial, position, 0, parts, (), 0, (), START)
+        assert learner.on_part(part) is None
+        assert learner.counts["useless images"] == number + 1
+
+
 def test_a_machine_that_restarts_empty_neither_votes_nor_counts_until_it_has_caught_up() -> None:
     group = started()
     leader = group.leader()
