Skeleton of benchmarks.scale: slopes by size, fitted, with their residual

What a node holds at the target size is to be worked out from measured slopes. A package with sub-commands, the fit (least squares, largest relative residual, R2) and the Balancer's first slopes. A further sub-command is joined by one line in __main__.py.

--- /dev/null
+++ b/benchmarks/scale/balancers.py
@@ -0,0 +1,77 @@
+"""Slopes of `flinthatch.Balancer`: by backends, by Balancers in one process, by tenants."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from itertools import cycle
+
+from benchmarks.scale import meter
+from benchmarks.scale.fit import Slope, fit
+from flinthatch import Balancer, Effect, Listing, RequestClass, Settings, State, Tenant, Update
+from flinthatch.model import MS, SECOND
+
+CLASSES = (
+    RequestClass("balance", 800 * MS, 2 * SECOND),
+    RequestClass("credit", 750 * MS, 3 * SECOND, Effect.SIDE_EFFECT, worth=5.0),
+    RequestClass("report", 2 * SECOND, 5 * SECOND),
+)
+ALL_NODES = 7_800
+BACKENDS, BACKENDS_QUICK = (1_000, 4_000, 16_000), (100, 200, 400)
+
+
+class NoHost:
+    """Actions of a Balancer that nobody asks anything."""
+
+    def send(self, request: int, backend: int, timeout: int) -> None: ...
+    def refuse(self, request: int, retry_after: int) -> None: ...
+    def fail(self, request: int) -> None: ...
+    def cancel(self, request: int, attempt: int) -> None: ...
+    def set_timer(self, token: int, due: int) -> None: ...
+    def probe(self, backend: int) -> None: ...
+    def watch(self) -> None: ...
+    def log(self, text: str) -> None: ...
+
+
+def listing(number: int, state: State = State.READY) -> Listing:
+    """One row of the list; numbers are spread as the hashed ids of real rows are."""
+    return Listing((number * 0x9E3779B97F4A7C15) & ((1 << 63) - 1), state)
+
+
+def loaded(backends: int, nodes: int, tenants: tuple[Tenant, ...] = ()) -> Balancer:
+    """A Balancer of one of `nodes` nodes that holds so many ready backends of its zone."""
+    settings = Settings(CLASSES, tenants, balancers=nodes)
+    balancer = Balancer(settings, 1, NoHost())
+    balancer.start(1)
+    balancer.on_members(1, Update.FULL, [listing(i) for i in range(backends)])
+    return balancer
+
+
+def changing(balancer: Balancer) -> Callable[[], None]:
+    """A call that tells of one backend: it drains, and with the next call it is back."""
+    rows = cycle([[listing(0, State.DRAINING)], [listing(0)]])
+    return lambda: balancer.on_members(2, Update.DELTA, next(rows))
+
+
+def by_backends(quick: bool) -> list[Slope]:
+    """What a node that holds every backend pays, with as few slots as it may hold."""
+    sizes = BACKENDS_QUICK if quick else BACKENDS
+    balancers = {size: loaded(size, ALL_NODES) for size in sizes}
+    return [
+        fit("balancer.memory", "bytes", "backend",
+            [meter.memory(n, partial(loaded, n, ALL_NODES)) for n in sizes]),
+        fit("balancer.change", "us", "backend",
+            [meter.cpu(n, changing(b)) for n, b in balancers.items()]),
+        fit("balancer.cycle", "us", "backend",
+            [meter.cpu(n, partial(b.cycle, SECOND)) for n, b in balancers.items()]),
+    ]  # fmt: skip
+
+
+def by_slots(quick: bool) -> list[Slope]:
+    """What a cycle pays for each slot held: shares of classes are dealt slot by slot."""
+    backends = 400 if quick else 2_000
+    points = []
+    for nodes in (4, 8, 16, 64):
+        balancer = loaded(backends, nodes)
+        points.append(meter.cpu(balancer.total, partial(balancer.cycle, SECOND)))
+    return [fit("balancer.cycle_by_slots", "us", "slot", points)]
--- /dev/null
+++ b/benchmarks/scale/slopes.py
@@ -0,0 +1,62 @@
+"""Slopes: what each thing that is held or sent costs, at three sizes or more.
+
+    python -m benchmarks.scale slopes [--quick] [--only NAME] [--out FILE]
+
+Each measurement builds the project's real classes in this process. Memory is what tracemalloc
+counts, processor time this process's own. Every line is printed with its residual; the last
+line is one JSON object. `--quick` uses smaller sizes, to try it: its figures are not for a page.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+from benchmarks.scale import balancers
+from benchmarks.scale.fit import Slope
+
+Measurement = Callable[[bool], list[Slope]]
+
+MEASUREMENTS: dict[str, Measurement] = {
+    "balancer": balancers.by_backends,
+    "slots": balancers.by_slots,
+}
+
+
+def configure(parser: argparse.ArgumentParser) -> None:
+    """Options of the sub-command."""
+    parser.add_argument("--quick", action="store_true", help="small sizes, to try it")
+    parser.add_argument("--only", choices=sorted(MEASUREMENTS), action="append", help="these alone")
+    parser.add_argument("--out", type=Path, help="write the JSON here too")
+
+
+def main(args: argparse.Namespace) -> None:
+    """Measure, print a line for each slope, and one JSON line last."""
+    found: list[Slope] = []
+    for name in args.only or MEASUREMENTS:
+        slopes = MEASUREMENTS[name](args.quick)
+        for slope in slopes:
+            print(told(slope), flush=True)
+        found += slopes
+    out = {
+        "quick": args.quick,
+        "python": sys.version.split()[0],
+        "cores": os.cpu_count(),
+        "slopes": [slope.as_json() for slope in found],
+    }
+    if args.out is not None:
+        args.out.write_text(json.dumps(out, indent=1) + "\n")
+    print(json.dumps(out))
+
+
+def told(slope: Slope) -> str:
+    """One slope for a reader."""
+    return (
+        f"{slope.name}: {slope.per_item:.4g} {slope.unit} a {slope.item}"
+        f" + {slope.fixed:.4g}; largest residual {slope.residual:.1%}, R2 {slope.r2:.4f},"
+        f" sizes {', '.join(f'{s:g}' for s in slope.sizes)}"
+    )
