Measure slopes of services, tenants, routes, the list, gossip and real processes

Each of what a node or a control machine holds or sends, at three sizes or more: memory by tracemalloc or resident, processor time by the process's own clock, gossip in the lab's world, control by benchmarks.control's own cases.

--- a/benchmarks/scale/balancers.py
+++ b/benchmarks/scale/balancers.py
@@ -17,7 +17,8 @@
     RequestClass("report", 2 * SECOND, 5 * SECOND),
 )
 ALL_NODES = 7_800
-BACKENDS, BACKENDS_QUICK = (1_000, 4_000, 16_000), (100, 200, 400)
+BACKENDS_A_SERVICE = 27
+SHARING = 8  # nodes that take one service's requests
 
 
 class NoHost:
@@ -55,23 +56,58 @@
 
 def by_backends(quick: bool) -> list[Slope]:
     """What a node that holds every backend pays, with as few slots as it may hold."""
-    sizes = BACKENDS_QUICK if quick else BACKENDS
+    sizes = (100, 200, 400) if quick else (1_000, 2_000, 4_000, 8_000, 16_000)
     balancers = {size: loaded(size, ALL_NODES) for size in sizes}
+    held = {n: partial(loaded, n, ALL_NODES) for n in sizes}
+    changed = {n: changing(b) for n, b in balancers.items()}
+    cycled = {n: partial(b.cycle, SECOND) for n, b in balancers.items()}
     return [
-        fit("balancer.memory", "bytes", "backend",
-            [meter.memory(n, partial(loaded, n, ALL_NODES)) for n in sizes]),
-        fit("balancer.change", "us", "backend",
-            [meter.cpu(n, changing(b)) for n, b in balancers.items()]),
-        fit("balancer.cycle", "us", "backend",
-            [meter.cpu(n, partial(b.cycle, SECOND)) for n, b in balancers.items()]),
-    ]  # fmt: skip
+        fit("balancer.memory", "bytes", "backend", meter.memory(held)),
+        fit("balancer.change", "us", "backend", meter.cpu(changed)),
+        fit("balancer.cycle", "us", "backend", meter.cpu(cycled)),
+    ]
 
 
 def by_slots(quick: bool) -> list[Slope]:
-    """What a cycle pays for each slot held: shares of classes are dealt slot by slot."""
+    """What a cycle pays for each slot held: classes' shares are dealt slot by slot."""
     backends = 400 if quick else 2_000
-    points = []
-    for nodes in (4, 8, 16, 64):
-        balancer = loaded(backends, nodes)
-        points.append(meter.cpu(balancer.total, partial(balancer.cycle, SECOND)))
+    balancers = [loaded(backends, nodes) for nodes in (4, 6, 8, 16, 64)]
+    points = meter.cpu({b.total: partial(b.cycle, SECOND) for b in balancers})
     return [fit("balancer.cycle_by_slots", "us", "slot", points)]
+
+
+def by_services(quick: bool) -> list[Slope]:
+    """A Balancer a service, nothing to do: bytes, and microseconds that one cycle of all takes."""
+    sizes = (10, 20, 40) if quick else (50, 100, 200, 400)
+    groups = {size: group(size) for size in sizes}
+    held = {size: partial(group, size) for size in sizes}
+    cycled = {size: partial(cycle_all, g) for size, g in groups.items()}
+    changed = {size: changing(loaded(size, SHARING)) for size in (9, 27, 81, 243)}
+    return [
+        fit("service.memory", "bytes", "service", meter.memory(held)),
+        fit("service.cycle", "us", "service", meter.cpu(cycled)),
+        fit("service.change", "us", "backend of the service", meter.cpu(changed)),
+    ]
+
+
+def group(size: int) -> list[Balancer]:
+    """So many Balancers, one a service of usual size."""
+    return [loaded(BACKENDS_A_SERVICE, SHARING) for _ in range(size)]
+
+
+def cycle_all(balancers: list[Balancer]) -> None:
+    """The work that each does twice a second."""
+    for balancer in balancers:
+        balancer.cycle(SECOND)
+
+
+def by_tenants(quick: bool) -> list[Slope]:
+    """Bytes of a Settings and a Balancer with so many tenants and three classes."""
+    sizes = (100, 200, 400) if quick else (1_000, 4_000, 16_000)
+
+    def built(size: int) -> Balancer:
+        tenants = tuple(Tenant(f"tenant-{i}", 1.0, 2.0) for i in range(size))
+        return loaded(BACKENDS_A_SERVICE, SHARING, tenants)
+
+    held = {n: partial(built, n) for n in sizes}
+    return [fit("tenant.memory", "bytes", "tenant", meter.memory(held))]
--- a/benchmarks/scale/fit.py
+++ b/benchmarks/scale/fit.py
@@ -22,11 +22,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Point:
-    """One measured cost at one size, with the least and the most of its repeats."""
+    """One measured cost at one size: the value that counts, the median and most of its repeats."""
 
     size: float
     value: float
-    least: float
+    median: float
     most: float
 
 
--- a/benchmarks/scale/meter.py
+++ b/benchmarks/scale/meter.py
@@ -5,19 +5,27 @@
 import gc
 import time
 import tracemalloc
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from statistics import median
 
 from benchmarks.scale.fit import Point
 
-REPEATS = 5
-LEAST_NS = 20_000_000  # one reading goes on at least so long, or the clock's steps would tell
+ROUNDS = 7
+LEAST_NS = 15_000_000  # one reading goes on at least so long, or the clock's steps would tell
 
 
-def memory(size: float, build: Callable[[], object], repeats: int = 3) -> Point:
-    """Bytes that what `build` returns holds, by tracemalloc, of a few builds."""
-    found = [held(build) for _ in range(repeats)]
-    return Point(size, median(found), min(found), max(found))
+def point(size: float, readings: list[float]) -> Point:
+    """Readings of one cost at one size.
+
+    The least counts: what lies above it is what others on the machine added (so the standard
+    library's `timeit` advises). The median and the most are kept to show how much that was.
+    """
+    return Point(size, min(readings), median(readings), max(readings))
+
+
+def memory(builds: Mapping[int, Callable[[], object]], rounds: int = 3) -> list[Point]:
+    """Bytes that what each build returns holds, by tracemalloc, by size."""
+    return [point(size, [held(build) for _ in range(rounds)]) for size, build in builds.items()]
 
 
 def held(build: Callable[[], object]) -> float:
@@ -35,30 +43,56 @@
     return float(after - before)
 
 
-def cpu(size: float, call: Callable[[], object], repeats: int = REPEATS) -> Point:
-    """Microseconds of this process's processor time that one call takes.
-
-    Each reading calls as often as it takes to fill LEAST_NS, with collection of garbage off.
-    """
-    call()
-    readings = []
+def peak(build: Callable[[], object]) -> float:
+    """The most bytes that one build has allocated at a time."""
     gc.collect()
-    gc.disable()
+    tracemalloc.start()
     try:
-        for _ in range(repeats):
-            readings.append(reading(call))
+        build()
+        return float(tracemalloc.get_traced_memory()[1])
     finally:
-        gc.enable()
-    return Point(size, median(readings), min(readings), max(readings))
+        tracemalloc.stop()
+
+
+def cpu(calls: Mapping[int, Callable[[], object]], rounds: int = ROUNDS) -> list[Point]:
+    """Microseconds of this process's processor time a call, by size.
+
+    Sizes take turns, so that a busy machine slows all of them and not one. Collection of garbage
+    is off while a reading goes on.
+    """
+    readings: dict[int, list[float]] = {size: [] for size in calls}
+    for call in calls.values():
+        call()
+    for _ in range(rounds):
+        for size, call in calls.items():
+            gc.collect()
+            gc.disable()
+            try:
+                readings[size].append(reading(call))
+            finally:
+                gc.enable()
+    return [point(size, found) for size, found in readings.items()]
 
 
 def reading(call: Callable[[], object]) -> float:
-    """Microseconds a call, of one reading."""
-    calls = 0
+    """Microseconds a call, of as many calls as fill LEAST_NS."""
+    count = 0
     began = time.process_time_ns()
     taken = 0
     while taken < LEAST_NS:
         call()
-        calls += 1
+        count += 1
         taken = time.process_time_ns() - began
-    return taken / calls / 1000
+    return taken / count / 1000
+
+
+def reference() -> float:
+    """Microseconds of a plain loop of 10,000 steps: tells runs on a slower machine apart."""
+
+    def steps() -> int:
+        total = 0
+        for i in range(10_000):
+            total += i
+        return total
+
+    return min(reading(steps) for _ in range(ROUNDS))
--- a/benchmarks/scale/slopes.py
+++ b/benchmarks/scale/slopes.py
@@ -2,8 +2,9 @@
 
     python -m benchmarks.scale slopes [--quick] [--only NAME] [--out FILE]
 
-Each measurement builds the project's real classes in this process. Memory is what tracemalloc
-counts, processor time this process's own. Every line is printed with its residual; the last
+Measurements build the project's real classes in this process (memory is what tracemalloc counts,
+processor time this process's own), or start a real process and read its resident memory and
+its scheduler's account of processor time. Every line is printed with its residual; the last
 line is one JSON object. `--quick` uses smaller sizes, to try it: its figures are not for a page.
 """
 
@@ -16,7 +17,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from benchmarks.scale import balancers
+from benchmarks.scale import balancers, gossip, lists, meter, processes
 from benchmarks.scale.fit import Slope
 
 Measurement = Callable[[bool], list[Slope]]
@@ -24,6 +25,16 @@
 MEASUREMENTS: dict[str, Measurement] = {
     "balancer": balancers.by_backends,
     "slots": balancers.by_slots,
+    "services": balancers.by_services,
+    "tenants": balancers.by_tenants,
+    "routes": lists.by_routes,
+    "list": lists.by_rows,
+    "changes": lists.by_changes,
+    "gossip": gossip.by_members,
+    "node": processes.node_by_backends,
+    "connections": processes.node_by_connections,
+    "requests": processes.node_by_requests,
+    "control": processes.control_by_proxies,
 }
 
 
@@ -46,6 +57,7 @@
         "quick": args.quick,
         "python": sys.version.split()[0],
         "cores": os.cpu_count(),
+        "reference_us": round(meter.reference(), 1),
         "slopes": [slope.as_json() for slope in found],
     }
     if args.out is not None:
