--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -1,6 +1,7 @@
 """What the system costs at its target size.
 
     python -m benchmarks.scale slopes [--quick] [--only NAME]
+    python -m benchmarks.scale page [--write docs/CAPACITY.md]
 
 Each sub-command is a module of this package with `configure(parser)` and `main(args)`. One that
 measures prints one JSON line last.
@@ -21,7 +22,10 @@
 
 
 # A further sub-command (`run`, the scale run) is joined by one line here.
-COMMANDS = (Command("slopes", "measure what each thing costs at three sizes or more"),)
+COMMANDS = (
+    Command("slopes", "measure what each thing costs at three sizes or more"),
+    Command("page", "the tables of docs/CAPACITY.md from measured slopes"),
+)
 
 
 def main(words: list[str] | None = None) -> None:
--- a/benchmarks/scale/balancers.py
+++ b/benchmarks/scale/balancers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable
 from functools import partial
 from itertools import cycle
@@ -56,15 +57,15 @@
 
 def by_backends(quick: bool) -> list[Slope]:
     """What a node that holds every backend pays, with as few slots as it may hold."""
-    sizes = (100, 200, 400) if quick else (1_000, 2_000, 4_000, 8_000, 16_000)
+    sizes = (100, 200, 400) if quick else (15_000, 30_000, 60_000, 120_000)
     balancers = {size: loaded(size, ALL_NODES) for size in sizes}
     held = {n: partial(loaded, n, ALL_NODES) for n in sizes}
     changed = {n: changing(b) for n, b in balancers.items()}
     cycled = {n: partial(b.cycle, SECOND) for n, b in balancers.items()}
     return [
-        fit("balancer.memory", "bytes", "backend", meter.memory(held)),
-        fit("balancer.change", "us", "backend", meter.cpu(changed)),
-        fit("balancer.cycle", "us", "backend", meter.cpu(cycled)),
+        fit("balancer.memory", "bytes", "backend", meter.memory(held, 1)),
+        fit("balancer.change", "us", "backend", meter.cpu(changed, 5)),
+        fit("balancer.cycle", "us", "backend", meter.cpu(cycled, 5)),
     ]
 
 
@@ -82,7 +83,7 @@
     groups = {size: group(size) for size in sizes}
     held = {size: partial(group, size) for size in sizes}
     cycled = {size: partial(cycle_all, g) for size, g in groups.items()}
-    changed = {size: changing(loaded(size, SHARING)) for size in (9, 27, 81, 243)}
+    changed = {size: changing(loaded(size, SHARING)) for size in (27, 108, 432, 1_728)}
     return [
         fit("service.memory", "bytes", "service", meter.memory(held)),
         fit("service.cycle", "us", "service", meter.cpu(cycled)),
@@ -103,11 +104,20 @@
 
 def by_tenants(quick: bool) -> list[Slope]:
     """Bytes of a Settings and a Balancer with so many tenants and three classes."""
-    sizes = (100, 200, 400) if quick else (1_000, 4_000, 16_000)
+    sizes = (100, 200, 400) if quick else (16_000, 64_000, 256_000)
 
     def built(size: int) -> Balancer:
         tenants = tuple(Tenant(f"tenant-{i}", 1.0, 2.0) for i in range(size))
         return loaded(BACKENDS_A_SERVICE, SHARING, tenants)
 
+    def written(size: int) -> float:
+        """Bytes of them in a configuration."""
+        realms = [{"name": f"tenant-{i}", "portion": 1.0, "quota_per_s": 2.0} for i in range(size)]
+        return float(len(json.dumps(realms)))
+
     held = {n: partial(built, n) for n in sizes}
-    return [fit("tenant.memory", "bytes", "tenant", meter.memory(held))]
+    texts = [meter.point(n, [written(n)]) for n in sizes]
+    return [
+        fit("tenant.memory", "bytes", "tenant", meter.memory(held, 1)),
+        fit("tenant.bytes", "bytes", "tenant", texts),
+    ]
--- /dev/null
+++ b/benchmarks/scale/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""The capacity page's rows: slopes multiplied out to the target size."""
--- a/benchmarks/scale/lists.py
+++ b/benchmarks/scale/lists.py
@@ -54,11 +54,13 @@
     # The table alone is what stays; reading takes the parser's tree and the file beside it.
     held = meter.memory({routes: partial(table, n) for routes, n in sizes.items()}, 1)
     peaks = [meter.point(r, [meter.peak(partial(table, n))]) for r, n in sizes.items()]
+    texts = [meter.point(r, [float(len(routes_file(n)))]) for r, n in sizes.items()]
     read = meter.cpu({routes: partial(table, n) for routes, n in sizes.items()}, 3)
     looked = meter.cpu({routes: looking(table(n), n) for routes, n in sizes.items()})
     return [
         fit("routes.memory", "bytes", "route", held),
         fit("routes.peak", "bytes", "route", peaks),
+        fit("routes.bytes", "bytes", "route", texts),
         fit("routes.read", "us", "route", read),
         fit("routes.lookup", "us", "route", looked),
     ]
@@ -95,7 +97,7 @@
 
 def by_rows(quick: bool) -> list[Slope]:
     """The list whole and as changes: bytes, reading, holding, and versions of it."""
-    sizes = (100, 200, 400) if quick else (1_000, 2_000, 4_000, 8_000)
+    sizes = (100, 200, 400) if quick else (20_000, 40_000, 80_000)
     texts = {n: json.dumps({"rev": 1, "all": True, "targets": rows(n)}) for n in sizes}
     raws = {n: json.loads(text) for n, text in texts.items()}
     settings = config()
@@ -106,9 +108,9 @@
         return roster
 
     size = [meter.point(n, [float(len(text))]) for n, text in texts.items()]
-    parsed = meter.cpu({n: partial(json.loads, text) for n, text in texts.items()})
-    written = meter.cpu({n: partial(json.dumps, raw) for n, raw in raws.items()})
-    read = meter.cpu({n: partial(taken, raw) for n, raw in raws.items()})
+    parsed = meter.cpu({n: partial(json.loads, text) for n, text in texts.items()}, 5)
+    written = meter.cpu({n: partial(json.dumps, raw) for n, raw in raws.items()}, 5)
+    read = meter.cpu({n: partial(taken, raw) for n, raw in raws.items()}, 5)
     held = meter.memory({n: partial(taken, raw) for n, raw in raws.items()}, 1)
     return [
         fit("list.bytes", "bytes", "row", size),
@@ -121,7 +123,7 @@
 
 def by_changes(quick: bool) -> list[Slope]:
     """`Revisions`: the memory of a row, the cost of a new version by rows held and by changes."""
-    sizes = (100, 200, 400) if quick else (1_000, 4_000, 16_000)
+    sizes = (100, 200, 400) if quick else (30_000, 60_000, 120_000)
     held = {n: partial(versions, n) for n in sizes}
     replaced = {n: replacing(n) for n in sizes}
     changes = (50, 100, 200, 400)
--- a/benchmarks/scale/meter.py
+++ b/benchmarks/scale/meter.py
@@ -10,7 +10,7 @@
 
 from benchmarks.scale.fit import Point
 
-ROUNDS = 7
+ROUNDS = 12
 LEAST_NS = 15_000_000  # one reading goes on at least so long, or the clock's steps would tell
 
 
--- a/benchmarks/scale/processes.py
+++ b/benchmarks/scale/processes.py
@@ -14,6 +14,7 @@
 from benchmarks import control
 from benchmarks.routes import closed_loop
 from benchmarks.scale import meter
+from benchmarks.scale.balancers import SHARING
 from benchmarks.scale.fit import Point, Slope, fit
 from benchmarks.scale.lists import rows
 from standins import fleet
@@ -35,7 +36,8 @@
     limits = {"cores": 1.0, "memory_mb": 1024, "sockets": 1024}
     known = {"rev": 1, "all": True, "targets": rows(backends)}
     with tempfile.TemporaryDirectory() as folder:
-        path = write_config(Path(folder, "config.json"), SETTINGS, known, limits=limits)
+        settings = SETTINGS | {"balancers": SHARING}
+        path = write_config(Path(folder, "config.json"), settings, known, limits=limits)
         with started(("-m", "windrelay"), {"PROXY_CONFIG": str(path)}) as process:
             process.read_on()
             time.sleep(SETTLE_S)
@@ -60,9 +62,9 @@
 
 def node_by_connections(quick: bool) -> list[Slope]:
     """Clients' connections of a real node: resident bytes each, microseconds to open and end."""
-    sizes = (200, 400, 800)
+    sizes = (50, 100, 200) if quick else (150, 300, 450, 600)
     held, spent = [], []
-    for size in sizes if quick else (*sizes, 1_600):
+    for size in sizes:
         with (
             fleet.backends(1, 0.0) as servers,
             fleet.node(servers, memory_mb=1024, sockets=16_384) as process,
--- a/benchmarks/scale/slopes.py
+++ b/benchmarks/scale/slopes.py
@@ -1,6 +1,6 @@
 """Slopes: what each thing that is held or sent costs, at three sizes or more.
 
-    python -m benchmarks.scale slopes [--quick] [--only NAME] [--out FILE]
+    python -m benchmarks.scale slopes [--quick] [--only NAME] [--but NAME] [--out FILE]
 
 Measurements build the project's real classes in this process (memory is what tracemalloc counts,
 processor time this process's own), or start a real process and read its resident memory and
@@ -12,12 +12,10 @@
 
 import argparse
 import json
-import os
-import sys
 from collections.abc import Callable
 from pathlib import Path
 
-from benchmarks.scale import balancers, gossip, lists, meter, processes
+from benchmarks.scale import balancers, gossip, lists, meter, processes, record
 from benchmarks.scale.fit import Slope
 
 Measurement = Callable[[bool], list[Slope]]
@@ -42,27 +40,30 @@
     """Options of the sub-command."""
     parser.add_argument("--quick", action="store_true", help="small sizes, to try it")
     parser.add_argument("--only", choices=sorted(MEASUREMENTS), action="append", help="these alone")
-    parser.add_argument("--out", type=Path, help="write the JSON here too")
+    parser.add_argument("--but", choices=sorted(MEASUREMENTS), action="append", help="not these")
+    parser.add_argument("--out", type=Path, help="put the slopes into this file")
 
 
 def main(args: argparse.Namespace) -> None:
     """Measure, print a line for each slope, and one JSON line last."""
+    if args.quick and args.out is not None:
+        raise SystemExit("--quick is to try it: its figures go into no file")
     found: list[Slope] = []
     for name in args.only or MEASUREMENTS:
+        if name in (args.but or ()):
+            continue
         slopes = MEASUREMENTS[name](args.quick)
         for slope in slopes:
             print(told(slope), flush=True)
         found += slopes
-    out = {
-        "quick": args.quick,
-        "python": sys.version.split()[0],
-        "cores": os.cpu_count(),
-        "reference_us": round(meter.reference(), 1),
-        "slopes": [slope.as_json() for slope in found],
-    }
+    words = [w for name in args.only or () for w in ("--only", name)]
+    words += [w for name in args.but or () for w in ("--but", name)]
+    command = " ".join(["python -m benchmarks.scale slopes", *words])
+    run = record.run_of(command, round(meter.reference(), 1), found)
     if args.out is not None:
-        args.out.write_text(json.dumps(out, indent=1) + "\n")
-    print(json.dumps(out))
+        old = record.read(args.out) if args.out.exists() else []
+        record.write(args.out, record.merged(old, run))
+    print(json.dumps(run.as_json() | {"quick": args.quick}))
 
 
 def told(slope: Slope) -> str:
