--- a/benchmarks/scale/capacity/edges.py
+++ b/benchmarks/scale/capacity/edges.py
@@ -33,11 +33,11 @@
 DESCRIPTORS = 1024  # of a node, as most configurations have it
 
 DEAL = Mechanism("slots dealt among the nodes of a service",
-                 "flinthatch/balancer.py, tests/test_solver.py")  # fmt: skip
+                 "flinthatch/balancer.py, tests/test_path.py")  # fmt: skip
 PARTITION = Mechanism("each backend under one node of its zone", "not built")
-POOL = Mechanism("the pool of idle connections", "windrelay/upstream.py, tests/test_pools.py")
+POOL = Mechanism("the pool of idle connections", "windrelay/upstream.py, tests/test_node.py")
 FRONT = Mechanism("a front that knows which nodes hold a service", "not built, not ours")
-ACCEPT = Mechanism("the node's server", "windrelay/server.py, tests/test_clients.py")
+ACCEPT = Mechanism("the node's server", "windrelay/server.py, tests/test_descriptors.py")
 
 
 class Ends(NamedTuple):
--- a/benchmarks/scale/capacity/load.py
+++ b/benchmarks/scale/capacity/load.py
@@ -77,7 +77,8 @@
         """Tenants that one node holds, at most all of them."""
         each = self.target.tenants / self.target.services
         found = self.services_a_node * TENANT_SERVICES.range * each
-        return Range(found.low, min(found.high, self.target.tenants))
+        most = float(self.target.tenants)
+        return Range(min(found.low, most), min(found.high, most))
 
     @property
     def subscribers(self) -> Range:
--- a/benchmarks/scale/capacity/node.py
+++ b/benchmarks/scale/capacity/node.py
@@ -13,7 +13,10 @@
 SUBSET = Mechanism("a subset of a large service's backends a node", "not built")
 GOSSIP = Mechanism("gossip between nodes (SWIM)", "flinthatch/fleet, tests/test_fleet_world.py")
 PROCESS = Mechanism("the process itself", "windrelay/node.py, tests/test_node.py")
-QUOTAS = Mechanism("a bucket a tenant and node, its part of the quota", "flinthatch/balancer.py")
+QUOTAS = Mechanism(
+    "a bucket a tenant and node, its part of the quota",
+    "flinthatch/balancer.py, tests/test_path.py",
+)
 
 
 def rows(target: Target, slopes: Slopes) -> list[Row]:
--- a/benchmarks/scale/sharing.py
+++ b/benchmarks/scale/sharing.py
@@ -15,6 +15,7 @@
 from enum import StrEnum
 from math import exp, inf
 
+NEVER = 1e-12  # a part of requests that is not told from none
 MOST_NODES = 1_000  # where a search for the largest number ends
 
 
@@ -70,6 +71,8 @@
     blocked = 1.0
     for n in range(1, servers + 1):
         blocked = load * blocked / (n + load * blocked)
+        if n > load and blocked < NEVER:
+            break  # past the load each further server only lessens it
     return blocked
 
 
--- a/tests/test_scale_slopes.py
+++ b/tests/test_scale_slopes.py
@@ -63,6 +63,12 @@
     assert found.r2 == pytest.approx(0.75)
 
 
+def test_a_point_of_no_cost_is_held_against_the_largest() -> None:
+    # By hand: slope 0.5, intercept -1/3; the first point lies 1/6 off, the largest is 1.
+    found = line((1, 0), (2, 1), (3, 1))
+    assert found.residual == pytest.approx(1 / 3)
+
+
 @pytest.mark.parametrize("sizes", [(), (1, 2), (1, 1, 2)])
 def test_under_three_sizes_there_is_no_line(sizes: tuple[float, ...]) -> None:
     with pytest.raises(FitError, match="memory: a line needs 3 sizes"):
