--- a/benchmarks/scale/capacity/control.py
+++ b/benchmarks/scale/capacity/control.py
@@ -4,7 +4,7 @@
 
 from benchmarks.scale.capacity.load import MICROSECONDS, Load
 from benchmarks.scale.capacity.row import Mechanism, Role, Row, Situation, Slopes, Standing, Unit
-from benchmarks.scale.capacity.target import NETWORK, RACK, Range, Target, ranged
+from benchmarks.scale.capacity.target import CHANGE_ROWS, NETWORK, RACK, Range, Target, ranged
 from flinthatch.membership.revisions import KEPT
 
 SERVERS_MEASURED = 270  # of every proxy in the measured cases
@@ -108,6 +108,13 @@
         row(Situation.MINUTE, "processor, changes to their subscribers",
             "rows and changes a second of the busiest hour x subscribers / 6 x control.cpu",
             sends * per_message, Unit.CORE, 1.0),
+        row(Situation.DAY, "fan-out of a change of a usual service", "holders a zone x 4 zones",
+            load.subscribers, Unit.COUNT, None),
+        row(Situation.DAY, "fan-out of a change of the largest service",
+            "its part of 7,800 nodes, at least holders a zone x 4 zones", largest, Unit.COUNT,
+            None),
+        row(Situation.DAY, "size of a change's message", "rows in one change x delta.bytes",
+            slopes.each("delta.bytes", CHANGE_ROWS.range), Unit.BYTES, None),
         row(Situation.MINUTE, "messages to subscribers",
             "rows and changes a second of the busiest hour x subscribers / 6", sends,
             Unit.A_SECOND, None),
--- a/benchmarks/scale/capacity/edges.py
+++ b/benchmarks/scale/capacity/edges.py
@@ -8,10 +8,12 @@
 from typing import NamedTuple
 
 from benchmarks.scale.capacity.load import MICROSECONDS, Load
+from benchmarks.scale.capacity.node import DEAL
 from benchmarks.scale.capacity.row import Mechanism, Role, Row, Situation, Slopes, Standing, Unit
 from benchmarks.scale.capacity.target import (
     CLIENT_CONNECTIONS,
     CONNECTIONS,
+    DESCRIPTORS,
     HANDSHAKE,
     HOLDERS,
     IDLE,
@@ -30,10 +32,7 @@
 from flinthatch.balancer import START_LEVEL
 
 RECONNECTED_IN = Range(1, 10)  # seconds in which a lost node's clients come to the others
-DESCRIPTORS = 1024  # of a node, as most configurations have it
 
-DEAL = Mechanism("slots dealt among the nodes of a service",
-                 "flinthatch/balancer.py, tests/test_path.py")  # fmt: skip
 PARTITION = Mechanism("each backend under one node of its zone", "not built")
 POOL = Mechanism("the pool of idle connections", "windrelay/upstream.py, tests/test_node.py")
 FRONT = Mechanism("a front that knows which nodes hold a service", "not built, not ours")
--- a/benchmarks/scale/capacity/node.py
+++ b/benchmarks/scale/capacity/node.py
@@ -4,7 +4,14 @@
 
 from benchmarks.scale.capacity.load import CYCLES_A_SECOND, MICROSECONDS, Load
 from benchmarks.scale.capacity.row import Mechanism, Role, Row, Situation, Slopes, Standing, Unit
-from benchmarks.scale.capacity.target import LARGEST, Range, Target, ranged
+from benchmarks.scale.capacity.target import (
+    CLIENT_CONNECTIONS,
+    DESCRIPTORS,
+    LARGEST,
+    Range,
+    Target,
+    ranged,
+)
 
 NONE = Mechanism("none: a node holds everything", "today's code")
 ASSIGNMENT = Mechanism("assignment of services to nodes", "not in this tree")
@@ -12,6 +19,8 @@
 HOLDER = Mechanism("the node's holder of its services", "not in this tree")
 SUBSET = Mechanism("a subset of a large service's backends a node", "not built")
 GOSSIP = Mechanism("gossip between nodes (SWIM)", "flinthatch/fleet, tests/test_fleet_world.py")
+DEAL = Mechanism("slots dealt among the nodes of a service",
+                 "flinthatch/balancer.py, tests/test_path.py")  # fmt: skip
 PROCESS = Mechanism("the process itself", "windrelay/node.py, tests/test_node.py")
 QUOTAS = Mechanism(
     "a bucket a tenant and node, its part of the quota",
@@ -205,6 +214,9 @@
         row(Situation.RESTART, "time, a snapshot's tenants at the bytes allowed",
             "tenant.bytes x tenants a node / 3 KB a second", start_tenants / sent, Unit.SECONDS,
             target.in_force_s, SUBSCRIPTION),
+        row(Situation.REST, "descriptors, one to each backend it holds and those of clients",
+            "backends a node + clients' connections, against 1,024",
+            backends + CLIENT_CONNECTIONS.range, Unit.COUNT, DESCRIPTORS, DEAL, Standing.MODEL),
         row(Situation.REST, "a mean tenant's requests let through at once",
             "a request of burst x nodes that hold the service / 1.7 a second",
             sharing / target.rate_a_tenant, Unit.COUNT, 1.0, QUOTAS, Standing.MODEL),
--- a/benchmarks/scale/capacity/target.py
+++ b/benchmarks/scale/capacity/target.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+DESCRIPTORS = 1024.0  # of a node, as most configurations have it
 DAY_S = 86_400.0
 HOUR_S = 3_600.0
 
--- a/tests/test_scale_capacity.py
+++ b/tests/test_scale_capacity.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
-from functools import partial
 from pathlib import Path
 
 import pytest
@@ -218,12 +218,18 @@
     assert meter.point(5, [3.0, 1.0, 2.0]) == Point(5, 1.0, 2.0, 3.0)
 
 
-def test_processor_time_is_told_a_call() -> None:
-    calls: dict[int, Callable[[], object]] = {
-        n: partial(sum, range(n)) for n in (20_000, 200_000)
-    }  # fmt: skip
-    small, large = meter.cpu(calls, rounds=3)
-    assert 0 < small.value < large.value
+def test_processor_time_is_told_a_call(monkeypatch: pytest.MonkeyPatch) -> None:
+    clock = [0]
+
+    def taking(ns: int) -> Callable[[], None]:
+        def call() -> None:
+            clock[0] += ns
+
+        return call
+
+    monkeypatch.setattr(time, "process_time_ns", lambda: clock[0])
+    small, large = meter.cpu({1: taking(20_000), 2: taking(7_000_000)}, rounds=2)
+    assert (small.value, small.most, large.value) == (20.0, 20.0, 7_000.0)
 
 
 def test_a_measurement_gives_slopes_with_the_quick_sizes() -> None:
@@ -239,4 +245,4 @@
 
 def test_quick_figures_go_into_no_file(tmp_path: Path) -> None:
     with pytest.raises(SystemExit, match="--quick"):
-        scale(["slopes", "--quick", "--out", str(tmp_path / "slopes.json")])
+        scale(["slopes", "--quick", "--only", "tenants", "--out", str(tmp_path / "slopes.json")])
