Share the list's watchers, and pack a position into its one integer version

The relay's connections are needed by a second server of the same form. Watcher moves to windrelay/watchers.py and asks its host; the relay keeps what it answers and when. A position (epoch, revision) becomes the version that the list's form has room for, in order.

--- /dev/null
+++ b/tests/test_scale_version.py
@@ -0,0 +1,50 @@
+"""A position as the list's one integer version, and back."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from flinthatch.scale.model import START, Position, ScaleError
+from windrelay.httpcall import whole_number
+from windrelay.scale.version import (
+    MOST_EPOCH,
+    MOST_REVISION,
+    MOST_VERSION,
+    position_of,
+    version_of,
+)
+
+POSITIONS = st.builds(
+    Position,
+    st.integers(0, MOST_EPOCH),
+    st.integers(0, MOST_REVISION),
+)
+
+
+@given(POSITIONS, POSITIONS)
+def test_packing_keeps_order_and_comes_back(one: Position, other: Position) -> None:
+    assert position_of(version_of(one)) == one
+    assert (version_of(one) < version_of(other)) == (one < other)
+
+
+def test_every_version_passes_as_a_list_version() -> None:
+    assert version_of(START) == 0
+    most = version_of(Position(MOST_EPOCH, MOST_REVISION))
+    assert most == MOST_VERSION
+    assert whole_number(str(most)) == most
+
+
+@pytest.mark.parametrize("version", [-1, MOST_VERSION + 1])
+def test_a_version_out_of_range_is_refused(version: int) -> None:
+    with pytest.raises(ScaleError, match=r"^version: \[range\]"):
+        position_of(version)
+
+
+@pytest.mark.parametrize(
+    "position", [Position(MOST_EPOCH + 1, 0), Position(0, MOST_REVISION + 1), Position(-1, 0)]
+)
+def test_a_position_out_of_range_is_refused(position: Position) -> None:
+    with pytest.raises(ScaleError, match=r"^position: \[range\]"):
+        version_of(position)
--- a/windrelay/consul/relay.py
+++ b/windrelay/consul/relay.py
@@ -15,10 +15,7 @@
 import json
 import time
 from collections.abc import Callable, Mapping
-from typing import Any, cast
-from urllib.parse import parse_qs, urlsplit
-
-import httptools
+from typing import Any
 
 from flinthatch import State
 from flinthatch.membership.members import Member
@@ -27,13 +24,9 @@
 from windrelay.config import Address
 from windrelay.consul.file import ConsulFile
 from windrelay.consul.merge import MergedList
-from windrelay.httpcall import whole_number
+from windrelay.watchers import Query, Watcher
 
-LIST = "/registry/instances"
-MAX_HOLD_S = 60.0
 MAX_WATCHERS = 1024
-MAX_HEAD = 8 << 10  # bytes of a request
-IDLE_S = 75.0  # for a connection with nothing asked
 STATES = {State.READY: "active", State.DRAINING: "leaving"}
 
 Row = Mapping[str, Any]
@@ -51,10 +44,13 @@
 class Relay:
     """The list and who waits for news of it."""
 
+    most_watchers = MAX_WATCHERS
+
     def __init__(self, file: ConsulFile, log: Callable[[str], None], seed: int) -> None:
         self.merged = MergedList(file, self._pass_on, log, seed)
         self.list: Revisions[Row] = Revisions(time.time_ns() // MS)
-        self.watchers: dict[Watcher, asyncio.TimerHandle] = {}
+        # The version each holds, and the end of its wait.
+        self.watchers: dict[Watcher, tuple[int, asyncio.TimerHandle]] = {}
         self.connections = 0
         # Taken once: a boot that is converted again must look the same.
         self._wall = time.time_ns() - time.monotonic_ns()
@@ -70,21 +66,29 @@
         rows = [{"uid": uid} | gone if row is None else row for uid, row in changed.items()]
         return json.dumps({"rev": self.list.rev, "all": whole, "targets": rows}).encode()
 
-    def wait(self, watcher: Watcher, seconds: float) -> None:
-        """Answer a watcher once there is news, or after so long."""
-        loop = asyncio.get_running_loop()
-        self.watchers[watcher] = loop.call_later(seconds, self.release, watcher)
+    def asked(self, watcher: Watcher, since: int, hold: float, query: Query) -> None:
+        """Answer at once where there is news or no wait is asked for, else after `hold` s."""
+        if since == self.list.rev and hold > 0:
+            loop = asyncio.get_running_loop()
+            self.watchers[watcher] = (since, loop.call_later(hold, self.release, watcher))
+        else:
+            watcher.reply(200, self.answer(since))
+
+    def waits(self, watcher: Watcher) -> bool:
+        return watcher in self.watchers
 
     def release(self, watcher: Watcher) -> None:
-        handle = self.watchers.pop(watcher, None)
-        if handle is not None:
+        """Answer a watcher that waits."""
+        found = self.watchers.pop(watcher, None)
+        if found is not None:
+            since, handle = found
             handle.cancel()
-            watcher.tell()
+            watcher.reply(200, self.answer(since))
 
     def forget(self, watcher: Watcher) -> None:
-        handle = self.watchers.pop(watcher, None)
-        if handle is not None:
-            handle.cancel()
+        found = self.watchers.pop(watcher, None)
+        if found is not None:
+            found[1].cancel()
 
     def _pass_on(self) -> None:
         told = [m for m in self.merged.members.members() if m.state != State.GONE]
@@ -93,105 +97,6 @@
                 self.release(watcher)
 
 
-class Watcher(asyncio.Protocol):
-    """One node's connection: one question at a time, bounded in size and time."""
-
-    def __init__(self, relay: Relay) -> None:
-        self._relay = relay
-        self._parser = httptools.HttpRequestParser(self)
-        self._transport: asyncio.Transport | None = None
-        self._size = 0
-        self._target = b""
-        self._since = 0
-        self._idle: asyncio.TimerHandle | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = cast(asyncio.Transport, transport)
-        self._relay.connections += 1
-        if self._relay.connections > MAX_WATCHERS:
-            self._reply(503, b"too many watchers")
-            self._transport.close()
-        self._rest()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._relay.connections -= 1
-        self._relay.forget(self)
-        if self._idle is not None:
-            self._idle.cancel()
-
-    def _rest(self) -> None:
-        if self._idle is not None:
-            self._idle.cancel()
-        if self._transport is not None:
-            loop = asyncio.get_running_loop()
-            self._idle = loop.call_later(IDLE_S, self._transport.abort)
-
-    def data_received(self, data: bytes) -> None:
-        self._size += len(data)
-        if self._size > MAX_HEAD:
-            self._give_up(400, b"too large")
-            return
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._give_up(400, b"no HTTP/1.1 request")
-
-    def on_url(self, url: bytes) -> None:
-        self._target += url
-
-    def on_message_complete(self) -> None:
-        target, self._target, self._size = self._target, b"", 0
-        self._rest()
-        if self in self._relay.watchers:
-            self._give_up(400, b"a second question before the first's answer")
-            return
-        if self._parser.get_method() != b"GET":
-            self._give_up(405, b"GET only")
-            return
-        parts = urlsplit(target.decode("latin-1"))
-        if parts.path == "/health/ready":
-            self._reply(200 if self._relay.ready() else 503, b"")
-        elif parts.path != LIST:
-            self._reply(404, b"")
-        elif not self._relay.ready():
-            self._reply(503, b"no whole list yet")
-        else:
-            self._asked(parse_qs(parts.query))
-
-    def _asked(self, query: dict[str, list[str]]) -> None:
-        since, hold = (whole_number(query.get(k, ["0"])[0]) for k in ("from", "hold_ms"))
-        if since is None or hold is None:
-            self._reply(400, b"from and hold_ms are whole numbers")
-            return
-        self._since = since
-        if since == self._relay.list.rev and hold > 0:
-            self._relay.wait(self, min(hold / 1000, MAX_HOLD_S))
-        else:
-            self.tell()
-
-    def tell(self) -> None:
-        self._reply(200, self._relay.answer(self._since))
-
-    def _reply(self, status: int, body: bytes) -> None:
-        if self._transport is None or self._transport.is_closing():
-            return
-        kind = "application/json" if status == 200 else "text/plain"
-        head = f"HTTP/1.1 {status} -\r\nContent-Type: {kind}\r\nContent-Length: {len(body)}\r\n"
-        # One that does not read: its answers are not kept for it.
-        if self._transport.get_write_buffer_size() > 0:
-            self._transport.abort()
-            return
-        self._transport.write(head.encode() + b"\r\n" + body)
-        if not self._parser.should_keep_alive():
-            self._transport.close()
-
-    def _give_up(self, status: int, why: bytes) -> None:
-        self._relay.forget(self)
-        self._reply(status, why)
-        if self._transport is not None:
-            self._transport.close()
-
-
 async def serve(file: ConsulFile, listen: Address, log: Callable[[str], None], seed: int) -> None:
     """Pass the list on at `listen` until cancelled; OSError where it can't be listened at."""
     relay = Relay(file, log, seed)
--- /dev/null
+++ b/windrelay/scale/version.py
@@ -0,0 +1,33 @@
+"""A position in a region's log as the list's one integer version, and back.
+
+The list's form has room for one whole number of at most 18 decimal digits, which a reader may
+only compare. The epoch goes above the revision, so that the order of versions is the order of
+positions, and START is 0: the version of whoever holds nothing.
+"""
+
+from __future__ import annotations
+
+from flinthatch.scale.model import Position, ScaleError
+
+REVISION_BITS = 40  # a thousand changes a second for 34 years
+MOST_REVISION = (1 << REVISION_BITS) - 1
+MOST_EPOCH = (1 << 19) - 1  # packed they stay under 10**18: 18 digits
+MOST_VERSION = MOST_EPOCH << REVISION_BITS | MOST_REVISION
+
+
+def version_of(position: Position) -> int:
+    """The position as one integer; ScaleError where a part is out of range."""
+    epoch, revision = position
+    if not 0 <= epoch <= MOST_EPOCH or not 0 <= revision <= MOST_REVISION:
+        raise ScaleError(
+            f"position: [range] epoch {epoch}, revision {revision}; "
+            f"write 0 to {MOST_EPOCH} and 0 to {MOST_REVISION}"
+        )
+    return epoch << REVISION_BITS | revision
+
+
+def position_of(version: int) -> Position:
+    """The position that a version means; ScaleError where none has it."""
+    if not 0 <= version <= MOST_VERSION:
+        raise ScaleError(f"version: [range] {version}; write 0 to {MOST_VERSION}")
+    return Position(version >> REVISION_BITS, version & MOST_REVISION)
