--- a/windrelay/consul/relay.py
+++ b/windrelay/consul/relay.py
@@ -24,7 +24,7 @@
 from windrelay.config import Address
 from windrelay.consul.file import ConsulFile
 from windrelay.consul.merge import MergedList
-from windrelay.watchers import Query, Watcher
+from windrelay.watchers import Query, Watcher, gone_row
 
 MAX_WATCHERS = 1024
 STATES = {State.READY: "active", State.DRAINING: "leaving"}
@@ -61,9 +61,7 @@
     def answer(self, since: int) -> bytes:
         """Discovery's answer to whoever holds version `since`, 0 for none."""
         changed, whole = self.list.since(since)
-        gone = {"state": "left", "endpoint": "", "az": "", "model": "", "pod_group": 0,
-                "capacity_hint": 1.0, "boot_ms": 0}  # fmt: skip
-        rows = [{"uid": uid} | gone if row is None else row for uid, row in changed.items()]
+        rows = [gone_row(uid) if row is None else row for uid, row in changed.items()]
         return json.dumps({"rev": self.list.rev, "all": whole, "targets": rows}).encode()
 
     def asked(self, watcher: Watcher, since: int, hold: float, query: Query) -> None:
--- a/windrelay/operator/check.py
+++ b/windrelay/operator/check.py
@@ -6,6 +6,7 @@
 import json
 import sys
 from collections.abc import Sequence
+from pathlib import Path
 from typing import TextIO
 
 from flinthatch import Settings
@@ -42,6 +43,10 @@
         from windrelay.peers.file import decode as decode_fleet
 
         return Result(None, decode_fleet(raw, lines)[1], [])
+    if "machine" in raw or "regions" in raw:
+        from windrelay.scale.file import decode as decode_scale
+
+        return Result(None, decode_scale(raw, lines, Path(path).resolve().parent)[1], [])
     if "service" not in raw and "listen" in raw:
         return Result(None, decode_control(raw, lines)[1], [])
     return decode(raw, lines, settings)
--- a/windrelay/operator/section.py
+++ b/windrelay/operator/section.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
+from difflib import get_close_matches
 from ipaddress import ip_address
 from pathlib import Path
 from typing import Any, TypeVar
@@ -59,7 +60,10 @@
     def known(self, keys: tuple[str, ...]) -> None:
         for key in self.raw:
             if key not in keys:
-                self.fault(key, "unknown-key", f"no key {key!r}", f"known are {', '.join(keys)}")
+                near = get_close_matches(key, keys, 1)
+                ask = f"did you mean {near[0]!r}? " if near else ""
+                right = f"{ask}known are {', '.join(keys)}"
+                self.fault(key, "unknown-key", f"no key {key!r}", right)
 
     def text(self, key: str, default: str | None = None) -> str:
         value = self.raw.get(key, default)
--- a/windrelay/watchers.py
+++ b/windrelay/watchers.py
@@ -1,7 +1,7 @@
-"""Connections that ask for a list in the platform's discovery form, and wait for its next version.
+"""Connections of callers that ask one question at a time, bounded in size and time.
 
-One question at a time on each, bounded in size and time. What is answered, and when, is the
-host's to say.
+A `Watcher` asks for a list in the platform's discovery form, and waits for its next version.
+What is answered, and when, is the host's to say.
 
 Source: the platform's protocol, "Discovery".
 """
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Protocol, cast
+from typing import Any, Protocol, cast
 from urllib.parse import parse_qs, urlsplit
 
 import httptools
@@ -20,35 +20,48 @@
 MAX_HOLD_S = 60.0
 MAX_HEAD = 8 << 10  # bytes of a request
 IDLE_S = 75.0  # for a connection with nothing asked
+GONE = {"state": "left", "endpoint": "", "az": "", "model": "", "pod_group": 0,
+        "capacity_hint": 1.0, "boot_ms": 0}  # fmt: skip
 
 Query = dict[str, list[str]]
 
 
-class ListHost(Protocol):
-    """Whoever has the list: told what is asked, it replies on the watcher, now or later."""
+class Host(Protocol):
+    """Whoever answers: it replies on the connection, now or later."""
 
     most_watchers: int
     connections: int
 
+    def waits(self, caller: Any) -> bool:
+        """Whether its last question has no answer yet."""
+
+    def forget(self, caller: Any) -> None:
+        """Its question needs no answer any more."""
+
+
+class ListHost(Host, Protocol):
+    """Whoever has the list."""
+
     def ready(self) -> bool:
         """Whether there is a whole list."""
 
     def asked(self, watcher: Watcher, since: int, hold: float, query: Query) -> None:
         """A question: the version held, 0 for none, and how many seconds news may take."""
 
-    def waits(self, watcher: Watcher) -> bool:
-        """Whether its last question has no answer yet."""
 
-    def forget(self, watcher: Watcher) -> None:
-        """Its question needs no answer any more."""
+def gone_row(uid: str) -> dict[str, Any]:
+    """What the list says of a server that has gone."""
+    return {"uid": uid} | GONE
 
 
-class Watcher(asyncio.Protocol):
-    """One node's connection: one question at a time, bounded in size and time."""
+class Caller(asyncio.Protocol):
+    """One connection: one question at a time, bounded in size and time."""
 
-    def __init__(self, host: ListHost) -> None:
-        self._host = host
-        self._parser = httptools.HttpRequestParser(self)
+    most_bytes = MAX_HEAD  # of one question
+
+    def __init__(self, host: Host) -> None:
+        self.host = host
+        self.parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._size = 0
         self._target = b""
@@ -56,15 +69,15 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
-        self._host.connections += 1
-        if self._host.connections > self._host.most_watchers:
+        self.host.connections += 1
+        if self.host.connections > self.host.most_watchers:
             self.reply(503, b"too many watchers")
             self._transport.close()
         self._rest()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._host.connections -= 1
-        self._host.forget(self)
+        self.host.connections -= 1
+        self.host.forget(self)
         if self._idle is not None:
             self._idle.cancel()
 
@@ -77,13 +90,13 @@
 
     def data_received(self, data: bytes) -> None:
         self._size += len(data)
-        if self._size > MAX_HEAD:
-            self._give_up(400, b"too large")
+        if self._size > self.most_bytes:
+            self.give_up(400, b"too large")
             return
         try:
-            self._parser.feed_data(data)
+            self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._give_up(400, b"no HTTP/1.1 request")
+            self.give_up(400, b"no HTTP/1.1 request")
 
     def on_url(self, url: bytes) -> None:
         self._target += url
@@ -91,28 +104,15 @@
     def on_message_complete(self) -> None:
         target, self._target, self._size = self._target, b"", 0
         self._rest()
-        if self._host.waits(self):
-            self._give_up(400, b"a second question before the first's answer")
-            return
-        if self._parser.get_method() != b"GET":
-            self._give_up(405, b"GET only")
+        if self.host.waits(self):
+            self.give_up(400, b"a second question before the first's answer")
             return
         parts = urlsplit(target.decode("latin-1"))
-        if parts.path == "/health/ready":
-            self.reply(200 if self._host.ready() else 503, b"")
-        elif parts.path != LIST:
-            self.reply(404, b"")
-        elif not self._host.ready():
-            self.reply(503, b"no whole list yet")
-        else:
-            self._asked(parse_qs(parts.query))
+        self.question(self.parser.get_method(), parts.path, parse_qs(parts.query))
 
-    def _asked(self, query: Query) -> None:
-        since, hold = (whole_number(query.get(k, ["0"])[0]) for k in ("from", "hold_ms"))
-        if since is None or hold is None:
-            self.reply(400, b"from and hold_ms are whole numbers")
-            return
-        self._host.asked(self, since, min(hold / 1000, MAX_HOLD_S), query)
+    def question(self, method: bytes, path: str, query: Query) -> None:
+        """A whole question has come."""
+        raise NotImplementedError
 
     def reply(self, status: int, body: bytes) -> None:
         """Answer the question; nothing where the connection is on its way out."""
@@ -125,11 +125,40 @@
             self._transport.abort()
             return
         self._transport.write(head.encode() + b"\r\n" + body)
-        if not self._parser.should_keep_alive():
+        if not self.parser.should_keep_alive():
             self._transport.close()
 
-    def _give_up(self, status: int, why: bytes) -> None:
-        self._host.forget(self)
+    def give_up(self, status: int, why: bytes) -> None:
+        """Answer, and end the connection."""
+        self.host.forget(self)
         self.reply(status, why)
         if self._transport is not None:
             self._transport.close()
+
+
+class Watcher(Caller):
+    """One node's connection."""
+
+    host: ListHost
+
+    def __init__(self, host: ListHost) -> None:
+        super().__init__(host)
+
+    def question(self, method: bytes, path: str, query: Query) -> None:
+        if method != b"GET":
+            self.give_up(405, b"GET only")
+        elif path == "/health/ready":
+            self.reply(200 if self.host.ready() else 503, b"")
+        elif path != LIST:
+            self.reply(404, b"")
+        elif not self.host.ready():
+            self.reply(503, b"no whole list yet")
+        else:
+            self._asked(query)
+
+    def _asked(self, query: Query) -> None:
+        since, hold = (whole_number(query.get(k, ["0"])[0]) for k in ("from", "hold_ms"))
+        if since is None or hold is None:
+            self.reply(400, b"from and hold_ms are whole numbers")
+            return
+        self.host.asked(self, since, min(hold / 1000, MAX_HOLD_S), query)
