--- a/flinthatch/scale/liveness.py
+++ b/flinthatch/scale/liveness.py
@@ -1,128 +1,105 @@
-"""Which registered nodes live, as all control machines hear them together.
+"""Who counts as alive, damped: one who comes and goes does not move services each time.
 
-A node is present at the machine that it asks. Each machine tells the others who is present at
-it, and what changed since; a node lives while it is present anywhere, and for `grace` after it
-was last. The grace covers the way from a lost machine to another, so that the loss of a control
-machine moves no service. Pure: told the time in nanoseconds, no I/O.
+A node counts as dead after `silence` without a word. It counts as back only once it has been
+heard for `stay` without a gap as long as `silence`; each death within `memory` doubles that wait,
+up to `longest_stay`. The doubling is that of route flap damping (RFC 2439) in its simplest form.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from flinthatch.model import SECOND
+from flinthatch.scale.model import ScaleError
 
 
 @dataclass(frozen=True, slots=True)
-class Presence:
-    """One machine's word on who is present at it.
+class LivenessRules:
+    """Times in nanoseconds.
 
-    Follows the sender's word of `serial` - 1, unless `whole`: then `came` is everybody.
+    Raises:
+        ScaleError: a time is out of its range.
     """
 
-    serial: int
-    whole: bool
-    came: tuple[str, ...]
-    left: tuple[str, ...] = ()
+    silence: int = 3 * SECOND
+    stay: int = 5 * SECOND
+    longest_stay: int = 300 * SECOND
+    memory: int = 600 * SECOND  # a node that has lived so long starts with `stay` again
 
+    def __post_init__(self) -> None:
+        if not self.silence > 0:
+            raise ScaleError(f"liveness: silence is {self.silence}, must be over 0")
+        if not 0 <= self.stay <= self.longest_stay:
+            raise ScaleError("liveness: stay must be 0 to longest_stay")
+        if self.memory < 0:
+            raise ScaleError(f"liveness: memory is {self.memory}, must not be negative")
 
-@dataclass(frozen=True, slots=True)
-class LivenessTiming:
-    """Nanoseconds."""
 
-    grace: int = 10 * SECOND  # of a node that is present nowhere
-    start: int = 20 * SECOND  # of all registered nodes, from this machine's own start on
-    silence: int = 3 * SECOND  # of a machine, after which what it told counts as ended
+class LivenessChange(NamedTuple):
+    """Who counts differently now than before."""
+
+    died: tuple[str, ...]
+    returned: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class _Pulse:
+    heard: int
+    since: int  # of the present stretch without a long gap
+    alive: bool = True
+    deaths: int = 0
+    died: int = 0
 
 
 class Liveness:
-    """One machine's view of the nodes, and of the other machines."""
-
-    def __init__(
-        self, nodes: Iterable[str], now: int, timing: LivenessTiming | None = None
-    ) -> None:
-        self._timing = timing or LivenessTiming()
-        self._nodes = frozenset(nodes)
-        self._present: dict[str, set[str]] = {"": set()}  # by machine, "" for this one
-        self._heard: dict[str, int] = {}  # when each other machine was last heard
-        self._serials: dict[str, int] = {}
-        self._serial = 0
-        self._came: set[str] = set()  # here, since the last word
-        self._left: set[str] = set()
-        # Nodes that are present nowhere, and until when they count all the same.
-        self._until = dict.fromkeys(self._nodes, now + self._timing.start)
-
-    def on_present(self, node: str) -> None:
-        """The node asks here."""
-        if node not in self._nodes or node in self._present[""]:
-            return
-        self._present[""].add(node)
-        self._until.pop(node, None)
-        self._left.discard(node)
-        self._came.add(node)
-
-    def on_absent(self, now: int, node: str) -> None:
-        """The node asks here no more."""
-        if node in self._present[""]:
-            self._present[""].discard(node)
-            self._came.discard(node)
-            self._left.add(node)
-            self._ended(now, (node,))
-
-    def on_machine(self, now: int, machine: str) -> None:
-        """Another machine was heard, whatever it said."""
-        self._heard[machine] = now
-
-    def on_presence(self, now: int, machine: str, word: Presence) -> bool:
-        """Another machine's word; False where one before it was missed: a whole one is needed."""
-        self._heard[machine] = now
-        if not word.whole and word.serial != self._serials.get(machine, -1) + 1:
+    """The state of all registered nodes; others' words count for nothing.
+
+    All count as alive when it begins, and have `silence` to be heard: a control machine that has
+    just begun knows nothing against anybody.
+    """
+
+    def __init__(self, now: int, nodes: Iterable[str], rules: LivenessRules) -> None:
+        self.rules = rules
+        self._pulses = {name: _Pulse(now, now) for name in nodes}
+
+    @property
+    def alive(self) -> frozenset[str]:
+        """Those who count as alive, as of the last `turn`."""
+        return frozenset(name for name, pulse in self._pulses.items() if pulse.alive)
+
+    def on_word(self, now: int, node: str) -> bool:
+        """The node was heard; False where it is not registered."""
+        pulse = self._pulses.get(node)
+        if pulse is None:
             return False
-        self._serials[machine] = word.serial
-        before = self._present.setdefault(machine, set())
-        came = self._nodes.intersection(word.came)
-        gone = before - came if word.whole else before.intersection(word.left)
-        before -= gone
-        before |= came
-        for node in came:
-            self._until.pop(node, None)
-        self._ended(now, gone)
+        if now - pulse.heard >= self.rules.silence:
+            pulse.since = now
+        pulse.heard = max(now, pulse.heard)
         return True
 
-    def on_time(self, now: int) -> None:
-        """Forget what silent machines told."""
-        for machine, heard in self._heard.items():
-            if now - heard > self._timing.silence:
-                self._serials.pop(machine, None)
-                self._ended(now, self._present.pop(machine, set()))
-
-    def word(self) -> Presence:
-        """What is to be told to the machines that heard the last word."""
-        self._serial += 1
-        came, left = tuple(sorted(self._came)), tuple(sorted(self._left))
-        self._came.clear()
-        self._left.clear()
-        return Presence(self._serial, False, came, left)
-
-    def whole_word(self) -> Presence:
-        """What is to be told to a machine that has just come up: all, as of the last word."""
-        told = (self._present[""] - self._came) | self._left
-        return Presence(self._serial, True, tuple(sorted(told)))
-
-    def nodes(self, now: int) -> frozenset[str]:
-        """The nodes that live."""
-        for node in [node for node, until in self._until.items() if until <= now]:
-            self._until[node] = 0
-        return frozenset(node for node in self._nodes if self._until.get(node, 1))
-
-    def machines(self, now: int) -> frozenset[str]:
-        """The other machines that were heard lately."""
-        silence = self._timing.silence
-        return frozenset(m for m, heard in self._heard.items() if now - heard <= silence)
-
-    def _ended(self, now: int, nodes: Iterable[str]) -> None:
-        """These are present at one machine less."""
-        for node in nodes:
-            if not any(node in present for present in self._present.values()):
-                self._until[node] = now + self._timing.grace
+    def turn(self, now: int) -> LivenessChange:
+        """Take time on to `now`: who has died or is back since the last turn."""
+        died, returned = [], []
+        for name, pulse in self._pulses.items():
+            silent = now - pulse.heard >= self.rules.silence
+            if pulse.alive and silent:
+                self._die(now, pulse)
+                died.append(name)
+            elif not pulse.alive and not silent and now - pulse.since >= self.stay(name):
+                pulse.alive = True
+                returned.append(name)
+        return LivenessChange(tuple(sorted(died)), tuple(sorted(returned)))
+
+    def stay(self, node: str) -> int:
+        """How long the node must be heard before it counts as back."""
+        doublings = min(max(self._pulses[node].deaths - 1, 0), 32)
+        return min(self.rules.stay << doublings, self.rules.longest_stay)
+
+    def _die(self, now: int, pulse: _Pulse) -> None:
+        if now - pulse.died >= self.rules.memory:
+            pulse.deaths = 0
+        pulse.alive = False
+        pulse.deaths += 1
+        pulse.died = now
