--- a/windrelay/operator/cli.py
+++ b/windrelay/operator/cli.py
@@ -10,6 +10,8 @@
        python -m windrelay control FILE   hand the decisions to other proxies over xDS
        python -m windrelay members FILE   the servers as Consul tells them, and why
        python -m windrelay peers ADDRESS  what a running node has from the others
+       python -m windrelay scale FILE --machine NAME
+                                          serve each node the services assigned to it
        python -m windrelay demo           a node, stand-ins and a short load, no set-up"""
 
 
@@ -32,6 +34,10 @@
         from windrelay.operator.peers import main as peers
 
         return peers(rest)
+    if name == "scale":
+        from windrelay.operator.scale import main as scale
+
+        return scale(rest)
     if name == "control" and len(rest) == 1:
         from windrelay.xds.control import main as control
 
--- /dev/null
+++ b/windrelay/scale/backends.py
@@ -0,0 +1,40 @@
+"""The services' backends in a file of JSON lines, for a region that has no log.
+
+One object a line: {"service": NAME, "targets": [...]}, the targets as the list service words them.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Collection
+from pathlib import Path
+
+from flinthatch.scale.model import Row, ScaleError
+from windrelay.scale.listform import ListFormError, row_of
+
+MOST_BYTES = 1 << 30
+
+
+def read_backends(path: Path, services: Collection[str]) -> dict[str, tuple[Row, ...]]:
+    """The rows of these services; ScaleError naming the line where the file can't be used."""
+    found: dict[str, tuple[Row, ...]] = dict.fromkeys(services, ())
+    try:
+        if path.stat().st_size > MOST_BYTES:
+            raise ScaleError(f"{path.name}: [too-large] over {MOST_BYTES} bytes; divide the fleet")
+        with open(path, "rb") as file:
+            for number, line in enumerate(file, 1):
+                _line(f"{path.name}:{number}", line, found)
+    except OSError as err:
+        raise ScaleError(f"{path.name}: [unreadable] {err.strerror}; see backends_file") from None
+    return found
+
+
+def _line(place: str, line: bytes, found: dict[str, tuple[Row, ...]]) -> None:
+    try:
+        raw = json.loads(line)
+        service = raw["service"]
+        if service in found:
+            found[service] = tuple([row_of(target) for target in raw["targets"]])
+    except (ValueError, TypeError, KeyError, RecursionError, ListFormError) as err:
+        right = 'write {"service": NAME, "targets": [...]}'
+        raise ScaleError(f"{place}: [bad-row] {type(err).__name__}: {err}; {right}") from None
--- a/windrelay/scale/file.py
+++ b/windrelay/scale/file.py
@@ -23,9 +23,9 @@
 from windrelay.operator.tomlfile import Key
 
 SECTIONS: Mapping[str, tuple[str, ...]] = {
-    "": ("version", "seed", "plain_network", "nodes_file", "services_file", "regions", "limits",
-         "machine", "node", "service", "bound"),
-    "limits": ("subscribers", "change_bytes", "backlog", "snapshots_per_second"),
+    "": ("version", "seed", "plain_network", "nodes_file", "services_file", "backends_file",
+         "regions", "limits", "machine", "node", "service", "bound"),
+    "limits": ("subscribers", "change_bytes", "backlog", "snapshot_rate"),
     "machine": ("name", "region", "zone", "subscribers", "peers", "admin"),
     "node": ("name", "region", "zone", "capacity", "rate"),
     "service": ("name", "region", "zones", "rate", "backends"),
@@ -73,7 +73,7 @@
     subscribers: int = 8192  # connections at one machine
     change_bytes: int = 1 << 20  # of one change handed in
     backlog: int = 64 << 20  # bytes that wait for one other machine
-    snapshots_per_second: int = 400  # at one machine, over all its subscribers
+    snapshot_rate: int = 2_000_000  # bytes a second of whole services at one machine
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +87,7 @@
     bound: tuple[Bound, ...] = ()
     limits: Limits = field(default_factory=Limits)
     seed: int = 0
+    backends: Path | None = None  # where a region that has lost its log is loaded from
 
     def machine(self, name: str) -> Machine:
         """The machine of that name; ScaleFileError naming the nearest where there is none."""
@@ -124,8 +125,16 @@
         top.fault("machine", "missing-key", "no machine", "write [[machine]]")
     if top.faults:
         return None, sorted(top.faults)
+    backends = top.path("backends_file") if "backends_file" in raw else None
     found = ScaleFile(
-        regions, tuple(machines), tuple(nodes), tuple(services), tuple(bound), limits, seed
+        regions,
+        tuple(machines),
+        tuple(nodes),
+        tuple(services),
+        tuple(bound),
+        limits,
+        seed,
+        backends,
     )
     return found, []
 
@@ -164,7 +173,7 @@
         _whole(table, "subscribers", usual.subscribers, 1, 100_000),
         _whole(table, "change_bytes", usual.change_bytes, 1024, 16 << 20),
         _whole(table, "backlog", usual.backlog, 1 << 20, 1 << 30),
-        _whole(table, "snapshots_per_second", usual.snapshots_per_second, 1, 100_000),
+        _whole(table, "snapshot_rate", usual.snapshot_rate, 1024, 1 << 30),
     )
 
 
--- /dev/null
+++ b/windrelay/scale/machine.py
@@ -0,0 +1,326 @@
+"""One control machine: the decisions of `flinthatch.scale`, and the sockets around them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import resource
+import signal
+import sys
+import time
+from collections import Counter
+from collections.abc import Callable
+from hashlib import blake2b
+from typing import Any
+
+import uvloop
+
+from flinthatch.scale.changes import ChangeLog
+from flinthatch.scale.messages import Message
+from flinthatch.scale.model import ScaleError
+from flinthatch.scale.presence import PresenceUpdate
+from flinthatch.scale.publisher import Limits, Publisher
+from flinthatch.scale.replication import Replica
+from windrelay.scale.backends import read_backends
+from windrelay.scale.bound import BoundList
+from windrelay.scale.calls import Call, Calls, Reply
+from windrelay.scale.changes import Changes
+from windrelay.scale.file import Machine, ScaleFile, ScaleFileError, read_scale
+from windrelay.scale.messages import PresenceWanted, Reports, codec
+from windrelay.scale.nodes import Nodes
+from windrelay.scale.questions import Questions, Subscription
+from windrelay.scale.stream import Hello, Streams
+from windrelay.scale.version import position_of, version_of
+from windrelay.watchers import Watcher
+
+TICK_S = 0.05  # of the replica
+TURN_S = 1.0  # of presence and liveness
+LOG_CHANGES, LOG_BYTES = 100_000, 64 << 20  # of accepted changes that are kept
+LOG_ANSWER = 1 << 20  # bytes of changes in one answer to GET /log
+STATUS_MEMORY = "/proc/self/statm"
+
+
+class ControlMachine:
+    """One machine of the file, from its start to its end."""
+
+    def __init__(self, file: ScaleFile, machine: Machine, log: Callable[[str], None]) -> None:
+        now = time.monotonic_ns()
+        self.file = file
+        self.machine = machine
+        self.counts: Counter[str] = Counter()
+        self._log = log
+        specs = [one.spec for one in file.machines]
+        self.logs = {name: ChangeLog(name, LOG_CHANGES, LOG_BYTES) for name in file.regions}
+        seed = int.from_bytes(os.urandom(8), "big")
+        self.replica = Replica(machine.spec, specs, self.logs, seed, now)
+        limits = Limits(
+            snapshot_rate=file.limits.snapshot_rate, snapshot_burst=file.limits.snapshot_rate
+        )
+        self.publisher = Publisher(machine.spec, specs, self.logs, limits)
+        self.publisher.on_nodes({node.name: node.region for node in file.nodes})
+        self.nodes = Nodes(file, now)
+        self.questions = Questions(
+            self.nodes,
+            self.publisher,
+            self.replica,
+            {one.spec.name: one.subscribers for one in file.machines},
+            file.limits.subscribers,
+        )
+        self.changes = Changes(self.replica, machine.spec.region, self.nodes.regions)
+        self.bound = [
+            BoundList(self.logs[self.nodes.regions[one.service]], one.service, 1024)
+            for one in file.bound
+            if one.machine == machine.spec.name
+        ]
+        others = {one.spec.name: one.peers for one in file.machines if one.spec != machine.spec}
+        self.streams = Streams(
+            Hello(machine.spec.name, fleet_digest(file)),
+            others,
+            codec(),
+            file.limits.backlog,
+            self._told,
+            self._up,
+        )
+        self._living: frozenset[str] = frozenset(one.spec.name for one in file.machines)
+        self._loading: asyncio.Task[None] | None = None
+        self._servers: list[asyncio.Server] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def open(self) -> None:
+        """Listen at all addresses and begin; OSError where one can't be had."""
+        loop = asyncio.get_running_loop()
+        machine = self.machine
+        calls = Calls(self, self.file.limits.change_bytes)
+        await self.streams.open(machine.peers)
+        for factory, address in (
+            (lambda: Subscription(self.questions), machine.subscribers),
+            (lambda: Call(calls), machine.admin),
+        ):
+            server = await loop.create_server(factory, address.host, address.port, backlog=4096)
+            self._servers.append(server)
+        mine = [one for one in self.file.bound if one.machine == machine.spec.name]
+        for one, host in zip(mine, self.bound, strict=True):
+            at = one.listen
+            server = await loop.create_server(lambda host=host: Watcher(host), at.host, at.port)  # type: ignore[misc]
+            self._servers.append(server)
+        self._tasks = [
+            loop.create_task(self._every(TICK_S, self._tick)),
+            loop.create_task(self._every(TURN_S, self._turn)),
+        ]
+
+    def close(self) -> None:
+        """End everything at once: what is accepted is with the others too."""
+        for task in self._tasks:
+            task.cancel()
+        for server in self._servers:
+            server.close()
+        self.streams.close()
+
+    async def _every(self, seconds: float, work: Callable[[], None]) -> None:
+        while True:
+            await asyncio.sleep(seconds)
+            work()
+
+    # ---- time ------------------------------------------------------------
+
+    def _tick(self) -> None:
+        self.replica.on_tick(time.monotonic_ns())
+        if self.replica.needs_load() and self._loading is None:
+            self._loading = asyncio.get_running_loop().create_task(self._load())
+        self._pump()
+
+    def _turn(self) -> None:
+        now = time.monotonic_ns()
+        if self.nodes.on_time(now):
+            self.counts["assignments"] += 1
+        self.nodes.pass_on(self.streams.send_all)
+        living = self.nodes.presence.machines(now) | {self.machine.spec.name}
+        if living != self._living:
+            self._living = living
+            self._log(f"control machines heard: {', '.join(sorted(living))}")
+            self.questions.answer_keys(self.publisher.on_living(living))
+        if self.nodes.changed:
+            self.nodes.changed = False
+            self.questions.tell_orders()
+
+    async def _load(self) -> None:
+        """Load a region that has no log from the services' source."""
+        region = self.machine.spec.region
+        services = [name for name, home in self.nodes.regions.items() if home == region]
+        try:
+            if self.file.backends is None:
+                rows: Any = dict.fromkeys(services, ())
+            else:
+                loop = asyncio.get_running_loop()
+                rows = await loop.run_in_executor(None, read_backends, self.file.backends, services)
+        except ScaleError as err:
+            self._log(f"region {region} is not loaded: {err}")
+            return
+        if self.replica.needs_load():
+            self.replica.load(time.monotonic_ns(), rows)
+            self._log(f"region {region} is loaded: {len(services)} services")
+            self._pump()
+        self._loading = None
+
+    # ---- the other machines -------------------------------------------------
+
+    def _up(self, machine: str) -> None:
+        """A stream to another machine is up: all that went before is told whole."""
+        self.nodes.whole(lambda message: self.streams.send(machine, message))
+
+    def _told(self, sender: str, message: Any) -> None:
+        now = time.monotonic_ns()
+        self.nodes.presence.on_machine(now, sender)
+        if isinstance(message, PresenceUpdate):
+            if not self.nodes.on_presence(now, sender, message):
+                self.streams.send(sender, PresenceWanted())
+        elif isinstance(message, PresenceWanted):
+            self._up(sender)
+        elif isinstance(message, Reports):
+            self.nodes.on_reports(message.reports)
+        else:
+            self._replicate(now, sender, message)
+
+    def _replicate(self, now: int, sender: str, message: Message) -> None:
+        self.replica.on_message(now, sender, message)
+        self._pump()
+
+    def _pump(self) -> None:
+        """Carry out what the replica wants, until it wants no more."""
+        for region in self.replica.restored():
+            self.questions.answer_again(region, self.publisher.on_restored(region))
+            self._bound_changed(region, "")
+        for region, change in self.replica.committed():
+            self.changes.on_committed(region, change)
+            if change.service:
+                self.questions.answer_again(region, self.publisher.on_change(region, change))
+                self._bound_changed(region, change.service)
+        for recipient, message in self.replica.outgoing():
+            self.streams.send(recipient, message)
+
+    def _bound_changed(self, region: str, service: str) -> None:
+        for host in self.bound:
+            if host.region == region and service in ("", host.service):
+                host.on_change()
+
+    # ---- operators' calls ---------------------------------------------------
+
+    def change(self, body: bytes, reply: Reply) -> None:
+        """Changes handed in."""
+        self.changes.hand_in(body, reply)
+        self._pump()
+
+    def log_after(self, region: str, version: int) -> tuple[int, bytes]:
+        """The accepted changes after a version, about LOG_ANSWER bytes of them."""
+        log = self.logs.get(region)
+        if log is None:
+            return 400, f"region: [unknown-region] no region {region[:64]!r}".encode()
+        try:
+            changes = log.after(position_of(version), LOG_ANSWER)
+        except ScaleError as err:
+            return 400, str(err).encode()
+        if changes is None:
+            return 410, b"the log does not reach back to it"
+        rows = [
+            {
+                "version": version_of(change.position),
+                "service": change.service,
+                "rows": [row.body for row in change.rows],
+                "removed": change.removed,
+                "deleted": change.deleted,
+                "whole": change.whole,
+            }
+            for change in changes
+        ]
+        return 200, json.dumps({"version": version_of(log.position), "changes": rows}).encode()
+
+    def status(self) -> dict[str, Any]:
+        """For whoever is on call; docs/operate/scale.md says what each line means."""
+        now = time.monotonic_ns()
+        nodes = self.nodes
+        return {
+            "machine": self.machine.spec.name,
+            "region": self.machine.spec.region,
+            "role": self.replica.role.value,
+            "epoch": self.replica.epoch,
+            "leader": self.replica.leader,
+            "needs_load": self.replica.needs_load(),
+            "logs": {
+                name: {"version": version_of(log.position), "position": list(log.position),
+                       "changes": len(log)}
+                for name, log in self.logs.items()
+            },
+            "machines": sorted(nodes.presence.machines(now) | {self.machine.spec.name}),
+            "nodes": {
+                "registered": len(self.file.nodes),
+                "alive": len(nodes.liveness.alive),
+                "here": nodes.presence.here(),
+            },
+            "questions": {
+                "connections": self.questions.connections,
+                "waiting": self.questions.waiting(),
+            },
+            "assignment": {
+                "digest": nodes.assignment.digest,
+                "generation": nodes.handover.generation,
+                "moving": nodes.handover.moving(),
+                "unmet": len(nodes.assignment.unmet),
+                "touched": nodes.touched,
+            },
+            "memory_bytes": resident(),
+            "cpu_seconds": sum(resource.getrusage(resource.RUSAGE_SELF)[:2]),
+            "counts": {
+                "questions": dict(self.questions.counts),
+                "publisher": dict(self.publisher.counts),
+                "replica": dict(self.replica.counts),
+                "streams": dict(self.streams.counts),
+                "machine": dict(self.counts),
+            },
+        }  # fmt: skip
+
+
+def resident() -> int:
+    """Resident bytes of this process."""
+    with open(STATUS_MEMORY) as file:
+        return int(file.read().split()[1]) * resource.getpagesize()
+
+
+def fleet_digest(file: ScaleFile) -> str:
+    """Of what the machines' assignment depends on: two that differ must not speak."""
+    text = repr((sorted(file.regions.items()), file.nodes, file.services, file.seed))
+    machines = repr([one.spec for one in file.machines])
+    return blake2b((text + machines).encode(), digest_size=16).hexdigest()
+
+
+async def serve(file: ScaleFile, name: str, log: Callable[[str], None]) -> None:
+    """Run one machine until SIGTERM or SIGINT."""
+    machine = ControlMachine(file, file.machine(name), log)
+    loop = asyncio.get_running_loop()
+    ended = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    await machine.open()
+    log(f"control machine {name} serves {len(file.nodes)} nodes, {len(file.services)} services")
+    await ended.wait()
+    machine.close()
+
+
+def main(path: str, name: str) -> int:
+    """Start it; 0 after a stop, 2 where the file or an address can't be used."""
+
+    def log(text: str) -> None:
+        with contextlib.suppress(OSError):
+            print(f"windrelay scale {name}: {text}", file=sys.stderr, flush=True)
+
+    try:
+        file = read_scale(path)
+        uvloop.run(serve(file, name, log))
+    except (ScaleFileError, ScaleError) as err:
+        print(err, file=sys.stderr)
+        return 2
+    except OSError as err:
+        print(f"windrelay scale: {name}: {err}", file=sys.stderr)
+        return 2
+    return 0
--- /dev/null
+++ b/windrelay/scale/nodes.py
@@ -0,0 +1,155 @@
+"""Which nodes live, which services each is to hold, and what each was last told of it.
+
+The decisions are `flinthatch.scale`'s: this joins them, and keeps who has to be told again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Iterable
+
+from flinthatch.model import SECOND
+from flinthatch.scale.assignment import Assigner, AssignmentRules
+from flinthatch.scale.handover import Handover
+from flinthatch.scale.liveness import Liveness, LivenessRules
+from flinthatch.scale.presence import Presence, PresenceUpdate
+from windrelay.scale.file import ScaleFile
+from windrelay.scale.listform import Orders
+from windrelay.scale.messages import NodeReport, Reports
+
+ABSENT = 2 * SECOND  # after an answer, until a node that asks no more counts as gone from here
+SILENCE = 10 * SECOND  # nodes of a lost machine find another within this
+REPORTS_A_MESSAGE = 512
+
+
+class Nodes:
+    """All registered nodes, as one control machine sees them."""
+
+    def __init__(self, file: ScaleFile, now: int) -> None:
+        self.regions = {service.name: service.region for service in file.services}
+        self.assigner = Assigner(file.nodes, file.services, AssignmentRules())
+        self.handover = Handover(file.nodes)
+        self.presence = Presence(node.name for node in file.nodes)
+        names = [node.name for node in file.nodes]
+        self.liveness = Liveness(now, names, LivenessRules(silence=SILENCE))
+        self.assignment = self.assigner.with_alive(self.liveness.alive)
+        self.handover.on_assignment(self.assignment)
+        self.changed = False  # orders may differ from what nodes were told
+        self.touched = 0  # nodes whose services differ by the last assignment
+        self._due: dict[str, int] = {}  # nodes that ask here, and until when they have to again
+        self._reports: dict[str, tuple[str, ...]] = {}  # of the nodes that ask here
+        self._news: dict[str, tuple[str, ...]] = {}  # of them, to be passed on
+        self._told: dict[tuple[str, str], Orders] = {}  # by node and region
+
+    # ---- orders ---------------------------------------------------------
+
+    def knows(self, node: str) -> bool:
+        """Whether it is registered."""
+        return node in self.assigner.nodes
+
+    def services(self, node: str, region: str) -> frozenset[str]:
+        """What it is to hold of this region."""
+        wanted = self.handover.wanted(node)
+        return frozenset([name for name in wanted if self.regions[name] == region])
+
+    def orders(self, node: str) -> Orders:
+        """What it is to hold and may release."""
+        wanted = {name: self.regions[name] for name in self.handover.wanted(node)}
+        return Orders(wanted, self.handover.releasable(node), self.handover.generation)
+
+    def fresh_orders(self, node: str, region: str, anew: bool = False) -> Orders | None:
+        """Its orders where they differ from what it was told; `anew`: whatever it was told."""
+        orders = self.orders(node)
+        told = self._told.get((node, region))
+        if not anew and told is not None and _same(told, orders):
+            return None
+        return orders
+
+    def on_told(self, node: str, region: str, orders: Orders) -> None:
+        """These orders have gone out."""
+        self._told[node, region] = orders
+
+    # ---- what nodes say --------------------------------------------------
+
+    def on_asked(self, now: int, node: str) -> None:
+        """It asks here."""
+        self._due[node] = now + 3600 * SECOND  # it waits for an answer: `on_answered` says more
+        self.presence.on_present(node)
+        self.liveness.on_word(now, node)
+
+    def on_answered(self, now: int, node: str, pause: int = 0) -> None:
+        """Its question has been answered, or its connection is gone: it has to ask again."""
+        self._due[node] = now + pause + ABSENT
+
+    def on_report(self, node: str, serving: Collection[str], generation: int) -> None:
+        """It says what it serves, as of the orders of this generation."""
+        named = tuple(sorted(name for name in serving if name in self.regions))
+        self.handover.on_report(node, named, generation)
+        self.changed = True
+        if self._reports.get(node) != named:
+            self._reports[node] = self._news[node] = named
+
+    # ---- what other machines say ------------------------------------------
+
+    def on_reports(self, reports: Iterable[NodeReport]) -> None:
+        """What nodes have told another machine."""
+        for report in reports:
+            if self.knows(report.node):
+                named = [name for name in report.serving if name in self.regions]
+                self.handover.on_report(report.node, named)
+                self.changed = True
+
+    def whole(self, send: Callable[[object], None]) -> None:
+        """Tell a machine that has just come up all that others have been told."""
+        send(self.presence.whole())
+        _send_reports(send, self._reports)
+
+    def pass_on(self, send: Callable[[object], None]) -> None:
+        """Tell the machines that are up what is new."""
+        send(self.presence.update())
+        _send_reports(send, self._news)
+        self._news = {}
+
+    def on_presence(self, now: int, machine: str, update: PresenceUpdate) -> bool:
+        """Who asks at another machine; False where the whole is needed."""
+        return self.presence.on_update(now, machine, update)
+
+    # ---- time ------------------------------------------------------------
+
+    def on_time(self, now: int) -> bool:
+        """Once a second: who lives. True where the assignment has changed."""
+        for node in [node for node, due in self._due.items() if due <= now]:
+            del self._due[node]
+            self._reports.pop(node, None)
+            self.presence.on_absent(node)
+        self.presence.on_time(now)
+        for node in self.presence.present():
+            self.liveness.on_word(now, node)
+        change = self.liveness.turn(now)
+        for node in change.died:
+            self._on_dead(node)
+        if change.died or change.returned:
+            self._assign()
+        return bool(change.died or change.returned)
+
+    def _on_dead(self, node: str) -> None:
+        self.handover.on_dead(node)
+        for region in set(self.regions.values()):
+            self._told.pop((node, region), None)
+
+    def _assign(self) -> None:
+        before = self.assignment
+        self.assignment = self.assigner.with_alive(self.liveness.alive)
+        self.handover.on_assignment(self.assignment)
+        held = before.held
+        self.touched = sum(1 for node, now in self.assignment.held.items() if now != held.get(node))
+        self.changed = True
+
+
+def _same(told: Orders, orders: Orders) -> bool:
+    return told.wanted == orders.wanted and told.releasable == orders.releasable
+
+
+def _send_reports(send: Callable[[object], None], reports: dict[str, tuple[str, ...]]) -> None:
+    rows = [NodeReport(node, serving) for node, serving in reports.items()]
+    for at in range(0, len(rows), REPORTS_A_MESSAGE):
+        send(Reports(tuple(rows[at : at + REPORTS_A_MESSAGE])))
