--- a/windrelay/watchers.py
+++ b/windrelay/watchers.py
@@ -95,6 +95,8 @@
             return
         try:
             self.parser.feed_data(data)
+        except httptools.HttpParserCallbackError:
+            raise  # a fault of ours: the loop tells it, and ends the connection
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.give_up(400, b"no HTTP/1.1 request")
 
