--- a/flinthatch/scale/placement.py
+++ b/flinthatch/scale/placement.py
@@ -49,7 +49,7 @@
 
     def machine_for(self, node: str, living: Iterable[str]) -> str | None:
         """Where a node belongs; None where it is not registered or no machine lives."""
-        alive = frozenset(living) & self._machines.keys()
+        alive = frozenset(living).intersection(self._machines)
         if node not in self._ranks or not alive:
             return None
         machine = self._base[node]
--- a/windrelay/scale/listform.py
+++ b/windrelay/scale/listform.py
@@ -37,6 +37,7 @@
 class Answer:
     """One whole answer of a control machine."""
 
+    position: Position
     update: Update | None = None
     orders: Orders | None = None
     elsewhere: str = ""  # the machine to ask instead
@@ -137,6 +138,7 @@
             raise ListFormError("no object")
         pause = raw.get("pause_ms", 0)
         return Answer(
+            position_of(_whole(raw["rev"])),
             _update(raw) if "changes" in raw else None,
             _orders_of(raw, most_services) if "wanted" in raw else None,
             _text(raw.get("elsewhere", "")),
--- /dev/null
+++ b/windrelay/scale/subscriber.py
@@ -0,0 +1,235 @@
+"""One node's questions to the control machines: what it holds follows what is accepted.
+
+One question is out for each region. It is answered with an update, with a pause, or with another
+machine's name; where it falls silent, the next machine is asked. `Holder` decides what is taken.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from random import Random
+from urllib.parse import quote
+
+from flinthatch.scale.holder import Holder, Kind, Taken
+from flinthatch.scale.model import START, ScaleError, Update
+from windrelay.config import Address, parse_address
+from windrelay.httpcall import Answer, Call
+from windrelay.scale import listform
+from windrelay.scale.listform import ListFormError, Orders
+from windrelay.scale.version import version_of
+from windrelay.watchers import LIST
+
+MOST_SERVICES = 2048  # that one answer may name
+MOST_PAUSE_S = 60.0
+HEAD_BYTES = 48  # of a question's head beside its target
+ANSWER_BYTES = 24  # of an answer's head beside its fields
+
+Told = Callable[[Update, Taken], None]
+
+
+@dataclass(frozen=True, slots=True)
+class AskTiming:
+    """Seconds."""
+
+    hold: float = 4.0  # how long a machine may keep a question
+    late: float = 1.0  # beyond that it counts as silent
+    connect: float = 1.0
+    retry: float = 0.2  # before another machine is asked, and doubled while all fail
+    longest_retry: float = 2.0
+
+
+@dataclass(slots=True)
+class _Region:
+    """The questions about one region's log."""
+
+    machine: int  # index of the one that is asked
+    call: Call | None = None
+    timer: asyncio.TimerHandle | None = None
+    failures: int = 0  # in a row
+    elsewhere: Address | None = None  # where the last answer sent it
+    anew: bool = True  # the machine has not been told what is held
+    snapshot: bool = False  # what is held does not follow: ask for the whole
+    reported: tuple[int, str] | None = None  # generation and services last told
+
+
+@dataclass(slots=True)
+class Counts:
+    """What one subscriber has done."""
+
+    sent: int = 0  # bytes, HTTP's and what it carries
+    received: int = 0
+    events: Counter[str] = field(default_factory=Counter)
+
+
+class Subscriber:
+    """Keeps one `Holder` current; `told` gets each update and what came of it."""
+
+    def __init__(
+        self,
+        holder: Holder,
+        regions: Sequence[str],
+        machines: Sequence[Address],
+        told: Told,
+        seed: int,
+        timing: AskTiming | None = None,
+    ) -> None:
+        self.holder = holder
+        self.counts = Counts()
+        self.generation = 0
+        self._machines = tuple(machines)
+        self._told = told
+        self._random = Random(seed)
+        self._timing = timing or AskTiming()
+        self._regions = {region: _Region(0) for region in regions}
+
+    def start(self) -> None:
+        """Ask now."""
+        for region in self._regions:
+            self._ask(region)
+
+    def close(self) -> None:
+        """Ask no more."""
+        for state in self._regions.values():
+            if state.call is not None:
+                state.call.drop()
+                state.call = None
+            if state.timer is not None:
+                state.timer.cancel()
+                state.timer = None
+
+    # ---- questions ---------------------------------------------------------
+
+    def _ask(self, region: str) -> None:
+        state = self._regions[region]
+        state.timer = None
+        target = self._target(region, state)
+        address = state.elsewhere or self._machines[state.machine]
+        timing = self._timing
+        self.counts.sent += HEAD_BYTES + len(target) + len(str(address))
+        self.counts.events["questions"] += 1
+
+        def answered(answer: Answer | None) -> None:
+            self._answered(region, answer)
+
+        state.call = Call(
+            address, target, timing.hold + timing.late, answered, connect=timing.connect
+        )
+
+    def _target(self, region: str, state: _Region) -> str:
+        position = START if state.snapshot else self.holder.position(region)
+        parts = [
+            f"{LIST}?from={version_of(position)}",
+            f"hold_ms={int(self._timing.hold * 1000)}",
+            f"node={quote(self.holder.name)}",
+            f"region={quote(region)}",
+        ]
+        current = self.holder.current(region)
+        behind = current != self.holder.subscription(region)
+        if (state.anew or behind) and position != START:
+            parts.append(f"held={_names(current) or ','}")
+        report = (self.generation, _names(self.holder.serving()))
+        if state.reported != report:
+            state.reported = report
+            parts.append(f"serving={report[1]}&generation={report[0]}")
+        if state.elsewhere is not None:
+            parts.append("redirected=1")
+        return "&".join(parts)
+
+    def _later(self, region: str, seconds: float) -> None:
+        """Ask after a time, from this turn of the loop on at the earliest."""
+        loop = asyncio.get_running_loop()
+        self._regions[region].timer = loop.call_later(seconds, self._ask, region)
+
+    # ---- answers ------------------------------------------------------------
+
+    def _answered(self, region: str, answer: Answer | None) -> None:
+        state = self._regions[region]
+        state.call = None
+        if answer is None or answer.status != 200:
+            why = "silent" if answer is None else f"status {answer.status}"
+            self._failed(region, state, why)
+            return
+        self.counts.received += _size(answer)
+        try:
+            found = listform.decode(answer.body, MOST_SERVICES)
+            self._take(region, state, found)
+        except (ListFormError, ScaleError):
+            self._failed(region, state, "unusable answers")
+
+    def _failed(self, region: str, state: _Region, why: str) -> None:
+        """Ask the next machine, which knows nothing of what is held here."""
+        self.counts.events[why] += 1
+        timing = self._timing
+        if state.elsewhere is None:
+            state.machine = (state.machine + 1) % len(self._machines)
+        state.elsewhere = None
+        state.anew, state.reported = True, None
+        pause = min(timing.retry * 2 ** min(state.failures, 8), timing.longest_retry)
+        state.failures += 1
+        self._later(region, pause * self._random.uniform(0.5, 1.0))
+
+    def _take(self, region: str, state: _Region, found: listform.Answer) -> None:
+        state.failures = 0
+        if found.address:
+            self._move(region, state, parse_address(found.address))
+            return
+        state.anew = False
+        if found.orders is not None:
+            self._take_orders(found.orders)
+        if found.update is not None:
+            self._take_update(region, state, found.update)
+        else:
+            self.holder.on_nothing_newer(time.monotonic_ns(), region, found.position)
+        pause = min(found.pause_ms / 1000, MOST_PAUSE_S)
+        if pause:
+            pause *= self._random.uniform(1.0, 1.1)
+        self._later(region, pause)
+
+    def _move(self, region: str, state: _Region, address: Address) -> None:
+        """To the machine that it was told; two that send it to and fro cost a pause."""
+        self.counts.events["moved"] += 1
+        again = state.elsewhere is not None
+        state.elsewhere = address
+        if address in self._machines:
+            state.machine = self._machines.index(address)
+        state.anew, state.reported = True, None
+        self._later(region, self._timing.retry if again else 0.0)
+
+    def _take_orders(self, orders: Orders) -> None:
+        self.generation = orders.generation
+        over = self.holder.on_wanted(time.monotonic_ns(), orders.wanted, orders.releasable)
+        if over:
+            self.counts.events["services over the bound"] += len(over)
+
+    def _take_update(self, region: str, state: _Region, update: Update) -> None:
+        if update.region != region:
+            raise ScaleError(f"update: region {update.region!r} where {region!r} was asked for")
+        taken = self.holder.on_update(time.monotonic_ns(), update)
+        self.counts.events[taken.kind.name.lower()] += 1
+        state.snapshot = taken.kind in (Kind.GAP, Kind.MALFORMED)
+        self._told(update, taken)
+
+
+def _names(names: frozenset[str]) -> str:
+    return ",".join(quote(name) for name in sorted(names))
+
+
+def _size(answer: Answer) -> int:
+    fields = sum(len(name) + len(value) + 4 for name, value in answer.headers.items())
+    return ANSWER_BYTES + fields + len(answer.body)
+
+
+def ordered_machines(
+    machines: Mapping[str, tuple[str, Address]], region: str, seed: int
+) -> list[Address]:
+    """Addresses of these machines (by name: region and address), the node's own region first."""
+    own = sorted(name for name, (where, _) in machines.items() if where == region)
+    rest = sorted(name for name, (where, _) in machines.items() if where != region)
+    random = Random(seed)
+    random.shuffle(own)
+    random.shuffle(rest)
+    return [machines[name][1] for name in (*own, *rest)]
