--- /dev/null
+++ b/benchmarks/scale/world.py
@@ -0,0 +1,203 @@
+"""A fleet of a stated size, drawn from a seed: nodes, services, backends, and what happens to them.
+
+Services' rates follow Zipf's law with a flat exponent, so that the largest service is in
+hundreds of nodes' reach and not in all; backends follow the rates. Changes and failures come at a
+stated multiple of the target's daily rates.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass
+from itertools import pairwise
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from flinthatch.scale.model import NodeSpec, ServiceSpec
+
+REGIONS = {"east": ("east-1", "east-2"), "west": ("west-1", "west-2")}
+ZIPF = 0.6  # exponent of the services' rates
+NODE_RATE = 100.0  # requests a second that a node takes on average
+MACHINES_A_REGION = 3
+CHANGES_A_DAY = 22_000.0
+FAILURES_A_DAY = 180.0
+DAY_S = 86_400.0
+DRAIN_PART = 0.3  # of the changes begin a drain
+MOST_MULTIPLE = 100_000.0
+
+
+class WorldError(ValueError):
+    """A size, a seed or a rate out of range; the text names it and the rule."""
+
+
+@dataclass(frozen=True, slots=True)
+class Sizes:
+    """How large the fleet is."""
+
+    nodes: int = 7_800
+    backends: int = 120_000
+    services: int = 4_500
+    routes: int = 140_000
+    tenants: int = 490_000
+
+    def __post_init__(self) -> None:
+        bounds = {
+            "nodes": (8, 20_000), "backends": (1, 1_000_000), "services": (1, 20_000),
+            "routes": (0, 10_000_000), "tenants": (0, 10_000_000),
+        }  # fmt: skip
+        for name, (least, most) in bounds.items():
+            value = getattr(self, name)
+            if not least <= value <= most:
+                raise WorldError(f"--{name}: [range] {value}; write {least} to {most}")
+        if self.backends < self.services:
+            raise WorldError(
+                f"--backends: [range] {self.backends} for {self.services} services; "
+                "write one for each at least"
+            )
+
+
+@dataclass(frozen=True, slots=True)
+class DrawnChange:
+    """One change of the world, as it is handed in."""
+
+    service: str
+    rows: tuple[dict[str, Any], ...] = ()
+    removed: tuple[str, ...] = ()
+
+    def as_json(self) -> dict[str, Any]:
+        """As `POST /changes` takes it."""
+        return {"service": self.service, "rows": list(self.rows), "removed": list(self.removed)}
+
+
+class World:
+    """The fleet, and its backends as they change."""
+
+    def __init__(self, sizes: Sizes, seed: int) -> None:
+        if not 0 <= seed < 1 << 63:
+            raise WorldError(f"--seed: [range] {seed}; write 0 to {(1 << 63) - 1}")
+        self.sizes = sizes
+        self.seed = seed
+        self._random = Random(seed)
+        self.zones = [zone for zones in REGIONS.values() for zone in zones]
+        self.nodes = self._nodes()
+        self.services = self._services()
+        self.backends: dict[str, dict[str, dict[str, Any]]] = {}  # rows by service and uid
+        self._drains: list[tuple[str, str]] = []  # services and uids that leave next
+        self._born = 0
+        for service in self.services:
+            rows = [self._row(service) for _ in range(service.backends)]
+            self.backends[service.name] = {row["uid"]: row for row in rows}
+
+    def _nodes(self) -> list[NodeSpec]:
+        places = [(region, zone) for region, zones in REGIONS.items() for zone in zones]
+        capacity = max(64, 8 * self.sizes.services // self.sizes.nodes)
+        return [
+            NodeSpec(f"n{i:05d}", *places[i % len(places)], capacity=min(capacity, 20_000))
+            for i in range(self.sizes.nodes)
+        ]
+
+    def _services(self) -> list[ServiceSpec]:
+        count = self.sizes.services
+        weights = [(rank + 1) ** -ZIPF for rank in range(count)]
+        total = sum(weights)
+        rate = NODE_RATE * self.sizes.nodes
+        # Cumulative parts, rounded: the counts add up to the whole exactly.
+        spare = self.sizes.backends - count
+        marks = [0]
+        part = 0.0
+        for weight in weights:
+            part += weight
+            marks.append(round(spare * part / total))
+        counts = [1 + after - before for before, after in pairwise(marks)]
+        regions = list(REGIONS)
+        return [
+            ServiceSpec(
+                f"s{i:04d}",
+                regions[i % len(regions)],
+                tuple(self.zones),
+                rate * weights[i] / total,
+                counts[i],
+            )
+            for i in range(count)
+        ]
+
+    def _row(self, service: ServiceSpec) -> dict[str, Any]:
+        number = self._born
+        self._born += 1
+        host = f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}"
+        return {
+            "uid": f"{service.name}-{number:06x}",
+            "endpoint": f"{host}:9000",
+            "az": self.zones[number % len(self.zones)],
+            "model": "m2",
+            "pod_group": 0,
+            "state": "active",
+            "capacity_hint": 1.0,
+            "boot_ms": 0,
+        }
+
+    # ---- what happens --------------------------------------------------------
+
+    def change(self) -> DrawnChange:
+        """The next change: a new backend, another weight, a drain or the end of one."""
+        if self._drains and self._random.random() < DRAIN_PART:
+            service, uid = self._drains.pop(0)
+            if self.backends[service].pop(uid, None) is not None:
+                return DrawnChange(service, removed=(uid,))
+        spec = self._random.choice(self.services)
+        rows = self.backends[spec.name]
+        active = [uid for uid, row in rows.items() if row["state"] == "active"]
+        drawn = self._random.random()
+        if len(active) < 2 or drawn < DRAIN_PART:
+            row = self._row(spec)
+        else:
+            row = dict(rows[self._random.choice(active)])
+            if drawn < 2 * DRAIN_PART:
+                row["state"] = "leaving"
+                self._drains.append((spec.name, row["uid"]))
+            else:
+                row["capacity_hint"] = self._random.randrange(1, 17) / 4
+        rows[row["uid"]] = row
+        return DrawnChange(spec.name, (row,))
+
+    # ---- files -----------------------------------------------------------------
+
+    def write(self, folder: Path, port: int, bound: list[dict[str, Any]], **limits: int) -> Path:
+        """The control machines' file and what it names; addresses from `port` on."""
+        _write_lines(folder / "nodes.jsonl", (asdict(node) for node in self.nodes))
+        _write_lines(folder / "services.jsonl", (asdict(one) for one in self.services))
+        rows = (
+            {"service": service, "targets": list(rows.values())}
+            for service, rows in self.backends.items()
+        )
+        _write_lines(folder / "backends.jsonl", rows)
+        parts = ["version = 1", f"seed = {self.seed}", 'nodes_file = "nodes.jsonl"']
+        parts += ['services_file = "services.jsonl"', 'backends_file = "backends.jsonl"']
+        parts += ["[regions]", *(f"{name} = {list(zones)}" for name, zones in REGIONS.items())]
+        parts += ["[limits]", *(f"{name} = {value}" for name, value in limits.items())]
+        for name, region, zone in machines():
+            parts += ["[[machine]]", f'name = "{name}"', f'region = "{region}"']
+            parts += [f'zone = "{zone}"']
+            for key in ("subscribers", "peers", "admin"):
+                parts.append(f'{key} = "127.0.0.1:{port}"')
+                port += 1
+        for row in bound:
+            parts += ["[[bound]]", *(f'{key} = "{value}"' for key, value in row.items())]
+        path = folder / "scale.toml"
+        path.write_text("\n".join(parts).replace("'", '"') + "\n")
+        return path
+
+
+def machines() -> Iterator[tuple[str, str, str]]:
+    """Names, regions and zones of the six control machines."""
+    for region, zones in REGIONS.items():
+        for i in range(MACHINES_A_REGION):
+            yield f"{region}-{'abc'[i]}", region, zones[i % len(zones)]
+
+
+def _write_lines(path: Path, rows: Iterator[dict[str, Any]]) -> None:
+    with open(path, "w") as file:
+        for row in rows:
+            file.write(json.dumps(row) + "\n")
--- a/windrelay/scale/file.py
+++ b/windrelay/scale/file.py
@@ -16,6 +16,7 @@
 from typing import Any, TypeVar
 
 from flinthatch.routes.file import Fault
+from flinthatch.scale.assignment import AssignmentRules
 from flinthatch.scale.model import MachineSpec, NodeSpec, ServiceSpec
 from windrelay.config import Address
 from windrelay.operator import section
@@ -24,8 +25,9 @@
 
 SECTIONS: Mapping[str, tuple[str, ...]] = {
     "": ("version", "seed", "plain_network", "nodes_file", "services_file", "backends_file",
-         "regions", "limits", "machine", "node", "service", "bound"),
+         "regions", "limits", "assignment", "machine", "node", "service", "bound"),
     "limits": ("subscribers", "change_bytes", "backlog", "snapshot_rate"),
+    "assignment": ("least_per_zone", "most_sharers", "node_rate"),
     "machine": ("name", "region", "zone", "subscribers", "peers", "admin"),
     "node": ("name", "region", "zone", "capacity", "rate"),
     "service": ("name", "region", "zones", "rate", "backends"),
@@ -87,6 +89,7 @@
     bound: tuple[Bound, ...] = ()
     limits: Limits = field(default_factory=Limits)
     seed: int = 0
+    rules: AssignmentRules = field(default_factory=AssignmentRules)
     backends: Path | None = None  # where a region that has lost its log is loaded from
 
     def machine(self, name: str) -> Machine:
@@ -114,6 +117,7 @@
     if not isinstance(plain, bool):
         top.fault("plain_network", "bad-value", "plain_network is no boolean", "write true")
     limits = _limits(top)
+    rules = _rules(top)
     reader = _Reader(regions, plain is True)
     machines = reader.tables(top, "machine", MOST_MACHINES, reader.machine)
     nodes = reader.tables(top, "node", MOST_NODES, reader.node)
@@ -125,7 +129,6 @@
         top.fault("machine", "missing-key", "no machine", "write [[machine]]")
     if top.faults:
         return None, sorted(top.faults)
-    backends = top.path("backends_file") if "backends_file" in raw else None
     found = ScaleFile(
         regions,
         tuple(machines),
@@ -134,7 +137,8 @@
         tuple(bound),
         limits,
         seed,
-        backends,
+        rules,
+        top.path("backends_file") if "backends_file" in raw else None,
     )
     return found, []
 
@@ -177,6 +181,25 @@
     )
 
 
+def _rules(top: Section) -> AssignmentRules:
+    raw = top.raw.get("assignment", {})
+    usual = AssignmentRules()
+    if not isinstance(raw, dict):
+        top.fault("assignment", "bad-value", "assignment is no table", "write [assignment]")
+        return usual
+    table = top.sub(raw, "assignment")
+    table.known(SECTIONS["assignment"])
+    node_rate = _rate(table, "node_rate") if "node_rate" in raw else usual.node_rate
+    if node_rate <= 0:
+        table.fault("node_rate", "bad-value", "node_rate is 0", "write over 0 a second")
+        node_rate = usual.node_rate
+    return AssignmentRules(
+        _whole(table, "least_per_zone", usual.least_per_zone, 1, 64),
+        _whole(table, "most_sharers", usual.most_sharers, 1, 20_000),
+        node_rate,
+    )
+
+
 def _names(value: Any) -> bool:
     return isinstance(value, list) and all(isinstance(name, str) and name for name in value)
 
--- a/windrelay/scale/machine.py
+++ b/windrelay/scale/machine.py
@@ -289,7 +289,7 @@
 
 def fleet_digest(file: ScaleFile) -> str:
     """Of what the machines' assignment depends on: two that differ must not speak."""
-    text = repr((sorted(file.regions.items()), file.nodes, file.services, file.seed))
+    text = repr((sorted(file.regions.items()), file.nodes, file.services, file.rules, file.seed))
     machines = repr([one.spec for one in file.machines])
     return blake2b((text + machines).encode(), digest_size=16).hexdigest()
 
--- a/windrelay/scale/nodes.py
+++ b/windrelay/scale/nodes.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Collection, Iterable
 
 from flinthatch.model import SECOND
-from flinthatch.scale.assignment import Assigner, AssignmentRules
+from flinthatch.scale.assignment import Assigner
 from flinthatch.scale.handover import Handover
 from flinthatch.scale.liveness import Liveness, LivenessRules
 from flinthatch.scale.presence import Presence, PresenceUpdate
@@ -26,7 +26,7 @@
 
     def __init__(self, file: ScaleFile, now: int) -> None:
         self.regions = {service.name: service.region for service in file.services}
-        self.assigner = Assigner(file.nodes, file.services, AssignmentRules())
+        self.assigner = Assigner(file.nodes, file.services, file.rules)
         self.handover = Handover(file.nodes)
         self.presence = Presence(node.name for node in file.nodes)
         names = [node.name for node in file.nodes]
