--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -1,6 +1,7 @@
 """What the system costs at its target size.
 
     python -m benchmarks.scale slopes [--quick] [--only NAME]
+    python -m benchmarks.scale run [--quick] [--nodes N] ...
     python -m benchmarks.scale page [--write docs/CAPACITY.md]
 
 Each sub-command is a module of this package with `configure(parser)` and `main(args)`. One that
@@ -25,6 +26,7 @@
 COMMANDS = (
     Command("slopes", "measure what each thing costs at three sizes or more"),
     Command("page", "the tables of docs/CAPACITY.md from measured slopes"),
+    Command("run", "the whole fleet in one run, with failures and a referee"),
 )
 
 
--- /dev/null
+++ b/benchmarks/scale/realnodes.py
@@ -0,0 +1,41 @@
+"""Real nodes, unchanged: each serves one service, with a control machine as its discovery."""
+
+from __future__ import annotations
+
+import contextlib
+from pathlib import Path
+from typing import Any
+
+from benchmarks.scale.budget import Budget
+from standins.files import write_config
+from standins.fleet import SETTINGS, Process, started
+from windrelay.scale.file import ScaleFile
+
+
+class RealNodes:
+    """One real node for each bound listener of the file."""
+
+    def __init__(self, file: ScaleFile, folder: Path, budget: Budget) -> None:
+        self._bound = file.bound
+        self._folder = folder
+        self._budget = budget
+        self._stack = contextlib.ExitStack()
+        self._nodes: dict[str, Process] = {}
+
+    def start(self) -> None:
+        """Start them all."""
+        for i, bound in enumerate(self._bound):
+            path = write_config(self._folder / f"real-{i}.json", SETTINGS, None)
+            environ = {"PROXY_CONFIG": str(path), "PROXY_DISCOVERY": str(bound.listen)}
+            process = self._stack.enter_context(started(("-m", "windrelay"), environ))
+            process.read_on()
+            self._budget.pids.add(process.popen.pid)
+            self._nodes[bound.service] = process
+
+    def verdict(self) -> dict[str, dict[str, Any]]:
+        """Of each service's node: whether it is ready."""
+        return {service: {"ready": node.ready()} for service, node in self._nodes.items()}
+
+    def close(self) -> None:
+        """End them."""
+        self._stack.close()
--- a/benchmarks/scale/world.py
+++ b/benchmarks/scale/world.py
@@ -164,7 +164,9 @@
 
     # ---- files -----------------------------------------------------------------
 
-    def write(self, folder: Path, port: int, bound: list[dict[str, Any]], **limits: int) -> Path:
+    def write(
+        self, folder: Path, port: int, bound: list[dict[str, Any]], rules: dict[str, Any]
+    ) -> Path:
         """The control machines' file and what it names; addresses from `port` on."""
         _write_lines(folder / "nodes.jsonl", (asdict(node) for node in self.nodes))
         _write_lines(folder / "services.jsonl", (asdict(one) for one in self.services))
@@ -176,7 +178,7 @@
         parts = ["version = 1", f"seed = {self.seed}", 'nodes_file = "nodes.jsonl"']
         parts += ['services_file = "services.jsonl"', 'backends_file = "backends.jsonl"']
         parts += ["[regions]", *(f"{name} = {list(zones)}" for name, zones in REGIONS.items())]
-        parts += ["[limits]", *(f"{name} = {value}" for name, value in limits.items())]
+        parts += ["[assignment]", *(f"{name} = {value}" for name, value in rules.items())]
         for name, region, zone in machines():
             parts += ["[[machine]]", f'name = "{name}"', f'region = "{region}"']
             parts += [f'zone = "{zone}"']
--- a/windrelay/scale/machine.py
+++ b/windrelay/scale/machine.py
@@ -265,6 +265,7 @@
             "assignment": {
                 "digest": nodes.assignment.digest,
                 "generation": nodes.handover.generation,
+                "pairs": sum(map(len, nodes.assignment.holders.values())),
                 "moving": nodes.handover.moving(),
                 "unmet": len(nodes.assignment.unmet),
                 "touched": nodes.touched,
