--- a/benchmarks/scale/referee.py
+++ b/benchmarks/scale/referee.py
@@ -31,7 +31,8 @@
 class _Service:
     """One service's rows now, and the digest from each revision on."""
 
-    rows: dict[str, int]  # checksums by uid
+    rows: dict[str, str]  # bodies by uid
+    sums: dict[str, int]  # checksums by uid
     revisions: list[int]
     digests: list[int]
 
@@ -87,11 +88,12 @@
         self.versions: dict[str, int] = {}  # of each region's log, as far as it was read
         self._services: dict[str, _Service] = {}
         for service, rows in backends.items():
-            sums = {uid: _checksum(uid, body_of(row)) for uid, row in rows.items()}
-            self._services[service] = _Service(sums, [0], [sum(sums.values())])
+            bodies = {uid: body_of(row) for uid, row in rows.items()}
+            sums = {uid: _checksum(uid, body) for uid, body in bodies.items()}
+            self._services[service] = _Service(bodies, sums, [0], [sum(sums.values())])
 
     def begin(self, region: str, version: int) -> None:
-        """The log is at this version, and nothing has changed since it was loaded."""
+        """The log is at this version, loaded from `write_source` or the world's own file."""
         self.versions[region] = version
 
     def follow(self, region: str, answer: Mapping[str, Any]) -> int:
@@ -106,13 +108,23 @@
         service = self._services[change["service"]]
         if change["whole"] or change["deleted"]:
             service.rows.clear()
+            service.sums.clear()
         for uid in change["removed"]:
             service.rows.pop(uid, None)
+            service.sums.pop(uid, None)
         for body in change["rows"]:
             row = row_of(json.loads(body))
-            service.rows[row.uid] = _checksum(row.uid, row.body)
+            service.rows[row.uid] = row.body
+            service.sums[row.uid] = _checksum(row.uid, row.body)
         service.revisions.append(revision)
-        service.digests.append(sum(service.rows.values()))
+        service.digests.append(sum(service.sums.values()))
+
+    def write_source(self, path: Path) -> None:
+        """All services as they are accepted: what a region that lost its log is loaded from."""
+        with open(path, "w") as file:
+            for name, service in self._services.items():
+                targets = [json.loads(body) for body in service.rows.values()]
+                file.write(json.dumps({"service": name, "targets": targets}) + "\n")
 
     def digest(self, service: str, revision: int) -> int:
         """Of the service as of a revision of its region's log."""
--- a/benchmarks/scale/results.py
+++ b/benchmarks/scale/results.py
@@ -178,9 +178,10 @@
     memory = node["memory_lone_process_bytes"]
     return [
         check("steps were judged", verdict.checked > 0, f"{verdict.checked} digests"),
-        check("no node went back", not verdict.counts["went back"], _first(verdict.faults)),
+        check("no node went back", not verdict.counts["went back"],
+              _first(verdict.faults, "went back")),
         check("no node holds half a change or another", not verdict.counts["not as accepted"],
-              _first(verdict.faults)),
+              _first(verdict.faults, "not as accepted")),
         check("no probe to a drained backend", probes == 0, _first(faults)),
         check("changes were accepted", bool(delays), f"{len(delays)}"),
         check("each change came into force everywhere", not missing, _changes(missing)),
@@ -198,8 +199,9 @@
     return {"check": name, "ok": fine, "detail": detail}
 
 
-def _first(texts: list[str]) -> str:
-    return texts[0] if texts else ""
+def _first(texts: list[str], kind: str = "") -> str:
+    """The first text of a kind, empty where there is none."""
+    return next((text for text in texts if text.startswith(kind)), "")
 
 
 def _changes(missing: list[Accepted]) -> str:
--- a/benchmarks/scale/run.py
+++ b/benchmarks/scale/run.py
@@ -26,7 +26,9 @@
 import tempfile
 import time
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from difflib import get_close_matches
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -49,6 +51,7 @@
 
 RESTARTS_A_DAY = 18_000.0
 PORTS = 40  # that one run uses, from a free one on
+PHASES = ("steady", "killed", "stopped", "three", "rack", "zone")
 LOAD_S = 60.0  # for the regions to be loaded
 LOST_S = 13.0  # until a lost node's services have moved: its silence and a turn
 PROPAGATION_S = 7.0  # at the end, for the last change to be in force
@@ -65,13 +68,14 @@
     parser.add_argument("--multiple", type=float, default=60.0, help="of the daily changes")
     parser.add_argument("--failures", type=float, default=10.0, help="multiple of daily failures")
     parser.add_argument("--seconds", type=float, default=40.0, help="of each phase")
-    parser.add_argument("--hold", type=float, default=4.0, help="seconds a question is held")
-    parser.add_argument("--late", type=float, default=1.0, help="seconds until silence counts")
+    parser.add_argument("--hold", type=float, default=2.5, help="seconds a question is held")
+    parser.add_argument("--late", type=float, default=0.5, help="seconds until silence counts")
     parser.add_argument("--stretch", type=int, default=10, help="Balancers' cycles so much rarer")
     parser.add_argument("--every", action="store_true", help="baseline: nodes hold everything")
     parser.add_argument("--real", type=int, default=2, help="real nodes, one service each")
     parser.add_argument("--memory-gb", type=float, default=12.0)
     parser.add_argument("--processes", type=int, default=200)
+    parser.add_argument("--phases", default=",".join(PHASES), help="what happens, in this order")
     parser.add_argument("--out", type=Path, help="folder for the result, its table and charts")
     parser.add_argument("--name", default="run", help="of the result's files")
 
@@ -93,8 +97,13 @@
     real: int
     memory_gb: float
     processes: int
+    phases: tuple[str, ...] = PHASES
 
     def __post_init__(self) -> None:
+        for phase in self.phases:
+            if phase not in PHASES:
+                near = get_close_matches(phase, PHASES, 1) or PHASES[:1]
+                raise WorldError(f"--phases: [unknown] {phase!r}; did you mean {near[0]!r}?")
         _within("--hosts", self.hosts, 1, 190)
         _within("--multiple", self.multiple, 0.1, MOST_MULTIPLE)
         _within("--failures", self.failures, 0.0, MOST_MULTIPLE)
@@ -126,9 +135,10 @@
     """The command line's options; WorldError naming the one that is out of range."""
     sizes = Sizes(args.nodes, args.backends, args.services, args.routes, args.tenants)
     values = {name: getattr(args, name) for name in Options.__slots__ if name != "sizes"}
+    values["phases"] = tuple(name for name in args.phases.split(",") if name)
     if args.quick:
         sizes = Sizes(60, 1_000, 40, 1_240, 4_360)
-        values |= {"hosts": 2, "seconds": 5.0, "stretch": 1, "multiple": 60.0}
+        values |= {"hosts": 2, "seconds": 3.0, "stretch": 1, "multiple": 60.0}
     return Options(sizes, **values)
 
 
@@ -227,7 +237,9 @@
         except Spent as err:
             stopped = str(err)
         except TimeoutError as err:
-            self._check("in time", False, str(err))
+            self._check("in time", False, f"{err}; {await self._roles()}")
+            if self.driver is not None:
+                await self.driver.catch_up()
         finally:
             for task in self._tasks:
                 task.cancel()
@@ -257,12 +269,16 @@
     async def _phases(self) -> None:
         pause = self.options.seconds
         await self._start()
-        await self._steady(pause)
-        await self._one_killed(pause)
-        await self._one_stopped()
-        await self._three_alive(pause)
-        await self._rack(pause)
-        await self._zone(pause)
+        scenarios: dict[str, Callable[[float], Awaitable[None]]] = {
+            "steady": self._steady,
+            "killed": self._one_killed,
+            "stopped": self._one_stopped,
+            "three": self._three_alive,
+            "rack": self._rack,
+            "zone": self._zone,
+        }
+        for name in self.options.phases:
+            await scenarios[name](pause)
         await self._finish()
 
     async def _start(self) -> None:
@@ -366,9 +382,9 @@
             await asyncio.sleep(pause)
         killed.start()
 
-    async def _one_stopped(self) -> None:
+    async def _one_stopped(self, pause: float) -> None:
         stopped = self._leader("west")
-        seconds = min(30.0, 6 * self.options.seconds / 5)
+        seconds = min(30.0, 1.2 * pause)
         say(f"SIGSTOP to {stopped.name} for {seconds:g} s, which leads its region")
         async with self._phase("one stopped"):
             stopped.signal(signal.SIGSTOP)
@@ -377,10 +393,16 @@
             await asyncio.sleep(2.0)
 
     async def _three_alive(self, pause: float) -> None:
-        """Two of the east, one of the west: the west accepts nothing, and is served as it was."""
+        """Two of the east, one of the west: the west accepts nothing, and is served as it was.
+
+        A majority of the west has lost its memory when it comes back: the region is loaded again
+        from its source, which is kept as accepted.
+        """
         assert self.driver is not None
         self.driver.regions = {"east"}
         await self.driver.settle()
+        await self.driver.catch_up()
+        await asyncio.to_thread(self.books.write_source, self.folder / "backends.jsonl")
         killed = [self.controls[name] for name in ("east-b", "west-b", "west-c")]
         say(f"SIGKILL to {', '.join(control.name for control in killed)}")
         async with self._phase("three alive"):
@@ -391,14 +413,29 @@
             control.start()
         taken = await until("both regions accept again", 60.0, self._accepting)
         self.notes["back_from_three_s"] = round(taken, 2)
+        self.books.begin("west", await self._version("west"))
         self.driver.regions = set(self.books.versions)
 
+    async def _roles(self) -> str:
+        """What each machine says it is, for a run that waits in vain."""
+        return ", ".join(
+            f"{name} {row['role']} {[log['position'] for log in row['logs'].values()]}"
+            for name, row in (await self._statuses()).items()
+        )
+
+    async def _version(self, region: str) -> int:
+        """Where a region's log is, by its leader's word."""
+        status = await asyncio.to_thread(self._leader(region).status)
+        return int(status["logs"][region]["version"])
+
     async def _accepting(self) -> bool:
         """Each region has a leader, and all machines have caught up."""
         found = await self._statuses()
         leaders = {row["region"] for row in found.values() if row["role"] == "leader"}
-        loading = any(row["needs_load"] for row in found.values())
-        return len(found) == len(self.controls) and len(leaders) == 2 and not loading
+        versions = {row["logs"]["west"]["version"] for row in found.values()}
+        empty = any(row["needs_load"] or row["role"] == "empty" for row in found.values())
+        ready = len(found) == len(self.controls) and len(leaders) == 2 and len(versions) == 1
+        return ready and not empty and versions != {self.books.versions["west"]}
 
     async def _rack(self, pause: float) -> None:
         rack = [node.name for node in self.world.nodes if node.zone == "east-2"][:40]
--- a/windrelay/scale/subscriber.py
+++ b/windrelay/scale/subscriber.py
@@ -35,8 +35,8 @@
 class AskTiming:
     """Seconds."""
 
-    hold: float = 4.0  # how long a machine may keep a question
-    late: float = 1.0  # beyond that it counts as silent
+    hold: float = 2.5  # how long a machine may keep a question
+    late: float = 0.5  # beyond that it counts as silent
     connect: float = 1.0
     retry: float = 0.2  # before another machine is asked, and doubled while all fail
     longest_retry: float = 2.0
