--- /dev/null
+++ b/tests/scalemachines.py
@@ -0,0 +1,165 @@
+"""Control machines of one region in a thread of the test's process, on loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from concurrent.futures import Future
+from pathlib import Path
+from typing import Any, TypeVar
+
+from benchmarks.scale.fleet import call
+from flinthatch.model import MS
+from flinthatch.scale.replication import Timing
+from windrelay.config import Address
+from windrelay.scale.file import ScaleFile, read_scale
+from windrelay.scale.machine import ControlMachine
+
+from .harness import LIMIT, until
+
+T = TypeVar("T")
+# As in service, but so short that a test need not wait for it.
+TIMING = Timing(
+    heartbeat=20 * MS,
+    election=150 * MS,
+    patience=200 * MS,
+    hold=50 * MS,
+    reload_wait=100 * MS,
+    missing_wait=200 * MS,
+)
+NAMES = ("east-a", "east-b", "east-c")
+
+
+def free_ports(count: int) -> list[int]:
+    """So many ports that are free by now."""
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in socks:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in socks]
+
+
+def write_file(folder: Path) -> Path:
+    """Three machines, two nodes, two services; the first machine serves `cart` alone too."""
+    ports = iter(free_ports(10))
+    text = 'version = 1\n[regions]\neast = ["east-1"]\n'
+    for name in NAMES:
+        text += f'[[machine]]\nname = "{name}"\nregion = "east"\nzone = "east-1"\n'
+        for key in ("subscribers", "peers", "admin"):
+            text += f'{key} = "127.0.0.1:{next(ports)}"\n'
+    for name in ("n1", "n2"):
+        text += f'[[node]]\nname = "{name}"\nregion = "east"\nzone = "east-1"\ncapacity = 8\n'
+    for name in ("cart", "pay"):
+        text += f'[[service]]\nname = "{name}"\nregion = "east"\nrate = 1.0\nbackends = 2\n'
+    text += f'[[bound]]\nmachine = "east-a"\nservice = "cart"\nlisten = "127.0.0.1:{next(ports)}"\n'
+    path = folder / "scale.toml"
+    path.write_text(text)
+    return path
+
+
+class Machines:
+    """The machines of a file, each able to be ended by itself."""
+
+    def __init__(self, file: ScaleFile) -> None:
+        self.file = file
+        self.loop = asyncio.new_event_loop()
+        self.machines: dict[str, ControlMachine] = {}
+        self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self._thread.start()
+
+    def do(self, work: Callable[[], T]) -> T:
+        """Carry out something in the machines' loop."""
+        found: Future[T] = Future()
+
+        def run() -> None:
+            try:
+                found.set_result(work())
+            except Exception as err:
+                found.set_exception(err)
+
+        self.loop.call_soon_threadsafe(run)
+        return found.result(LIMIT)
+
+    def start(self, name: str) -> None:
+        async def begin() -> ControlMachine:
+            machine = ControlMachine(self.file, self.file.machine(name), lambda _: None, TIMING)
+            await machine.open()
+            return machine
+
+        self.machines[name] = asyncio.run_coroutine_threadsafe(begin(), self.loop).result(LIMIT)
+
+    def end(self, name: str) -> None:
+        """As if its process were killed: its connections and listeners are gone."""
+        machine = self.machines.pop(name)
+
+        def kill() -> None:
+            machine.close()
+            for watcher in [*machine.questions._waiting]:
+                watcher.abort()
+
+        self.do(kill)
+
+    def close(self) -> None:
+        for name in [*self.machines]:
+            self.end(name)
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join(LIMIT)
+
+    def address(self, name: str, key: str = "admin") -> Address:
+        found = getattr(self.file.machine(name), key)
+        assert isinstance(found, Address)
+        return found
+
+    def status(self, name: str) -> dict[str, Any]:
+        return self.do(self.machines[name].status)
+
+    def leader(self) -> str:
+        """Who leads, once somebody does and all have its log."""
+        leaders: list[str] = []
+
+        def led() -> bool:
+            rows = [self.status(name) for name in self.machines]
+            leaders[:] = [row["machine"] for row in rows if row["role"] == "leader"]
+            versions = {row["logs"]["east"]["version"] for row in rows}
+            # All but the leader follow, too: one that only catches up counts for no majority.
+            roles = sorted(row["role"] for row in rows)
+            return (
+                len(versions) == 1
+                and versions != {0}
+                and roles.count("follower") >= 1
+                and (len(leaders) == 1 and "empty" not in roles)
+            )
+
+        until(led)
+        return leaders[0]
+
+    def change(self, *changes: dict[str, Any]) -> list[dict[str, Any]]:
+        """Hand changes in at the leader; what it answers."""
+        body = json.dumps(list(changes)).encode()
+        status, answer = call(self.address(self.leader()), "POST", "/changes", body)
+        assert status == 200, answer
+        found: list[dict[str, Any]] = json.loads(answer)
+        return found
+
+    def ask(self, name: str, query: str) -> tuple[int, str]:
+        """A subscriber's question to one machine."""
+        address = self.address(name, "subscribers")
+        status, body = call(address, "GET", f"/registry/instances?{query}")
+        return status, body.decode()
+
+
+@contextlib.contextmanager
+def three(folder: Path) -> Iterator[Machines]:
+    """Three machines, a leader among them."""
+    machines = Machines(read_scale(str(write_file(folder))))
+    try:
+        for name in NAMES:
+            machines.start(name)
+        machines.leader()
+        yield machines
+    finally:
+        machines.close()
--- /dev/null
+++ b/tests/test_scale_machine.py
@@ -0,0 +1,291 @@
+"""Control machines over real sockets: what subscribers, real nodes, operators and peers get."""
+
+from __future__ import annotations
+
+import json
+import socket
+import struct
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from benchmarks.scale.fleet import call
+from flinthatch.scale.holder import Holder, HolderLimits, Taken
+from flinthatch.scale.model import Delta, Position, Update
+from windrelay.config import Address
+from windrelay.scale.file import MOST_NAME
+from windrelay.scale.subscriber import AskTiming, Subscriber
+from windrelay.scale.version import MOST_VERSION, version_of
+
+from .harness import ROOT, config, listen, served_by, started, target, until
+from .scalemachines import NAMES, Machines, three, write_file
+
+
+@pytest.fixture(scope="module")
+def region(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Machines]:
+    """Three machines that all tests here share; a test that ends one starts it again."""
+    with three(tmp_path_factory.mktemp("scale")) as machines:
+        yield machines
+
+
+def rows(*uids: str, state: str = "active") -> list[dict[str, Any]]:
+    return [{"uid": uid, "endpoint": "127.0.0.1:9", "az": "east-1", "state": state} for uid in uids]
+
+
+class Node:
+    """One node's subscriber in the machines' loop, and what it was told."""
+
+    def __init__(self, region: Machines, name: str, first: str) -> None:
+        self.region = region
+        self.holder = Holder(name, ["east"], HolderLimits())
+        self.told: list[tuple[Update, Taken]] = []
+        order = [first, *(other for other in NAMES if other != first)]
+        machines = [region.address(one, "subscribers") for one in order]
+        timing = AskTiming(hold=0.5, late=0.3, connect=0.3, retry=0.02, longest_retry=0.1)
+        self.subscriber = Subscriber(
+            self.holder, ["east"], machines, lambda *one: self.told.append(one), 1, timing
+        )
+        region.do(self.subscriber.start)
+
+    def uids(self, service: str) -> set[str]:
+        return self.region.do(lambda: set(self.holder.rows(service) or ()))
+
+    def asks(self, name: str) -> bool:
+        return self.holder.name in self.region.do(
+            lambda: {q.node for q in self.region.machines[name].questions._waiting.values()}
+        )
+
+    def close(self) -> None:
+        self.region.do(self.subscriber.close)
+
+
+def belongs(region: Machines, node: str) -> str:
+    """The machine that a node is to ask."""
+    publisher = region.machines["east-a"].publisher
+    found = region.do(lambda: publisher.machine_for(node, NAMES))
+    assert found is not None
+    return found
+
+
+def test_a_subscriber_goes_on_at_another_machine_with_changes_alone(region: Machines) -> None:
+    region.change({"service": "pay", "rows": rows("p1", "p2")})
+    first = belongs(region, "n1")
+    node = Node(region, "n1", first)
+    try:
+        until(lambda: node.uids("pay") == {"p1", "p2"})
+        until(lambda: node.asks(first))
+        region.end(first)
+        region.change({"service": "pay", "rows": rows("p3"), "removed": ["p1"]})
+        until(lambda: node.uids("pay") == {"p2", "p3"})
+        update, taken = node.told[-1]
+        assert isinstance(update, Delta) and taken.changed == ("pay",)
+        positions = [update.position for update, _ in node.told]
+        assert positions == sorted(positions)
+        assert not node.subscriber.counts.events["gap"]
+    finally:
+        node.close()
+        region.start(first)
+        region.leader()
+
+
+def test_nodes_hold_what_is_assigned_and_report_it(region: Machines) -> None:
+    node = Node(region, "n2", belongs(region, "n2"))
+    name = belongs(region, "n2")
+    try:
+        until(lambda: region.do(node.holder.serving) == {"cart", "pay"})
+
+        def reported() -> bool:
+            nodes = region.machines[name].nodes
+            return region.do(lambda: nodes._reports.get("n2")) == ("cart", "pay")
+
+        until(reported)
+        others = [other for other in NAMES if other != name]
+
+        def passed_on() -> bool:
+            handovers = [region.machines[other].nodes.handover for other in others]
+            return all(
+                region.do(lambda h=h: "n2" in h._serving.get("pay", ()))  # type: ignore[misc]
+                for h in handovers
+            )
+
+        until(passed_on)
+    finally:
+        node.close()
+
+
+@pytest.mark.parametrize(
+    ("query", "said"),
+    [
+        ("node=nobody&region=east&from=0", "node: [unknown node] no node 'nobody'"),
+        ("region=east&from=0", "node: [unknown node] no node ''"),
+        ("node=n1&region=moon&from=0", "region: [unknown region] 'moon'"),
+        (f"node=n1&region=east&from={MOST_VERSION + 1}", "version: [range]"),
+        (f"node=n1&region=east&from={version_of(Position(5, 0))}", "version: [nonsense position]"),
+        (f"node=n1&region=east&from={version_of(Position(0, 5))}", "version: [nonsense position]"),
+        ("node=n1&region=east&from=-1", "from and hold_ms are whole numbers"),
+        ("node=n1&region=east&from=abc", "from and hold_ms are whole numbers"),
+        ("node=n1&region=east&from=0&serving=pay&generation=x", "generation: [range]"),
+        (f"node=n1&region=east&from=0&held={'a,' * 1025}", "names: [too-many] 1025"),
+        (f"node={'x' * (MOST_NAME + 1)}&region=east&from=0", "node: [unknown node]"),
+    ],
+)
+def test_nonsense_is_refused_in_one_line_and_counted(
+    region: Machines, query: str, said: str
+) -> None:
+    name = belongs(region, "n1")
+    before = region.status(name)
+    status, body = region.ask(name, query)
+    assert status == 400 and body.startswith(said) and "\n" not in body
+    after = region.status(name)
+    assert after["logs"] == before["logs"] and after["questions"] == before["questions"]
+    refused = after["counts"]["questions"].get("refused", 0)
+    by_parser = said.startswith("from and hold_ms")
+    assert refused == before["counts"]["questions"].get("refused", 0) + (not by_parser)
+
+
+def test_who_knows_more_than_the_machine_is_sent_on_with_nothing(region: Machines) -> None:
+    name = belongs(region, "n1")
+    epoch, revision = region.status(name)["logs"]["east"]["position"]
+    ahead = version_of(Position(epoch, revision + 1))
+    status, body = region.ask(name, f"node=n1&region=east&from={ahead}&hold_ms=1")
+    answer = json.loads(body)
+    assert status == 200 and answer["rev"] == ahead and answer["targets"] == []
+    assert answer["elsewhere"] in set(NAMES) - {name}
+    assert answer["address"] == str(region.address(answer["elsewhere"], "subscribers"))
+
+
+def test_an_unchanged_node_is_served_its_one_service(region: Machines, tmp_path: Path) -> None:
+    server = listen()
+    row = target("c1", server.getsockname()[1])
+    region.change({"service": "cart", "rows": [row]}, {"service": "pay", "rows": rows("p9")})
+    port = region.file.bound[0].listen.port
+    environ = config(tmp_path, {"rev": 0, "all": True, "targets": []}, port)
+    with started(environ | {"PROXY_DISCOVERY": f"127.0.0.1:{port}"}) as node:
+        until(node.ready)
+        served_by(node, server)
+        # A drain and a new server reach it as changes.
+        other = listen()
+        region.change(
+            {"service": "cart", "rows": [row | {"state": "leaving"}]},
+            {"service": "cart", "rows": [target("c2", other.getsockname()[1])], "removed": ["c1"]},
+        )
+        status, body = call(Address("127.0.0.1", port), "GET", "/registry/instances?from=0")
+        assert status == 200
+        assert [one["uid"] for one in json.loads(body)["targets"]] == ["c2"]
+        served_by(node, other)
+
+
+def test_a_bound_list_tells_changes_and_keeps_a_node_that_is_ahead(region: Machines) -> None:
+    (answer,) = region.change({"service": "cart", "rows": rows("c5")})
+    since = answer["version"]
+    address = region.file.bound[0].listen
+    until(lambda: region.status("east-a")["logs"]["east"]["version"] >= since)
+    region.change({"service": "cart", "rows": rows("c6"), "removed": ["c5"]})
+    path = f"/registry/instances?from={since}&hold_ms=5000"
+    status, body = call(address, "GET", path)
+    found = json.loads(body)
+    assert status == 200 and found["all"] is False and found["rev"] > since
+    assert {row["uid"]: row["state"] for row in found["targets"]} == {"c5": "left", "c6": "active"}
+    assert call(address, "GET", f"/registry/instances?from={found['rev'] + 1}")[0] == 503
+    assert call(address, "GET", f"/registry/instances?from={MOST_VERSION + 1}")[0] == 400
+
+
+@pytest.mark.parametrize(
+    ("body", "said"),
+    [
+        (b"{", "body: [syntax]"),
+        (b"[]", "body: [size]"),
+        (b"[1]", "change 0: [syntax]"),
+        (b'[{"service": "cat"}]', "change 0: [unknown-service] no service 'cat'"),
+        (b'[{"service": "cart", "row": []}]', "change 0: [unknown-key] no key 'row'"),
+        (b'[{"service": "cart", "rows": [{}]}]', "change 0: [bad-value] None is no uid"),
+        (b'[{"service": "cart", "removed": [1]}]', "change 0: [bad-value] removed holds no uids"),
+    ],
+)
+def test_a_bad_change_is_refused_and_nothing_is_changed(
+    region: Machines, body: bytes, said: str
+) -> None:
+    leader = region.leader()
+    before = region.status(leader)["logs"]
+    status, text = call(region.address(leader), "POST", "/changes", body)
+    assert status == 400 and text.decode().startswith(said)
+    assert region.status(leader)["logs"] == before
+
+
+def test_a_machine_that_does_not_lead_names_the_leader(region: Machines) -> None:
+    leader = region.leader()
+    other = next(name for name in NAMES if name != leader)
+    body = json.dumps([{"service": "pay", "rows": rows("p1")}]).encode()
+    status, text = call(region.address(other), "POST", "/changes", body)
+    assert status == 409 and json.loads(text) == {"rule": "not leader", "leader": leader}
+
+
+def test_the_log_is_told_from_a_version_on(region: Machines) -> None:
+    (first,) = region.change({"service": "pay", "rows": rows("l1")})
+    (second,) = region.change({"service": "pay", "removed": ["l1"]})
+    path = f"/log?region=east&from={first['version']}"
+    status, body = call(region.address(region.leader()), "GET", path)
+    (told,) = json.loads(body)["changes"]
+    assert status == 200 and told["version"] == second["version"] and told["removed"] == ["l1"]
+    status, body = call(region.address(region.leader()), "GET", "/log?region=moon&from=0")
+    assert status == 400 and b"[unknown-region]" in body
+
+
+@pytest.mark.parametrize(
+    ("data", "why"),
+    [
+        (struct.pack(">I", 1 << 30), "frame too long"),
+        (struct.pack(">I", 3) + b"abc", "unsound"),
+        (struct.pack(">I", 4) + b"\x92\x00\x92\xa1", "unsound"),
+        (struct.pack(">I", 9) + b"\x92\x00\x92\xa1x\xa3abc", "stranger"),
+    ],
+)
+def test_a_stream_of_nobody_in_the_file_is_cut(region: Machines, data: bytes, why: str) -> None:
+    before = region.status("east-a")["counts"]["streams"].get(why, 0)
+    with socket.create_connection(region.address("east-a", "peers"), 5.0) as sock:
+        sock.sendall(data)
+        assert sock.recv(1) == b"" or why
+    until(lambda: region.status("east-a")["counts"]["streams"].get(why, 0) == before + 1)
+
+
+def test_a_file_or_a_name_that_can_not_be_used_ends_with_status_2(tmp_path: Path) -> None:
+    path = write_file(tmp_path)
+    cases = {
+        ("scale", str(path), "--machine", "east-x"): "--machine: [unknown-machine] no 'east-x'",
+        ("scale", str(tmp_path / "no.toml"), "--machine", "east-a"): "[unreadable]",
+    }
+    for words, said in cases.items():
+        command = [sys.executable, "-B", "-m", "windrelay", *words]
+        done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=20)
+        assert done.returncode == 2 and said in done.stderr
+        assert done.stderr.count("\n") == 1
+
+
+def test_the_plain_node_imports_nothing_of_it() -> None:
+    code = "import sys, windrelay.node, windrelay.__main__; print(*sys.modules)"
+    done = subprocess.run([sys.executable, "-B", "-c", code], cwd=ROOT, capture_output=True)
+    names = done.stdout.decode().split()
+    assert "windrelay.node" in names
+    assert not [name for name in names if ".scale" in name or name == "windrelay.watchers"]
+
+
+def test_an_answer_that_never_comes_is_given_up(region: Machines) -> None:
+    """A machine that has stopped keeps its connections: silence alone tells."""
+    mute = socket.create_server(("127.0.0.1", 0))
+    holder = Holder("n2", ["east"], HolderLimits())
+    told: list[Update] = []
+    machines = [
+        Address(*mute.getsockname()[:2]),
+        region.address(belongs(region, "n2"), "subscribers"),
+    ]
+    timing = AskTiming(hold=0.1, late=0.1, connect=0.3, retry=0.02)
+    subscriber = Subscriber(holder, ["east"], machines, lambda u, _: told.append(u), 1, timing)
+    region.do(subscriber.start)
+    until(lambda: bool(told))
+    assert region.do(lambda: subscriber.counts.events["silent"]) == 1
+    region.do(subscriber.close)
+    mute.close()
--- a/windrelay/scale/machine.py
+++ b/windrelay/scale/machine.py
@@ -22,7 +22,7 @@
 from flinthatch.scale.model import ScaleError
 from flinthatch.scale.presence import PresenceUpdate
 from flinthatch.scale.publisher import Limits, Publisher
-from flinthatch.scale.replication import Replica
+from flinthatch.scale.replication import Replica, Timing
 from windrelay.scale.backends import read_backends
 from windrelay.scale.bound import BoundList
 from windrelay.scale.calls import Call, Calls, Reply
@@ -45,7 +45,13 @@
 class ControlMachine:
     """One machine of the file, from its start to its end."""
 
-    def __init__(self, file: ScaleFile, machine: Machine, log: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        file: ScaleFile,
+        machine: Machine,
+        log: Callable[[str], None],
+        timing: Timing | None = None,
+    ) -> None:
         now = time.monotonic_ns()
         self.file = file
         self.machine = machine
@@ -54,7 +60,7 @@
         specs = [one.spec for one in file.machines]
         self.logs = {name: ChangeLog(name, LOG_CHANGES, LOG_BYTES) for name in file.regions}
         seed = int.from_bytes(os.urandom(8), "big")
-        self.replica = Replica(machine.spec, specs, self.logs, seed, now)
+        self.replica = Replica(machine.spec, specs, self.logs, seed, now, timing)
         limits = Limits(
             snapshot_rate=file.limits.snapshot_rate, snapshot_burst=file.limits.snapshot_rate
         )
--- a/windrelay/scale/stream.py
+++ b/windrelay/scale/stream.py
@@ -55,6 +55,7 @@
         self._backlog = backlog
         self._up = up
         self._out: dict[str, asyncio.Transport] = {}
+        self.incoming: set[asyncio.Transport] = set()
         self._dials: list[asyncio.Task[None]] = []
         self._server: asyncio.Server | None = None
 
@@ -69,7 +70,7 @@
         """End all streams."""
         for dial in self._dials:
             dial.cancel()
-        for transport in [*self._out.values()]:
+        for transport in [*self._out.values(), *self.incoming]:
             transport.abort()
         if self._server is not None:
             self._server.close()
@@ -143,10 +144,13 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
+        self._streams.incoming.add(self._transport)
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(HELLO_S, self._cut, "no hello")
 
     def connection_lost(self, exc: Exception | None) -> None:
+        if self._transport is not None:
+            self._streams.incoming.discard(self._transport)
         if self._timer is not None:
             self._timer.cancel()
 
--- a/windrelay/watchers.py
+++ b/windrelay/watchers.py
@@ -130,6 +130,11 @@
         if not self.parser.should_keep_alive():
             self._transport.close()
 
+    def abort(self) -> None:
+        """End the connection without a word."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def give_up(self, status: int, why: bytes) -> None:
         """Answer, and end the connection."""
         self.host.forget(self)
