--- a/benchmarks/scale/referee.py
+++ b/benchmarks/scale/referee.py
@@ -167,6 +167,10 @@
         if kind in ("UP", "DOWN"):
             self._end(node, at)
             return
+        if kind == "RELEASED":
+            for service, digest in changed:
+                self._service(node, service, 0, at, digest)
+            return
         epoch, revision = position
         before = self._positions.get((node, region), (0, 0))
         if epoch < before[0] or revision < before[1]:
--- a/tests/test_scale_machine.py
+++ b/tests/test_scale_machine.py
@@ -15,7 +15,7 @@
 
 from benchmarks.scale.fleet import call
 from flinthatch.scale.holder import Holder, HolderLimits, Taken
-from flinthatch.scale.model import Delta, Position, Update
+from flinthatch.scale.model import Change, Delta, Position, Update
 from windrelay.config import Address
 from windrelay.scale.file import MOST_NAME
 from windrelay.scale.subscriber import AskTiming, Subscriber
@@ -83,6 +83,7 @@
         until(lambda: node.uids("pay") == {"p2", "p3"})
         update, taken = node.told[-1]
         assert isinstance(update, Delta) and taken.changed == ("pay",)
+        assert not update.changes[0].whole
         positions = [update.position for update, _ in node.told]
         assert positions == sorted(positions)
         assert not node.subscriber.counts.events["gap"]
@@ -92,6 +93,42 @@
         region.leader()
 
 
+def test_what_is_held_is_not_sent_again_after_a_move_and_quiet_answers(region: Machines) -> None:
+    region.change({"service": "pay", "rows": rows("q1", "q2")})
+    first = belongs(region, "n1")
+    other = next(name for name in NAMES if name != first)
+    node = Node(region, "n1", first)
+    try:
+        until(lambda: {"q1", "q2"} <= node.uids("pay"))
+        until(lambda: node.asks(first))
+        # As if `first` had fallen silent, while nothing changes: the node asks the other machine,
+        # is answered with nothing newer, and asks again without a word of what it holds.
+        subscriber = node.subscriber
+        quiet = subscriber.counts.events["questions"] + 3
+        state = subscriber._regions["east"]
+        address = region.address(other, "subscribers")
+
+        def fall_silent() -> None:
+            if state.call is not None:
+                state.call.drop()
+            subscriber._move("east", state, address)
+
+        region.do(fall_silent)
+        until(lambda: subscriber.counts.events["questions"] >= quiet)
+        before = len(node.told)
+        region.change({"service": "pay", "rows": rows("q3")})
+        until(lambda: "q3" in node.uids("pay"))
+        changes = [change for update, _ in node.told[before:] for change in _changes(update)]
+        assert [[row.uid for row in change.rows] for change in changes] == [["q3"]]
+    finally:
+        node.close()
+
+
+def _changes(update: Update) -> tuple[Change, ...]:
+    assert isinstance(update, Delta)
+    return update.changes
+
+
 def test_nodes_hold_what_is_assigned_and_report_it(region: Machines) -> None:
     node = Node(region, "n2", belongs(region, "n2"))
     name = belongs(region, "n2")
--- a/windrelay/scale/questions.py
+++ b/windrelay/scale/questions.py
@@ -91,7 +91,7 @@
         except ScaleError as err:
             self._refuse(watcher, str(err))
             return
-        anew = since == 0 or question.held is not None
+        anew = since == 0
         self._answer(now, watcher, question, anew)
 
     # ---- what the machine tells it ----------------------------------------
--- a/windrelay/scale/subscriber.py
+++ b/windrelay/scale/subscriber.py
@@ -25,10 +25,12 @@
 
 MOST_SERVICES = 2048  # that one answer may name
 MOST_PAUSE_S = 60.0
+STRAY_S = 5.0  # longer than machines take to notice that one of them is lost
 HEAD_BYTES = 48  # of a question's head beside its target
 ANSWER_BYTES = 24  # of an answer's head beside its fields
 
 Told = Callable[[Update, Taken], None]
+Released = Callable[[tuple[str, ...]], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +53,8 @@
     timer: asyncio.TimerHandle | None = None
     failures: int = 0  # in a row
     elsewhere: Address | None = None  # where the last answer sent it
-    anew: bool = True  # the machine has not been told what is held
+    stray_until: float = 0.0  # so long it is answered where it asks, wherever it belongs
+    anew: bool = True  # the machine has sent nothing yet: it can't know what is held
     snapshot: bool = False  # what is held does not follow: ask for the whole
     reported: tuple[int, str] | None = None  # generation and services last told
 
@@ -66,7 +69,10 @@
 
 
 class Subscriber:
-    """Keeps one `Holder` current; `told` gets each update and what came of it."""
+    """Keeps one `Holder` current.
+
+    `told` gets each update and what came of it, `released` the services that are held no more.
+    """
 
     def __init__(
         self,
@@ -76,12 +82,14 @@
         told: Told,
         seed: int,
         timing: AskTiming | None = None,
+        released: Released | None = None,
     ) -> None:
         self.holder = holder
         self.counts = Counts()
         self.generation = 0
         self._machines = tuple(machines)
         self._told = told
+        self._released = released
         self._random = Random(seed)
         self._timing = timing or AskTiming()
         self._regions = {region: _Region(0) for region in regions}
@@ -135,7 +143,7 @@
         if state.reported != report:
             state.reported = report
             parts.append(f"serving={report[1]}&generation={report[0]}")
-        if state.elsewhere is not None:
+        if time.monotonic() < state.stray_until:
             parts.append("redirected=1")
         return "&".join(parts)
 
@@ -167,6 +175,8 @@
         if state.elsewhere is None:
             state.machine = (state.machine + 1) % len(self._machines)
         state.elsewhere = None
+        # The next may not know yet that this one is lost, and would send it back.
+        state.stray_until = time.monotonic() + STRAY_S
         state.anew, state.reported = True, None
         pause = min(timing.retry * 2 ** min(state.failures, 8), timing.longest_retry)
         state.failures += 1
@@ -177,13 +187,15 @@
         if found.address:
             self._move(region, state, parse_address(found.address))
             return
-        state.anew = False
         if found.orders is not None:
             self._take_orders(found.orders)
         if found.update is not None:
             self._take_update(region, state, found.update)
         else:
             self.holder.on_nothing_newer(time.monotonic_ns(), region, found.position)
+        dropped = self.holder.released()
+        if dropped and self._released is not None:
+            self._released(dropped)
         pause = min(found.pause_ms / 1000, MOST_PAUSE_S)
         if pause:
             pause *= self._random.uniform(1.0, 1.1)
@@ -194,6 +206,7 @@
         self.counts.events["moved"] += 1
         again = state.elsewhere is not None
         state.elsewhere = address
+        state.stray_until = time.monotonic() + STRAY_S
         if address in self._machines:
             state.machine = self._machines.index(address)
         state.anew, state.reported = True, None
@@ -210,6 +223,7 @@
             raise ScaleError(f"update: region {update.region!r} where {region!r} was asked for")
         taken = self.holder.on_update(time.monotonic_ns(), update)
         self.counts.events[taken.kind.name.lower()] += 1
+        state.anew = False
         state.snapshot = taken.kind in (Kind.GAP, Kind.MALFORMED)
         self._told(update, taken)
 
