--- a/benchmarks/scale/run.py
+++ b/benchmarks/scale/run.py
@@ -54,7 +54,7 @@
 PHASES = ("steady", "killed", "stopped", "three", "rack", "zone")
 LOAD_S = 60.0  # for the regions to be loaded
 LOST_S = 13.0  # until a lost node's services have moved: its silence and a turn
-PROPAGATION_S = 7.0  # at the end, for the last change to be in force
+PROPAGATION_HOLDS = 2  # questions at the end, for the last change to be in force
 
 
 def configure(parser: argparse.ArgumentParser) -> None:
@@ -468,7 +468,7 @@
         for task in self._tasks[1:]:
             task.cancel()
         await self.driver.settle()
-        await asyncio.sleep(PROPAGATION_S)
+        await asyncio.sleep(PROPAGATION_HOLDS * (self.options.hold + self.options.late) + 1.0)
         await self.driver.catch_up()
         self.notes["real_nodes"] = await asyncio.to_thread(self.real.verdict)
         for name, fine in self.notes["real_nodes"].items():
--- /dev/null
+++ b/tests/test_scale_parts.py
@@ -0,0 +1,134 @@
+"""Pieces of a control process by themselves: answers' form, messages' bytes, presence, sources."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+
+from flinthatch.model import SECOND
+from flinthatch.scale.messages import Append, Fetch
+from flinthatch.scale.model import Change, Delta, Position, Row, ScaleError, Snapshot, Update
+from flinthatch.scale.presence import Presence, PresenceUpdate
+from windrelay.scale import listform
+from windrelay.scale.backends import read_backends
+from windrelay.scale.codec import BadMessage
+from windrelay.scale.listform import ListFormError, Orders, decode, encode
+from windrelay.scale.messages import NodeReport, Reports, codec
+from windrelay.scale.version import version_of
+
+AT, LATER = Position(3, 7), Position(3, 9)
+
+
+def row(uid: str, state: str = "active") -> Row:
+    return listform.row_of({"uid": uid, "state": state, "endpoint": "127.0.0.1:9"})
+
+
+UPDATES: list[Update] = [
+    Delta("east", AT, LATER, ()),
+    Delta(
+        "east",
+        AT,
+        LATER,
+        (
+            Change(Position(3, 8), "cart", (row("a"), row("b", "leaving")), ("c",)),
+            Change(LATER, "pay", deleted=True, whole=True),
+            Change(LATER, "new", (row("d"),), whole=True),
+        ),
+    ),
+    Snapshot("east", LATER, {"cart": {"a": row("a")}, "empty": {}}),
+]
+
+
+@pytest.mark.parametrize("update", UPDATES)
+def test_an_update_comes_back_from_the_lists_form(update: Update) -> None:
+    orders = Orders({"cart": "east", "far": "west"}, frozenset({"old"}), 4)
+    body = encode(update, orders)
+    raw = json.loads(body)
+    assert raw["rev"] == version_of(LATER) and raw["all"] is isinstance(update, Snapshot)
+    assert {one["uid"] for one in raw["targets"]} <= {"a", "b", "c", "d"}
+    found = decode(body, 10)
+    assert (found.update, found.orders, found.position) == (update, orders, LATER)
+    assert decode(encode(update, None), 10).orders is None
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"{", b"[]", b"{}", b'{"rev": -1}', b'{"rev": "1"}', b'{"rev": 1e99}',
+        b'{"rev": 1, "all": false, "targets": [], "changes": [["s", 1, 1, 0, false, false]]}',
+        b'{"rev": 1, "all": false, "targets": [{}], "region": "e", "from": 0, "changes": []}',
+        b'{"rev": 1, "all": true, "targets": [{}], "region": "e",'
+        b' "changes": [["s", 1, 1, 0, false, true]]}',
+        b'{"rev": 1, "wanted": {"e": ["a", "b", "c"]}, "releasable": [], "generation": 1}',
+        b'{"rev": 1, "wanted": {"e": [1]}, "releasable": [], "generation": 1}',
+    ],
+)  # fmt: skip
+def test_what_is_no_answer_is_refused(raw: bytes) -> None:
+    with pytest.raises(ListFormError):
+        decode(raw, 2)
+
+
+def test_messages_come_back_as_they_were() -> None:
+    form = codec()
+    change = Change(AT, "cart", (row("a"),), ("b",))
+    for message in (
+        Append("east", 3, AT, AT, (change,), 7),
+        Fetch("west", AT, 1),
+        Fetch("west", AT, 1, image=LATER),
+        PresenceUpdate(1, False, ("n1",), ("n2",)),
+        Reports((NodeReport("n1", ("cart", "pay")),)),
+    ):
+        assert form.decode(form.encode(message)) == message
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"", b"\xc1", b"\x90", b"\x91\x01", b"\x92\xff\x90", b"\x92\xcc\xc8\x90", b"\x92\x01\x90"],
+)
+def test_bytes_that_are_no_message_are_refused(data: bytes) -> None:
+    with pytest.raises(BadMessage):
+        codec().decode(data)
+
+
+def test_a_field_of_another_type_is_refused() -> None:
+    form = codec()
+    good = form.encode(PresenceUpdate(1, False, ("n1",)))
+    for old, new in ((b"\xc2", b"\x01"), (b"\xa2n1", b"\x01"), (b"\x01\xc2", b"\xa1x\xc2")):
+        with pytest.raises(BadMessage):
+            form.decode(good.replace(old, new, 1))
+
+
+def test_presence_follows_the_other_machines_words() -> None:
+    here, there = Presence(["n1", "n2", "n3"]), Presence(["n1", "n2", "n3"])
+    there.on_present("n1")
+    there.on_present("nobody")
+    assert here.on_update(0, "b", there.whole()) and here.present() == set()
+    assert here.on_update(0, "b", there.update()) and here.present() == {"n1"}
+    there.on_absent("n1")
+    there.on_present("n2")
+    missed = there.update()
+    there.on_present("n3")
+    assert not here.on_update(0, "b", there.update()), "one before it is missing"
+    assert here.present() == {"n1"}
+    assert here.on_update(0, "b", there.whole()) and here.present() == {"n2", "n3"}
+    assert missed.came == ("n2",) and missed.left == ("n1",)
+    assert here.machines(SECOND) == {"b"}
+    here.on_time(4 * SECOND)
+    assert here.present() == set() and here.machines(4 * SECOND) == set()
+    assert not here.on_update(4 * SECOND, "b", there.update()), "all is forgotten: whole again"
+
+
+def test_the_source_of_a_lost_log_names_its_bad_line(tmp_path: Path) -> None:
+    path = tmp_path / "backends.jsonl"
+    good = {"service": "cart", "targets": [{"uid": "a", "state": "leaving"}]}
+    path.write_text(json.dumps(good) + "\n" + json.dumps({"service": "far", "targets": []}) + "\n")
+    found = read_backends(path, ["cart", "pay"])
+    assert [one.uid for one in found["cart"]] == ["a"] and found["cart"][0].leaving
+    assert found["pay"] == () and "far" not in found
+    path.write_text(json.dumps(good) + "\n" + '{"service": "pay", "targets": [{}]}\n')
+    with pytest.raises(ScaleError, match=r"^backends.jsonl:2: \[bad-row\]"):
+        read_backends(path, ["cart", "pay"])
+    with pytest.raises(ScaleError, match=r"\[unreadable\]"):
+        read_backends(tmp_path / "none", ["cart"])
