--- a/tests/scalemachines.py
+++ b/tests/scalemachines.py
@@ -43,10 +43,13 @@
         return [sock.getsockname()[1] for sock in socks]
 
 
-def write_file(folder: Path) -> Path:
-    """Three machines, two nodes, two services; the first machine serves `cart` alone too."""
+def write_file(folder: Path, top: str = "") -> Path:
+    """Three machines, two nodes, two services; the first machine serves `cart` alone too.
+
+    `top` are further lines of the file's head.
+    """
     ports = iter(free_ports(10))
-    text = 'version = 1\n[regions]\neast = ["east-1"]\n'
+    text = f'version = 1\n{top}[regions]\neast = ["east-1"]\n'
     for name in NAMES:
         text += f'[[machine]]\nname = "{name}"\nregion = "east"\nzone = "east-1"\n'
         for key in ("subscribers", "peers", "admin"):
@@ -68,6 +71,7 @@
         self.file = file
         self.loop = asyncio.new_event_loop()
         self.machines: dict[str, ControlMachine] = {}
+        self.said: list[str] = []  # their logs' lines
         self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self._thread.start()
 
@@ -85,8 +89,10 @@
         return found.result(LIMIT)
 
     def start(self, name: str) -> None:
+        """Begin it, with nothing in memory."""
+
         async def begin() -> ControlMachine:
-            machine = ControlMachine(self.file, self.file.machine(name), lambda _: None, TIMING)
+            machine = ControlMachine(self.file, self.file.machine(name), self.said.append, TIMING)
             await machine.open()
             return machine
 
--- a/tests/test_scale_machine.py
+++ b/tests/test_scale_machine.py
@@ -17,7 +17,8 @@
 from flinthatch.scale.holder import Holder, HolderLimits, Taken
 from flinthatch.scale.model import Change, Delta, Position, Update
 from windrelay.config import Address
-from windrelay.scale.file import MOST_NAME
+from windrelay.scale import machine
+from windrelay.scale.file import MOST_NAME, read_scale
 from windrelay.scale.subscriber import AskTiming, Subscriber
 from windrelay.scale.version import MOST_VERSION, version_of
 
@@ -302,6 +303,25 @@
         assert done.stderr.count("\n") == 1
 
 
+def test_a_source_that_can_not_be_used_is_told_and_read_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(machine, "LOAD_AGAIN_S", 0.05)
+    source = tmp_path / "backends.jsonl"
+    source.write_text("{}\n")
+    machines = Machines(read_scale(str(write_file(tmp_path, f'backends_file = "{source}"\n'))))
+    try:
+        for name in NAMES:
+            machines.start(name)
+        until(lambda: any("not loaded: backends.jsonl:1: [bad-row]" in s for s in machines.said))
+        source.write_text(json.dumps({"service": "pay", "targets": rows("p1")}) + "\n")
+        leader = machines.leader()
+        log = machines.machines[leader].logs["east"]
+        assert machines.do(lambda: set(log.rows("pay") or ())) == {"p1"}
+    finally:
+        machines.close()
+
+
 def test_the_plain_node_imports_nothing_of_it() -> None:
     code = "import sys, windrelay.node, windrelay.__main__; print(*sys.modules)"
     done = subprocess.run([sys.executable, "-B", "-c", code], cwd=ROOT, capture_output=True)
--- a/windrelay/scale/machine.py
+++ b/windrelay/scale/machine.py
@@ -38,6 +38,7 @@
 TICK_S = 0.05  # of the replica
 TURN_S = 1.0  # of presence and liveness
 LOG_CHANGES, LOG_BYTES = 100_000, 64 << 20  # of accepted changes that are kept
+LOAD_AGAIN_S = 2.0  # after a source that could not be used
 LOG_ANSWER = 1 << 20  # bytes of changes in one answer to GET /log
 STATUS_MEMORY = "/proc/self/statm"
 
@@ -163,6 +164,8 @@
                 rows = await loop.run_in_executor(None, read_backends, self.file.backends, services)
         except ScaleError as err:
             self._log(f"region {region} is not loaded: {err}")
+            await asyncio.sleep(LOAD_AGAIN_S)
+            self._loading = None
             return
         if self.replica.needs_load():
             self.replica.load(time.monotonic_ns(), rows)
