Nodes have 30 s from a control machine's start to ask for the first time

With 10 s a fleet that begins as a whole was held for dead before it could ask (seen at 1,000 nodes: 4,058 of 4,596 pairs assigned, nodes told to hold substitutes' services).

--- a/tests/test_scale_parts.py
+++ b/tests/test_scale_parts.py
@@ -14,10 +14,14 @@
 from windrelay.scale import listform
 from windrelay.scale.backends import read_backends
 from windrelay.scale.codec import BadMessage
+from windrelay.scale.file import read_scale
 from windrelay.scale.listform import ListFormError, Orders, decode, encode
 from windrelay.scale.messages import NodeReport, Reports, codec
+from windrelay.scale.nodes import Nodes
 from windrelay.scale.version import version_of
 
+from .scalemachines import write_file
+
 AT, LATER = Position(3, 7), Position(3, 9)
 
 
@@ -120,6 +124,19 @@
     assert not here.on_update(4 * SECOND, "b", there.update()), "all is forgotten: whole again"
 
 
+def test_nodes_have_time_to_ask_for_the_first_time_and_none_after(tmp_path: Path) -> None:
+    nodes = Nodes(read_scale(str(write_file(tmp_path))), 0)
+    nodes.on_asked(SECOND, "n1")
+    nodes.on_time(2 * SECOND)
+    nodes.on_answered(2 * SECOND, "n1")
+    for second in range(3, 15):
+        nodes.on_time(second * SECOND)
+    assert nodes.liveness.alive == {"n2"}, "one that was heard and is no more"
+    for second in range(15, 41):
+        nodes.on_time(second * SECOND)
+    assert nodes.liveness.alive == set(), "one that never was"
+
+
 def test_the_source_of_a_lost_log_names_its_bad_line(tmp_path: Path) -> None:
     path = tmp_path / "backends.jsonl"
     good = {"service": "cart", "targets": [{"uid": "a", "state": "leaving"}]}
--- a/windrelay/scale/nodes.py
+++ b/windrelay/scale/nodes.py
@@ -17,6 +17,7 @@
 from windrelay.scale.messages import NodeReport, Reports
 
 ABSENT = 2 * SECOND  # after an answer, until a node that asks no more counts as gone from here
+START = 30 * SECOND  # after this machine's own, in which nodes may ask for the first time
 SILENCE = 10 * SECOND  # nodes of a lost machine find another within this
 REPORTS_A_MESSAGE = 512
 
@@ -35,6 +36,8 @@
         self.handover.on_assignment(self.assignment)
         self.changed = False  # orders may differ from what nodes were told
         self.touched = 0  # nodes whose services differ by the last assignment
+        self._began = now
+        self._unheard = set(names)  # nodes that have asked nowhere since this machine began
         self._due: dict[str, int] = {}  # nodes that ask here, and until when they have to again
         self._reports: dict[str, tuple[str, ...]] = {}  # of the nodes that ask here
         self._news: dict[str, tuple[str, ...]] = {}  # of them, to be passed on
@@ -122,7 +125,10 @@
             self._reports.pop(node, None)
             self.presence.on_absent(node)
         self.presence.on_time(now)
-        for node in self.presence.present():
+        present = self.presence.present()
+        self._unheard -= present
+        starting = self._unheard if now - self._began < START else ()
+        for node in (*present, *starting):
             self.liveness.on_word(now, node)
         change = self.liveness.turn(now)
         for node in change.died:
