--- a/benchmarks/scale/gossip.py
+++ b/benchmarks/scale/gossip.py
@@ -9,7 +9,7 @@
 
 from benchmarks.scale import meter
 from benchmarks.scale.fit import Point, Slope, fit
-from flinthatch.fleet.words import Out
+from flinthatch.fleet.messages import Outgoing
 from flinthatch.model import SECOND
 from lab.fleets import World
 from windrelay.peers.codec import encode
@@ -25,7 +25,7 @@
 
     bytes_sent = 0
 
-    def send(self, node: int, out: list[Out]) -> None:
+    def send(self, node: int, out: list[Outgoing]) -> None:
         """Count, then pass on."""
         self.bytes_sent += sum(HEADERS + len(encode(message, 0)) for _, message in out)
         super().send(node, out)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -81,11 +81,18 @@
             connection.close()
 
     def say(self, line: str) -> str:
-        """A line to its standard input; the line it answers with."""
+        """A line to its standard input; the JSON line it answers with, empty at its end.
+
+        A library's log lines (gRPC's, say) come on the same stream: they are kept as heard.
+        """
         assert self.popen.stdin is not None and self.popen.stdout is not None
         self.popen.stdin.write(line + "\n")
         self.popen.stdin.flush()
-        return self.popen.stdout.readline()
+        answer = self.popen.stdout.readline()
+        while answer and not answer.startswith(("{", "[")):
+            self.heard += answer
+            answer = self.popen.stdout.readline()
+        return answer
 
     def cpu(self) -> float:
         """CPU seconds that all its threads have run so far, to the nanosecond."""
