--- a/flinthatch/membership/asking.py
+++ b/flinthatch/membership/asking.py
@@ -20,7 +20,8 @@
 that has waited a few seconds, and calls given up sooner would keep it busy with answers that
 nobody takes. The load: a node's watch ends every HOLD, with an answer that carries no line
 where nothing has changed; while the service is down each node calls once in PAUSE_LEAST to
-PAUSE_MOST where it refuses, and once in CONNECT and more where it is silent.
+PAUSE_MOST where it refuses, and once in CONNECT and more where it is silent. What failures in a
+row change in this, and what holds for a node without a list, stands in `caller.py`.
 
 Where lists are pushed, the agent's state counts from the moment that it has it, and an agent on
 the node's own machine answers at no cost: there every span is a part of the drain's grace, so
