--- a/benchmarks/scale/capacity/control.py
+++ b/benchmarks/scale/capacity/control.py
@@ -11,9 +11,14 @@
 
 TODAY = Mechanism("the control service: everything to every proxy",
                   "windrelay/xds, tests/test_control.py")  # fmt: skip
-DISTRIBUTION = Mechanism("distribution by subscription, from the service's home region",
-                         "not in this tree")  # fmt: skip
-REPLICATION = Mechanism("the control machines' replicated log of changes", "not in this tree")
+DISTRIBUTION = Mechanism(
+    "distribution by subscription, from the service's home region",
+    "flinthatch/scale/publisher.py, tests/test_scale_publisher.py",
+)
+REPLICATION = Mechanism(
+    "the control machines' replicated log of changes",
+    "flinthatch/scale/replication.py, tests/test_scale_replication.py",
+)
 STORE = Mechanism("the control machines' own copy of the list on disk", "not built")
 READERS = Mechanism(
     "a few readers for all", "flinthatch/fleet/readers.py, tests/test_list_world.py"
--- a/benchmarks/scale/capacity/edges.py
+++ b/benchmarks/scale/capacity/edges.py
@@ -36,7 +36,7 @@
 PARTITION = Mechanism("each backend under one node of its zone", "not built")
 POOL = Mechanism("the pool of idle connections", "windrelay/upstream.py, tests/test_node.py")
 FRONT = Mechanism("a front that knows which nodes hold a service", "not built, not ours")
-ACCEPT = Mechanism("the node's server", "windrelay/server.py, tests/test_descriptors.py")
+ACCEPT = Mechanism("the node's server", "windrelay/http1/listener.py, tests/test_descriptors.py")
 
 
 class Ends(NamedTuple):
--- a/benchmarks/scale/capacity/node.py
+++ b/benchmarks/scale/capacity/node.py
@@ -14,9 +14,17 @@
 )
 
 NONE = Mechanism("none: a node holds everything", "today's code")
-ASSIGNMENT = Mechanism("assignment of services to nodes", "not in this tree")
-SUBSCRIPTION = Mechanism("subscription: changes of its services alone", "not in this tree")
-HOLDER = Mechanism("the node's holder of its services", "not in this tree")
+ASSIGNMENT = Mechanism(
+    "assignment of services to nodes",
+    "flinthatch/scale/assignment.py, tests/test_scale_assignment.py",
+)
+SUBSCRIPTION = Mechanism(
+    "subscription: changes of its services alone",
+    "flinthatch/scale/publisher.py, tests/test_scale_publisher.py",
+)
+HOLDER = Mechanism(
+    "the node's holder of its services", "flinthatch/scale/holder.py, tests/test_scale_holder.py"
+)
 SUBSET = Mechanism("a subset of a large service's backends a node", "not built")
 GOSSIP = Mechanism("gossip between nodes (SWIM)", "flinthatch/fleet, tests/test_fleet_world.py")
 DEAL = Mechanism("slots dealt among the nodes of a service",
