--- a/lab/play.py
+++ b/lab/play.py
@@ -11,10 +11,8 @@
 
 from __future__ import annotations
 
-import argparse
 import sys
 from collections.abc import Callable
-from multiprocessing import Pool
 from random import Random
 from typing import Any
 
@@ -22,6 +20,7 @@
 from flinthatch.fleet.loans import Held, Loans
 from flinthatch.fleet.words import Listed, Seen, Standing
 from flinthatch.model import MS, SECOND, State
+from lab.seeds import run
 from lab.service import Service
 
 FAULTS_FOR = 12 * SECOND
@@ -275,21 +274,7 @@
 
 def main() -> int:
     """0 where no seed breaks a rule, 1 where one does."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", type=int, default=300)
-    parser.add_argument("--seed", type=int)
-    args = parser.parse_args()
-    if args.seed is not None:
-        breaches = play(args.seed)
-        print("\n".join(breaches) or "no rule broken")
-        return 1 if breaches else 0
-    with Pool() as pool:
-        results = pool.map(play, range(args.seeds), chunksize=4)
-    failed = [seed for seed, breaches in enumerate(results) if breaches]
-    for seed in failed:
-        print(f"python -m lab.play --seed {seed}  # {results[seed][0]}")
-    print(f"{args.seeds} seeds, {len(failed)} broke a rule")
-    return 1 if failed else 0
+    return run(__doc__, "lab.play", play, 300, None)
 
 
 if __name__ == "__main__":
--- a/lab/scale_play.py
+++ b/lab/scale_play.py
@@ -10,12 +10,10 @@
 
 from __future__ import annotations
 
-import argparse
 import sys
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from functools import partial
-from multiprocessing import Pool
 from random import Random
 from typing import Any
 
@@ -25,6 +23,7 @@
 from flinthatch.scale.holder import Holder, Kind, Taken
 from flinthatch.scale.model import Change
 from lab.scale_world import REGIONS, World
+from lab.seeds import run
 
 PROCESSES = 6
 FAULTS_FOR = 60 * SECOND
@@ -280,21 +279,7 @@
 
 def main() -> int:
     """0 where no seed breaks a rule, 1 where one does."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", type=int, default=200)
-    parser.add_argument("--seed", type=int)
-    args = parser.parse_args()
-    if args.seed is not None:
-        breaches = play(args.seed)
-        print("\n".join(breaches) or "no rule broken")
-        return 1 if breaches else 0
-    with Pool(PROCESSES) as pool:
-        results = pool.map(play, range(args.seeds), chunksize=2)
-    failed = [seed for seed, breaches in enumerate(results) if breaches]
-    for seed in failed:
-        print(f"python -m lab.scale_play --seed {seed}  # {results[seed][0]}")
-    print(f"{args.seeds} seeds over {len(REGIONS)} regions, {len(failed)} broke a rule")
-    return 1 if failed else 0
+    return run(__doc__, "lab.scale_play", play, 200, PROCESSES)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/lab/seeds.py
@@ -0,0 +1,35 @@
+"""The command line of worlds that are drawn from seeds."""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Callable
+from multiprocessing import Pool
+
+
+def run(
+    doc: str | None,
+    module: str,
+    play: Callable[[int], list[str]],
+    seeds: int,
+    processes: int | None,
+) -> int:
+    """Play one seed, or `seeds` of them; 0 where none breaks a rule, 1 where one does.
+
+    `play` gives a seed's breaches. Each seed that fails is printed as a command of `module`.
+    """
+    parser = argparse.ArgumentParser(description=doc)
+    parser.add_argument("--seeds", type=int, default=seeds)
+    parser.add_argument("--seed", type=int)
+    args = parser.parse_args()
+    if args.seed is not None:
+        breaches = play(args.seed)
+        print("\n".join(breaches) or "no rule broken")
+        return 1 if breaches else 0
+    with Pool(processes) as pool:
+        results = pool.map(play, range(args.seeds), chunksize=4)
+    failed = [seed for seed, breaches in enumerate(results) if breaches]
+    for seed in failed:
+        print(f"python -m {module} --seed {seed}  # {results[seed][0]}")
+    print(f"{args.seeds} seeds, {len(failed)} broke a rule")
+    return 1 if failed else 0
