--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -288,6 +288,7 @@
         self.sent = self.received = 0  # of subscribers that are no more
         self.events: Counter[str] = Counter()
         self.kept: deque[dict[str, int]] = deque(maxlen=MINUTE_STEPS + 1)  # bytes, by node
+        self.worst_warm_bytes = 0.0  # the same of one that had begun before that minute
         self.worst_bytes = 0.0  # a second of one node, in its worst minute
         self._settings: dict[tuple[str, str], Settings] = {}
         self._steps: BinaryIO = open(plan.steps, "wb")  # noqa: SIM115
@@ -352,6 +353,7 @@
             "rss": int(Path("/proc/self/statm").read_text().split()[1]) * resource.getpagesize(),
             "behind_s": self.behind,
             "worst_bytes": self.worst_bytes,
+            "worst_warm_bytes": self.worst_warm_bytes,
             "counts": dict(self.counts),
             "events": dict(events),
             "faults": self.faults[:10],
@@ -379,6 +381,10 @@
                 (since(total, oldest.get(name, 0)) for name, total in now.items()), default=0
             )
             self.worst_bytes = max(self.worst_bytes, most / 60.0)
+            warm = [
+                total - oldest[n] for n, total in now.items() if total >= oldest.get(n, total + 1)
+            ]
+            self.worst_warm_bytes = max(self.worst_warm_bytes, max(warm, default=0) / 60.0)
             await asyncio.sleep(60.0 / MINUTE_STEPS)
 
     async def watch_loop(self) -> None:
@@ -398,7 +404,7 @@
         process.down(order["nodes"])
     elif what == "settle":
         process.behind = 0.0
-        process.worst_bytes = 0.0
+        process.worst_bytes = process.worst_warm_bytes = 0.0
         process.kept.clear()
         gc.collect()
         gc.freeze()
--- a/benchmarks/scale/results.py
+++ b/benchmarks/scale/results.py
@@ -129,6 +129,9 @@
         "by_phase": spent,
         "bytes_s": mean_bytes(run, steady),
         "worst_minute_bytes_s": round(max((r["worst_bytes"] for r in lasts), default=0.0), 1),
+        "worst_minute_of_a_running_node_bytes_s": round(
+            max((r["worst_warm_bytes"] for r in lasts), default=0.0), 1
+        ),
         "memory_shared_process_bytes": round(grown / nodes) if nodes else 0,
         "memory_lone_process_bytes": lone.last["rss"] - lone.empty["rss"] if lone.last else 0,
         "services": round(sum(r["services"] for r in lasts) / max(1, len(run.world.nodes)), 2),
--- a/windrelay/scale/nodes.py
+++ b/windrelay/scale/nodes.py
@@ -18,6 +18,7 @@
 
 ABSENT = 2 * SECOND  # after an answer, until a node that asks no more counts as gone from here
 START = 30 * SECOND  # after this machine's own, in which nodes may ask for the first time
+STALL = 3 * SECOND  # between two turns, from which on this machine itself has stood still
 SILENCE = 10 * SECOND  # nodes of a lost machine find another within this
 REPORTS_A_MESSAGE = 512
 
@@ -36,7 +37,8 @@
         self.handover.on_assignment(self.assignment)
         self.changed = False  # orders may differ from what nodes were told
         self.touched = 0  # nodes whose services differ by the last assignment
-        self._began = now
+        self._machines = len(file.machines)
+        self._began = self._turned = now
         self._unheard = set(names)  # nodes that have asked nowhere since this machine began
         self._due: dict[str, int] = {}  # nodes that ask here, and until when they have to again
         self._reports: dict[str, tuple[str, ...]] = {}  # of the nodes that ask here
@@ -125,6 +127,9 @@
             self._reports.pop(node, None)
             self.presence.on_absent(node)
         self.presence.on_time(now)
+        if now - self._turned > STALL or self._cut_off(now):
+            self._knows_nothing(now)
+        self._turned = now
         present = self.presence.present()
         self._unheard -= present
         starting = self._unheard if now - self._began < START else ()
@@ -137,6 +142,15 @@
             self._assign()
         return bool(change.died or change.returned)
 
+    def _cut_off(self, now: int) -> bool:
+        """Whether it hears so few machines that silent nodes say nothing against themselves."""
+        return 2 * (len(self.presence.machines(now)) + 1) < self._machines
+
+    def _knows_nothing(self, now: int) -> None:
+        """It did not run, or heard nobody: who counts as alive has time again to be heard."""
+        self._began = now
+        self._unheard = set(self.liveness.alive)
+
     def _on_dead(self, node: str) -> None:
         self.handover.on_dead(node)
         for region in set(self.regions.values()):
