--- a/tests/test_scale_parts.py
+++ b/tests/test_scale_parts.py
@@ -143,6 +143,7 @@
     # It was stopped: what it has not heard meanwhile it could not hear. One machine's word comes
     # before its own timer does, the other's after.
     turn(60, heard=("east-b",))
+    assert nodes.liveness.alive == set(both)
     for second in range(61, 70):
         turn(second)
     assert nodes.liveness.alive == set(both)
