Count the nodes of a zone before this one without walking them

At 7,800 nodes each redeal walked up to 3,900 numbers a zone. The same figures by the lengths of ranges; the tests of the deal pass unchanged.

--- a/flinthatch/balancer.py
+++ b/flinthatch/balancer.py
@@ -486,9 +486,9 @@
         s = self.settings
         if zone == s.zone:
             return self.peers, self.place_among
-        inside = range(zone % s.zones, s.balancers, s.zones)
-        earlier = sum(1 for node in inside if node < s.node)
-        return max(1, s.balancers - len(inside)), s.node - earlier
+        inside = len(range(zone % s.zones, s.balancers, s.zones))
+        earlier = len(range(zone % s.zones, s.node, s.zones))
+        return max(1, s.balancers - inside), s.node - earlier
 
     def recap(self) -> None:
         """Each backend's cap, and other slots for a node whose own are of no use.
