--- a/tests/test_scale_file.py
+++ b/tests/test_scale_file.py
@@ -56,6 +56,8 @@
         ("127.0.0.1:18402", "here", "bad-value", "'here' is no host:port"),
         ("backlog = ", "backlogs = ", "unknown-key", "did you mean 'backlog'?"),
         ("version = 1", "version = 2", "version", "not 1"),
+        ("node_rate = 400.0", "node_rate = 0", "bad-value", "node_rate is 0"),
+        ("least_per_zone = 2", "least_per_zone = 65", "bad-value", "least_per_zone is 65"),
         ('east = ["east-1", "east-2"]', 'east = ["east-1", "east-1"]', "twice", "zone 'east-1'"),
     ],
 )  # fmt: skip
--- a/windrelay/scale/file.py
+++ b/windrelay/scale/file.py
@@ -165,14 +165,20 @@
     return found
 
 
+def _table(top: Section, name: str) -> Section:
+    """A table of the file, with its keys checked; empty where there is none."""
+    raw = top.raw.get(name, {})
+    if not isinstance(raw, dict):
+        top.fault(name, "bad-value", f"{name} is no table", f"write [{name}]")
+        raw = {}
+    table = top.sub(raw, name)
+    table.known(SECTIONS[name])
+    return table
+
+
 def _limits(top: Section) -> Limits:
-    raw = top.raw.get("limits", {})
+    table = _table(top, "limits")
     usual = Limits()
-    if not isinstance(raw, dict):
-        top.fault("limits", "bad-value", "limits is no table", "write [limits]")
-        return usual
-    table = top.sub(raw, "limits")
-    table.known(SECTIONS["limits"])
     return Limits(
         _whole(table, "subscribers", usual.subscribers, 1, 100_000),
         _whole(table, "change_bytes", usual.change_bytes, 1024, 16 << 20),
@@ -182,14 +188,9 @@
 
 
 def _rules(top: Section) -> AssignmentRules:
-    raw = top.raw.get("assignment", {})
+    table = _table(top, "assignment")
     usual = AssignmentRules()
-    if not isinstance(raw, dict):
-        top.fault("assignment", "bad-value", "assignment is no table", "write [assignment]")
-        return usual
-    table = top.sub(raw, "assignment")
-    table.known(SECTIONS["assignment"])
-    node_rate = _rate(table, "node_rate") if "node_rate" in raw else usual.node_rate
+    node_rate = _rate(table, "node_rate") if "node_rate" in table.raw else usual.node_rate
     if node_rate <= 0:
         table.fault("node_rate", "bad-value", "node_rate is 0", "write over 0 a second")
         node_rate = usual.node_rate
