Losses and returns that follow one another move services once

At the whole target a zone's nodes went and came over some seconds, and each turn made an assignment for a part of the zone: 16 s each (three in 49 s, profiled), in which a control machine answered nobody; 76.7 s until a change was in force. The test fails without the wait.

--- a/tests/test_scale_parts.py
+++ b/tests/test_scale_parts.py
@@ -124,6 +124,26 @@
     assert not here.on_update(4 * SECOND, "b", there.update()), "all is forgotten: whole again"
 
 
+def test_losses_that_follow_one_another_move_services_once(tmp_path: Path) -> None:
+    nodes = Nodes(read_scale(str(write_file(tmp_path))), 0)
+    east = Presence(("n1", "n2"))
+    east.on_present("n1")
+    east.on_present("n2")
+    moved = []
+    for second in range(1, 80):
+        if second == 30:
+            east.on_absent("n1")
+        if second == 31:
+            east.on_absent("n2")
+        nodes.presence.on_machine(second * SECOND, "east-c")
+        nodes.on_presence(second * SECOND, "east-b", east.update())
+        nodes.on_presence(second * SECOND, "east-b", east.whole())
+        if nodes.on_time(second * SECOND):
+            moved.append(second)
+    assert moved == [42], "two seconds after the second loss was noticed"
+    assert nodes.liveness.alive == set()
+
+
 def test_a_machine_that_stood_still_or_is_cut_off_holds_no_node_for_dead(tmp_path: Path) -> None:
     nodes = Nodes(read_scale(str(write_file(tmp_path))), 0)
     both = ("n1", "n2")
--- a/windrelay/scale/nodes.py
+++ b/windrelay/scale/nodes.py
@@ -20,6 +20,8 @@
 START = 30 * SECOND  # after this machine's own, in which nodes may ask for the first time
 STALL = 3 * SECOND  # between two turns, from which on this machine itself has stood still
 SILENCE = 10 * SECOND  # nodes of a lost machine find another within this
+SETTLE = 2 * SECOND  # without a further loss or return, before services move
+SETTLE_MOST = 15 * SECOND
 REPORTS_A_MESSAGE = 512
 
 
@@ -40,6 +42,8 @@
         self._machines = len(file.machines)
         self._began = self._turned = now
         self._unheard = set(names)  # nodes that have asked nowhere since this machine began
+        self._unsettled = 0  # since when losses and returns wait to move services, 0 for never
+        self._last_change = 0
         self._due: dict[str, int] = {}  # nodes that ask here, and until when they have to again
         self._reports: dict[str, tuple[str, ...]] = {}  # of the nodes that ask here
         self._news: dict[str, tuple[str, ...]] = {}  # of them, to be passed on
@@ -139,8 +143,20 @@
         for node in change.died:
             self._on_dead(node)
         if change.died or change.returned:
-            self._assign()
-        return bool(change.died or change.returned)
+            self._last_change = now
+            self._unsettled = self._unsettled or now
+        if not self._unsettled or not self._settled(now):
+            return False
+        self._unsettled = 0
+        self._assign()
+        return True
+
+    def _settled(self, now: int) -> bool:
+        """A rack or a zone goes and comes over some seconds: it moves services once.
+
+        An assignment for half a zone would be made in vain, and costs much more than one for all.
+        """
+        return now - self._last_change >= SETTLE or now - self._unsettled >= SETTLE_MOST
 
     def _cut_off(self, now: int) -> bool:
         """Whether it hears so few machines that silent nodes say nothing against themselves."""
