Hold requests over an upgrade for as long as the processes take to start

`test_a_third_process_takes_over_from_the_second` failed once beside other work. Its request is held while two further processes start, but had 1.5 s, and its class 2 s: on a busy machine the two starts take longer, the node answers it without service, and its body is empty in place of `held`.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -23,6 +23,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 LIMIT = 20.0  # seconds; a hang, not a measure
+LONG_MS = 50_000  # a request's time where it must not run out first, however late a process is
 
 SETTINGS: dict[str, Any] = {
     "areas": ["east", "west"],
@@ -70,6 +71,12 @@
 }
 
 
+def patient_classes() -> list[dict[str, Any]]:
+    """The usual classes, with requests that may take LONG_MS."""
+    long = {"target": LONG_MS * 1_000_000, "deadline": LONG_MS * 1_000_000}
+    return [spec | long for spec in SETTINGS["classes"]]
+
+
 def listen() -> socket.socket:
     sock = socket.create_server(("127.0.0.1", 0))
     sock.settimeout(LIMIT)
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -19,6 +19,7 @@
 
 from .harness import (
     LIMIT,
+    LONG_MS,
     SETTINGS,
     Peer,
     Running,
@@ -26,6 +27,7 @@
     answer,
     listen,
     node,
+    patient_classes,
     request,
     roster,
     target,
@@ -83,16 +85,13 @@
         backend.close()
 
 
-LONG_MS = 50_000
 SOON_S = 4.0  # far under what is waited for anything that has long
 
 
 def patient(**over: Any) -> dict[str, Any]:
     """Settings under which a dial may take long, and a request may wait long for a slot."""
-    long = {"target": LONG_MS * 1_000_000, "deadline": LONG_MS * 1_000_000}
-    classes = [spec | long for spec in SETTINGS["classes"]]
     limits = SETTINGS["limits"] | {"dial_timeout": LONG_MS * 1_000_000}
-    return {"limits": limits, "classes": classes} | over
+    return {"limits": limits, "classes": patient_classes()} | over
 
 
 def ends_sending(client: Peer) -> None:
@@ -140,9 +139,9 @@
 def test_no_further_attempt_begins_for_a_client_that_has_gone(tmp_path: Path, ends: str) -> None:
     with listen() as backend:
         known = roster(target("s-1", backend.getsockname()[1]))
-        with node(tmp_path, known) as n:
+        with node(tmp_path, known, settings=patient()) as n:
             client = n.connect()
-            client.send(request(rid="first"))
+            client.send(request(rid="first", timeout=LONG_MS))
             peer = accept(backend)
             peer.message()
             {"half": lambda: ends_sending(client), "close": client.close, "reset": client.reset}[
@@ -152,7 +151,7 @@
             if ends == "half":
                 assert client.message()[0] == "HTTP/1.1 503 Service Unavailable"
             other = n.connect()
-            other.send(request(rid="other"))
+            other.send(request(rid="other", timeout=LONG_MS))
             assert peer.message()[1]["x-request-id"] == "other"
 
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -16,7 +16,7 @@
 
 from .harness import (
     LIMIT,
-    SETTINGS,
+    LONG_MS,
     Peer,
     Running,
     accept,
@@ -25,6 +25,7 @@
     config,
     listen,
     node,
+    patient_classes,
     request,
     roster,
     started,
@@ -34,16 +35,19 @@
 from .test_reload import replace_config
 
 ADMIN = "127.0.0.1:0"
+# What is held over the start of a second and a third process must not run out meanwhile.
+PATIENT = {"classes": patient_classes()}
 
 
 def environ(tmp_path: Path, backend: socket.socket, discovery: int = 1) -> dict[str, str]:
     known = roster(target("s-1", backend.getsockname()[1]), rev=7)
-    return config(tmp_path, known, discovery, admin=ADMIN)
+    return config(tmp_path, known, discovery, admin=ADMIN, settings=PATIENT)
 
 
 def ask(n: Running, rid: str, path: str = "/balance/7f3a") -> Peer:
     client = n.connect()
-    client.send(request(path, rid=rid, body=b"x" if "credit" in path else None))
+    body = b"x" if "credit" in path else None
+    client.send(request(path, body, rid=rid, timeout=LONG_MS))
     return client
 
 
@@ -267,7 +271,7 @@
     long = b"z" * 2_000_000
     with listen() as backend, started(environ(tmp_path, backend)) as old:
         client = old.connect()
-        whole = request("/credit/1", long, rid="long")
+        whole = request("/credit/1", long, LONG_MS, "long")
         client.send(whole[:300_000])
         peer = accept(backend)
         while len(peer.buffer) < 100_000:
@@ -325,7 +329,7 @@
     with listen() as discovery, listen() as first, listen() as second:
         port = discovery.getsockname()[1]
         rows = [target("s-1", first.getsockname()[1]), target("s-2", second.getsockname()[1])]
-        where = config(tmp_path, roster(*rows, rev=7), port, admin=ADMIN)
+        where = config(tmp_path, roster(*rows, rev=7), port, admin=ADMIN, settings=PATIENT)
         with started(where) as old:
             watch = accept(discovery)
             assert "from=7" in watch.message()[0]
@@ -344,7 +348,7 @@
                 taken.send(answer(json.dumps(change).encode()))
                 assert "from=10" in accept(discovery).message()[0]
                 # The old one heard of it too: what it still takes goes to the other server.
-                kept.send(request(rid="kept"))
+                kept.send(request(rid="kept", timeout=LONG_MS))
                 peer = accept(second)
                 peer.message()
                 peer.send(answer(b"kept"))
@@ -398,15 +402,12 @@
     with listen() as discovery, listen() as first, listen() as second:
         port = discovery.getsockname()[1]
         rows = [target("s-1", first.getsockname()[1]), target("s-2", second.getsockname()[1])]
-        long = {"target": 50_000_000_000, "deadline": 50_000_000_000}
-        classes = [spec | long for spec in SETTINGS["classes"]]
-        known = roster(*rows, rev=7)
-        where = config(tmp_path, known, port, admin=ADMIN, settings={"classes": classes})
+        where = config(tmp_path, roster(*rows, rev=7), port, admin=ADMIN, settings=PATIENT)
         with started(where) as old:
             first_call = accept(discovery)
             first_call.message()
             kept = old.connect()
-            kept.send(request(rid="a", timeout=50_000) + request(rid="b", timeout=50_000))
+            kept.send(request(rid="a", timeout=LONG_MS) + request(rid="b", timeout=LONG_MS))
             before, _ = accept_any(first, second)
             before.message()
             with started(where) as new:
