The module answers before the node's own limit, where a late turn finds both due

Node.tick() took both timers in one turn: the attempt's end was queued for the module, and the request's backstop answered first, so that the module's refusal, and its Retry-After, were never asked for. Outcomes are told before the backstop is used. Test: the process is stopped over both times; 504 without the mend. Ruled out: the policies, whose counts of attempts were right.

--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -6,6 +6,7 @@
 import json
 import signal
 import subprocess
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -173,6 +174,26 @@
             assert client.message()[2] == b"served"
 
 
+@pytest.mark.parametrize("cls", ["balance", "credit"])
+def test_the_module_answers_though_the_node_s_own_limit_is_due_in_the_same_turn(
+    tmp_path: Path, cls: str
+) -> None:
+    """The process stands still until the attempt's end and the request's last limit are past."""
+    with under(tmp_path, POLICIES["once"], ("silent",)) as (n, backend):
+        client = n.connect()
+        body = None if cls == "balance" else b"amount=5"
+        client.send(request(f"/{cls}/7f3a", body, 500, "r1", X_Priority_Class=cls))
+        until(lambda: backend.received["r1"] == 1)
+        n.process.send_signal(signal.SIGSTOP)
+        try:
+            time.sleep(0.7)
+        finally:
+            n.process.send_signal(signal.SIGCONT)
+        line, _, _ = client.message()
+        client.close()
+        assert line.split(" ")[1] in ("502", "503")
+
+
 # ---- second copies over sockets ----------------------------------------
 
 COPY = 'second_copy = { after = "40ms", most = 1.0 }\nattempts = 2'
--- a/windrelay/node.py
+++ b/windrelay/node.py
@@ -236,14 +236,18 @@
 
     def leave(self) -> None:
         """Tell the outcomes that came up meanwhile, then set the timer anew."""
-        outcomes = self.outcomes
-        while outcomes:
-            self.tell(*outcomes.popleft())
+        self.tell_all()
         self.inside = False
         timers = self.timers
         if timers and timers[0][0] < self.armed:
             self.arm(timers[0][0])
 
+    def tell_all(self) -> None:
+        """Tell the Balancer the outcomes so far, and those that come up as it is told."""
+        outcomes = self.outcomes
+        while outcomes:
+            self.tell(*outcomes.popleft())
+
     def request(self, client: Client, incoming: Taken, waited: int) -> Request | None:
         """Take a client's request; None where as many are open as the settings allow.
 
@@ -573,7 +577,10 @@
                 if not item.closed and self.is_due(item, now):
                     self.give_up(item, Outcome.TIMEOUT)
             elif not (item.ended or item.started or item.coming or item.deadline > now):
-                self.overdue(item)
+                # Late, this event ended its last attempt too: what the module says goes first.
+                self.tell_all()
+                if not item.ended:
+                    self.overdue(item)
         self.leave()
 
     def is_due(self, a: Attempt, now: int) -> bool:
