ReleaseAuthority: the leader of a service's home region alone lets nodes release it

Two control machines could let the last two holders of a service go, each by its own hand-over. New beside the world's rule: epochs order the grants, a pause voids what is held for good, a new epoch counts its time anew, and a grant is bounded.

--- a/lab/scale_world.py
+++ b/lab/scale_world.py
@@ -11,7 +11,7 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -41,6 +41,7 @@
     Refused,
     Wait,
 )
+from flinthatch.scale.release import ReleaseAuthority, ReleaseGrant, ReleaseRules
 from flinthatch.scale.replication import Outcome, Replica, Role, Timing
 from lab.links import Links
 from lab.scale_referee import NodeLife, Referee
@@ -56,8 +57,7 @@
 PATIENCE = 3 * SECOND  # a node asks another machine after that
 SOURCE_TURN = 200 * MS  # between two looks of a source
 RETRY = 3 * SECOND  # a change that was not accepted is proposed again
-LET_GO_AFTER = 5 * SECOND  # a leader has heard of all that its predecessors let go
-LET_GO_FOR = 1500 * MS  # a leader's word on who may release counts so long
+GRANT_FOR = 1500 * MS  # a leader's grant of releases counts so long
 SOON = 10 * MS  # between a node's answer and its next question
 
 
@@ -117,14 +117,6 @@
     generation: int
 
 
-@dataclass(frozen=True, slots=True)
-class LetGo:
-    """What a region's leader lets nodes release of the region's services, by node."""
-
-    region: str
-    releasable: Mapping[str, frozenset[str]]
-
-
 @dataclass(slots=True)
 class _Held:
     question: Question
@@ -158,9 +150,10 @@
         self.living = frozenset(spec.name for spec in world.machine_specs)
         self.held: dict[tuple[int, str], _Held] = {}
         self.pinged = 0
-        self.ticked = world.now
-        self.led_since: int | None = None
-        self.let_go: dict[str, tuple[int, LetGo]] = {}  # by region: when it came, and what
+        grant_rules = ReleaseRules(grant_for=GRANT_FOR * size.pace, pause=2 * world.tick)
+        self.releases = ReleaseAuthority(
+            world.now, self.spec, world.machine_specs, world.home, grant_rules
+        )
 
     # ---- events -------------------------------------------------------------
 
@@ -170,11 +163,11 @@
         self.replica.on_message(self.world.now, self.world.machine_specs[sender].name, message)
         self.settle()
 
-    def on_ping(self, sender: int, let_go: LetGo | None) -> None:
+    def on_ping(self, sender: int, grant: ReleaseGrant | None) -> None:
         """Another machine lives; if it leads its region it says who may release what."""
         self.heard[sender] = self.world.now
-        if let_go is not None:
-            self.let_go[let_go.region] = self.world.now, let_go
+        if grant is not None:
+            self.releases.on_grant(self.world.now, self.world.machine_specs[sender].name, grant)
 
     def on_report(self, node: str, serving: frozenset[str], generation: int) -> None:
         """A node lives and says what it serves."""
@@ -193,11 +186,8 @@
         """Time has passed."""
         now = self.world.now
         self.replica.on_tick(now)
-        self.ticked = now
-        if self.replica.role is not Role.LEADER:
-            self.led_since = None
-        elif self.led_since is None:
-            self.led_since = now
+        leads = self.replica.role is Role.LEADER
+        self.releases.on_turn(now, self.replica.epoch if leads else None)
         self._load()
         self.settle()
         self._turn_liveness()
@@ -237,12 +227,12 @@
 
     def _ping(self) -> None:
         self.pinged = self.world.now
-        let_go = self._own_let_go()
-        if let_go is not None:
-            self.let_go[self.spec.region] = self.world.now, let_go
+        names = [spec.name for spec in self.world.node_specs]
+        releasable = {name: self.handover.releasable(name) for name in names}
+        grant = self.releases.grant(self.world.now, releasable)
         for other in range(len(self.world.machine_specs)):
             if other != self.index:
-                self.world.ping(self.index, other, let_go)
+                self.world.ping(self.index, other, grant)
         living = frozenset(
             spec.name
             for other, spec in enumerate(self.world.machine_specs)
@@ -262,26 +252,9 @@
             if held is not None:
                 self._try(held)
 
-    def _own_let_go(self) -> LetGo | None:
-        """One machine a region decides, or two could let both last servers go."""
-        now, region = self.world.now, self.spec.region
-        if self.led_since is None or now - self.led_since < LET_GO_AFTER:
-            return None
-        home = frozenset(self.world.specs_of(region))
-        names = [spec.name for spec in self.world.node_specs]
-        return LetGo(region, {name: self.handover.releasable(name) & home for name in names})
-
     def _told(self, node: int) -> Told:
         name = self.world.node_specs[node].name
-        now = self.world.now
-        words = [
-            word
-            for at, word in self.let_go.values()
-            if now - at < LET_GO_FOR * self.world.size.pace
-        ]
-        if now - self.ticked > 2 * self.world.tick:
-            words = []  # it was stopped, and what it knew is old
-        releasable = frozenset[str]().union(*(word.releasable[name] for word in words))
+        releasable = self.releases.releasable(self.world.now, name)
         return Told(self.handover.wanted(name), releasable)
 
     def _try(self, held: _Held) -> None:
@@ -765,11 +738,11 @@
         self.counts[type(message).__name__] += 1
         self._pass(sender, to, lambda: self._at_machine(to, arrive))
 
-    def ping(self, sender: int, to: int, let_go: LetGo | None) -> None:
+    def ping(self, sender: int, to: int, grant: ReleaseGrant | None) -> None:
         """A machine says that it lives."""
 
         def arrive(machine: Machine) -> None:
-            machine.on_ping(sender, let_go)
+            machine.on_ping(sender, grant)
 
         self._pass(sender, to, lambda: self._at_machine(to, arrive))
 
--- /dev/null
+++ b/tests/test_scale_release.py
@@ -0,0 +1,122 @@
+"""Who may let nodes release services, and how long that counts."""
+
+from __future__ import annotations
+
+import pytest
+
+from flinthatch.model import SECOND
+from flinthatch.scale.model import MachineSpec, ScaleError
+from flinthatch.scale.release import NodeRelease, ReleaseAuthority, ReleaseGrant, ReleaseRules
+
+MACHINES = [MachineSpec(f"{region}-{i}", region, "z") for region in ("east", "west") for i in "ab"]
+HOMES = {"pay": "east", "cart": "east", "far": "west"}
+RULES = ReleaseRules(lead_for=5 * SECOND, grant_for=2 * SECOND, pause=SECOND, most_pairs=3)
+GRANT = ReleaseGrant("east", 4, (NodeRelease("n1", ("pay",)),))
+
+
+def authority(now: int = 0) -> ReleaseAuthority:
+    return ReleaseAuthority(now, MACHINES[0], MACHINES, HOMES, RULES)
+
+
+def leading(since: int, until: int, epoch: int = 4) -> ReleaseAuthority:
+    found = authority(since * SECOND)
+    for second in range(since, until + 1):
+        found.on_turn(second * SECOND, epoch)
+    return found
+
+
+def test_a_leader_grants_after_its_time_what_is_at_home_and_nothing_empty() -> None:
+    views = {"n1": {"pay", "far"}, "n2": {"far"}, "n3": set[str]()}
+    assert leading(0, 4).grant(4 * SECOND, views) is None
+    leader = leading(0, 5)
+    assert leader.grant(5 * SECOND, views) == GRANT
+    assert leader.releasable(5 * SECOND, "n1") == {"pay"}
+
+
+def test_who_does_not_lead_any_more_grants_nothing_and_begins_to_count_anew() -> None:
+    machine = leading(0, 5)
+    machine.on_turn(6 * SECOND, None)
+    assert machine.grant(6 * SECOND, {"n1": {"pay"}}) is None
+    for second in range(7, 12):
+        machine.on_turn(second * SECOND, 6)
+        assert machine.grant(second * SECOND, {"n1": {"pay"}}) is None
+    machine.on_turn(12 * SECOND, 6)
+    assert machine.grant(12 * SECOND, {"n1": {"pay"}}) is not None
+
+
+def test_who_follows_grants_nothing_however_long() -> None:
+    machine = authority()
+    for second in range(60):
+        machine.on_turn(second * SECOND, None)
+        assert machine.grant(second * SECOND, {"n1": {"pay"}}) is None
+
+
+def test_a_new_epoch_without_a_turn_between_counts_anew() -> None:
+    machine = leading(0, 5)
+    machine.on_turn(6 * SECOND, 5)
+    assert machine.grant(6 * SECOND, {"n1": {"pay"}}) is None
+
+
+def test_its_own_view_lets_nobody_release_and_a_grant_does_until_it_ends() -> None:
+    machine = authority()
+    assert machine.grant(0, {"n1": {"pay"}}) is None
+    assert machine.releasable(0, "n1") == frozenset()
+    assert machine.on_grant(0, "east-b", GRANT)
+    machine.on_turn(SECOND, None)
+    assert machine.releasable(2 * SECOND - 1, "n1") == {"pay"}
+    assert machine.all_releasable(2 * SECOND - 1) == {"n1": {"pay"}}
+    assert machine.releasable(SECOND, "n2") == frozenset()
+    assert machine.releasable(2 * SECOND, "n1") == frozenset()
+    assert machine.all_releasable(2 * SECOND) == {}
+
+
+def test_a_pause_voids_what_is_held_for_good_and_a_leaders_time() -> None:
+    machine = authority()
+    machine.on_grant(0, "east-b", GRANT)
+    assert machine.releasable(SECOND + 1, "n1") == frozenset()  # before its first turn
+    machine.on_turn(SECOND + 1, None)
+    assert machine.releasable(SECOND + 1, "n1") == frozenset()  # and after it
+    leader = leading(0, 5)
+    assert leader.grant(6 * SECOND + 1, {"n1": {"pay"}}) is None
+    leader.on_turn(6 * SECOND + 1, 4)
+    assert leader.grant(6 * SECOND + 1, {"n1": {"pay"}}) is None
+
+
+def test_an_older_epoch_never_goes_before_a_newer_one() -> None:
+    machine = authority()
+    assert machine.on_grant(0, "east-b", ReleaseGrant("east", 5, ()))
+    assert not machine.on_grant(0, "east-a", GRANT)
+    machine.on_turn(60 * SECOND, None)  # a pause, and the newer grant has long ended
+    assert not machine.on_grant(60 * SECOND, "east-a", GRANT)
+    assert machine.releasable(60 * SECOND, "n1") == frozenset()
+    assert machine.counts == {"older epoch": 2}
+
+
+@pytest.mark.parametrize(
+    ("sender", "grant", "reason"),
+    [
+        ("nobody", GRANT, "unknown machine"),
+        ("west-a", GRANT, "other region"),
+        ("west-a", ReleaseGrant("west", 9, (NodeRelease("n1", ("pay",)),)), "other region"),
+        ("east-b", ReleaseGrant("east", 9, (NodeRelease("n1", ("pay",) * 4),)), "too many"),
+        ("east-b", ReleaseGrant("east", 9, (NodeRelease("n1", ()),) * 4), "too many"),
+    ],
+)
+def test_what_can_not_be_used_is_counted_and_ignored(
+    sender: str, grant: ReleaseGrant, reason: str
+) -> None:
+    machine = authority()
+    assert not machine.on_grant(0, sender, grant)
+    assert machine.releasable(0, "n1") == frozenset() and machine.counts == {reason: 1}
+
+
+def test_a_grant_is_bounded() -> None:
+    views = {"n1": {"pay", "cart"}, "n2": {"pay", "cart"}, "n3": {"pay"}}
+    grant = leading(0, 5).grant(5 * SECOND, views)
+    assert grant is not None
+    assert grant.releases == (NodeRelease("n1", ("cart", "pay")), NodeRelease("n2", ("cart",)))
+
+
+def test_rules_that_can_not_be_kept_are_refused() -> None:
+    with pytest.raises(ScaleError, match="must be over 0"):
+        ReleaseRules(grant_for=0)
