Control processes: nodes are told to release only what the region's leader grants

Nodes.orders used each machine's own hand-over, so that two machines could let the last two holders of a service go. Now the leader sends a ReleaseGrant to all machines once a second, and orders come from the grants that count; who waits is told when they come and when they end. A grant of another region or over the bound is counted (ignored_grants in /status) and ignored.

Over sockets: the machines that do not lead let nobody release, and do when their leader says so. Each of five lines of windrelay/scale taken out alone: the tests fail.

--- a/tests/test_scale_machine.py
+++ b/tests/test_scale_machine.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 from collections.abc import Iterator
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -16,6 +17,7 @@
 from benchmarks.scale.fleet import call
 from flinthatch.scale.holder import Holder, HolderLimits, Taken
 from flinthatch.scale.model import Change, Delta, Position, Update
+from flinthatch.scale.release import NodeRelease, ReleaseGrant
 from windrelay.config import Address
 from windrelay.scale import machine
 from windrelay.scale.file import MOST_NAME, read_scale
@@ -347,3 +349,43 @@
     assert region.do(lambda: subscriber.counts.events["silent"]) == 1
     region.do(subscriber.close)
     mute.close()
+
+
+def test_nodes_release_only_what_the_leader_of_the_region_grants(
+    region: Machines, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    leader = region.leader()
+    others = [name for name in NAMES if name != leader]
+
+    def view(name: str, *services: str) -> None:
+        """This machine's own hand-over lets n1 release these."""
+        handover = region.machines[name].nodes.handover
+        views = {"n1": frozenset(services)}
+        monkeypatch.setattr(handover, "releasable", lambda node: views.get(node, frozenset()))
+
+    def turn(name: str) -> None:
+        region.do(region.machines[name]._turn)
+
+    def told() -> list[list[str]]:
+        answers = [region.ask(name, "node=n1&region=east&from=0&redirected=1") for name in NAMES]
+        return [json.loads(body)["releasable"] for _, body in answers]
+
+    for name in NAMES:
+        releases = region.machines[name].releases
+        monkeypatch.setattr(releases, "rules", replace(releases.rules, lead_for=1))
+        view(name, *(("pay",) if name in others else ()))
+    for _ in range(2):
+        for name in NAMES:
+            turn(name)
+    assert told() == [[], [], []]
+    view(leader, "cart")
+    for name in others:
+        view(name)
+    turn(leader)
+    until(lambda: told() == [["cart"]] * 3)
+    stranger = ReleaseGrant("west", 1 << 20, (NodeRelease("n1", ("pay",)),))
+    region.do(lambda: region.machines[leader].streams.send(others[0], stranger))
+    until(lambda: region.status(others[0])["counts"]["ignored_grants"].get("other region", 0) == 1)
+    view(leader)
+    turn(leader)
+    until(lambda: told() == [[], [], []])
--- a/tests/test_scale_parts.py
+++ b/tests/test_scale_parts.py
@@ -11,13 +11,14 @@
 from flinthatch.scale.messages import Append, Fetch
 from flinthatch.scale.model import Change, Delta, Position, Row, ScaleError, Snapshot, Update
 from flinthatch.scale.presence import Presence, PresenceUpdate
+from flinthatch.scale.release import NodeRelease, ReleaseAuthority, ReleaseGrant
 from windrelay.scale import listform
 from windrelay.scale.backends import read_backends
 from windrelay.scale.codec import BadMessage
 from windrelay.scale.file import read_scale
 from windrelay.scale.listform import ListFormError, Orders, decode, encode
 from windrelay.scale.messages import NodeReport, Reports, codec
-from windrelay.scale.nodes import Nodes
+from windrelay.scale.nodes import RELEASE_RULES, Nodes
 from windrelay.scale.version import version_of
 
 from .scalemachines import write_file
@@ -83,6 +84,7 @@
         Fetch("west", AT, 1, image=LATER),
         PresenceUpdate(1, False, ("n1",), ("n2",)),
         Reports((NodeReport("n1", ("cart", "pay")),)),
+        ReleaseGrant("east", 3, (NodeRelease("n1", ("cart", "pay")),)),
     ):
         assert form.decode(form.encode(message)) == message
 
@@ -137,6 +139,22 @@
     assert nodes.liveness.alive == set(), "one that never was"
 
 
+def test_waiting_nodes_are_told_when_a_grant_comes_and_when_it_ends(tmp_path: Path) -> None:
+    file = read_scale(str(write_file(tmp_path)))
+    specs = [one.spec for one in file.machines]
+    releases = ReleaseAuthority(0, specs[0], specs, {"cart": "east"}, RELEASE_RULES)
+    nodes = Nodes(file, 0, releases)
+    nodes.changed = False
+    grant = ReleaseGrant("east", 1, (NodeRelease("n1", ("cart",)),))
+    assert releases.on_grant(0, "east-b", grant)
+    changed = []
+    for second in range(1, 5):
+        assert nodes.turn_releases(second * SECOND, None) is None
+        changed.append(nodes.changed)
+        nodes.changed = False
+    assert changed == [True, False, True, False]
+
+
 def test_the_source_of_a_lost_log_names_its_bad_line(tmp_path: Path) -> None:
     path = tmp_path / "backends.jsonl"
     good = {"service": "cart", "targets": [{"uid": "a", "state": "leaving"}]}
--- a/windrelay/scale/machine.py
+++ b/windrelay/scale/machine.py
@@ -22,14 +22,15 @@
 from flinthatch.scale.model import ScaleError
 from flinthatch.scale.presence import PresenceUpdate
 from flinthatch.scale.publisher import Limits, Publisher
-from flinthatch.scale.replication import Replica, Timing
+from flinthatch.scale.release import ReleaseAuthority, ReleaseGrant
+from flinthatch.scale.replication import Replica, Role, Timing
 from windrelay.scale.backends import read_backends
 from windrelay.scale.bound import BoundList
 from windrelay.scale.calls import Call, Calls, Reply
 from windrelay.scale.changes import Changes
 from windrelay.scale.file import Machine, ScaleFile, ScaleFileError, read_scale
 from windrelay.scale.messages import PresenceWanted, Reports, codec
-from windrelay.scale.nodes import Nodes
+from windrelay.scale.nodes import RELEASE_RULES, Nodes
 from windrelay.scale.questions import Questions, Subscription
 from windrelay.scale.stream import Hello, Streams
 from windrelay.scale.version import position_of, version_of
@@ -67,7 +68,9 @@
         )
         self.publisher = Publisher(machine.spec, specs, self.logs, limits)
         self.publisher.on_nodes({node.name: node.region for node in file.nodes})
-        self.nodes = Nodes(file, now)
+        homes = {service.name: service.region for service in file.services}
+        self.releases = ReleaseAuthority(now, machine.spec, specs, homes, RELEASE_RULES)
+        self.nodes = Nodes(file, now, self.releases)
         self.questions = Questions(
             self.nodes,
             self.publisher,
@@ -148,6 +151,10 @@
             self._living = living
             self._log(f"control machines heard: {', '.join(sorted(living))}")
             self.questions.answer_keys(self.publisher.on_living(living))
+        leads = self.replica.role is Role.LEADER
+        grant = self.nodes.turn_releases(now, self.replica.epoch if leads else None)
+        if grant is not None:
+            self.streams.send_all(grant)
         if self.nodes.changed:
             self.nodes.changed = False
             self.questions.tell_orders()
@@ -189,6 +196,8 @@
             self._up(sender)
         elif isinstance(message, Reports):
             self.nodes.on_reports(message.reports)
+        elif isinstance(message, ReleaseGrant):
+            self.releases.on_grant(now, sender, message)
         else:
             self._replicate(now, sender, message)
 
@@ -287,6 +296,7 @@
                 "replica": dict(self.replica.counts),
                 "streams": dict(self.streams.counts),
                 "machine": dict(self.counts),
+                "ignored_grants": dict(self.releases.counts),
             },
         }  # fmt: skip
 
--- a/windrelay/scale/messages.py
+++ b/windrelay/scale/messages.py
@@ -7,6 +7,7 @@
 
 from flinthatch.scale.messages import Message
 from flinthatch.scale.presence import PresenceUpdate
+from flinthatch.scale.release import ReleaseGrant
 from windrelay.scale.codec import Codec
 from windrelay.scale.stream import Hello
 
@@ -32,7 +33,7 @@
 
 
 KINDS: tuple[type, ...] = (
-    Hello, PresenceUpdate, PresenceWanted, Reports, *typing.get_args(Message),
+    Hello, PresenceUpdate, PresenceWanted, Reports, *typing.get_args(Message), ReleaseGrant,
 )  # fmt: skip
 
 
--- a/windrelay/scale/nodes.py
+++ b/windrelay/scale/nodes.py
@@ -5,13 +5,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 
-from flinthatch.model import SECOND
+from flinthatch.model import MS, SECOND
 from flinthatch.scale.assignment import Assigner
 from flinthatch.scale.handover import Handover
 from flinthatch.scale.liveness import Liveness, LivenessRules
 from flinthatch.scale.presence import Presence, PresenceUpdate
+from flinthatch.scale.release import ReleaseAuthority, ReleaseGrant, ReleaseRules
 from windrelay.scale.file import ScaleFile
 from windrelay.scale.listform import Orders
 from windrelay.scale.messages import NodeReport, Reports
@@ -20,15 +21,19 @@
 START = 30 * SECOND  # after this machine's own, in which nodes may ask for the first time
 SILENCE = 10 * SECOND  # nodes of a lost machine find another within this
 REPORTS_A_MESSAGE = 512
+# Turns and grants come once a second: one may be late or lost.
+RELEASE_RULES = ReleaseRules(grant_for=2500 * MS, pause=2500 * MS)
 
 
 class Nodes:
     """All registered nodes, as one control machine sees them."""
 
-    def __init__(self, file: ScaleFile, now: int) -> None:
+    def __init__(self, file: ScaleFile, now: int, releases: ReleaseAuthority | None = None) -> None:
         self.regions = {service.name: service.region for service in file.services}
         self.assigner = Assigner(file.nodes, file.services, file.rules)
         self.handover = Handover(file.nodes)
+        self.releases = releases  # None: nobody may release anything
+        self._released: Mapping[str, frozenset[str]] = {}  # as of the last turn, by node
         self.presence = Presence(node.name for node in file.nodes)
         names = [node.name for node in file.nodes]
         self.liveness = Liveness(now, names, LivenessRules(silence=SILENCE))
@@ -54,14 +59,15 @@
         wanted = self.handover.wanted(node)
         return frozenset([name for name in wanted if self.regions[name] == region])
 
-    def orders(self, node: str) -> Orders:
+    def orders(self, now: int, node: str) -> Orders:
         """What it is to hold and may release."""
         wanted = {name: self.regions[name] for name in self.handover.wanted(node)}
-        return Orders(wanted, self.handover.releasable(node), self.handover.generation)
+        releasable = self.releases.releasable(now, node) if self.releases else frozenset[str]()
+        return Orders(wanted, releasable, self.handover.generation)
 
-    def fresh_orders(self, node: str, region: str, anew: bool = False) -> Orders | None:
+    def fresh_orders(self, now: int, node: str, region: str, anew: bool = False) -> Orders | None:
         """Its orders where they differ from what it was told; `anew`: whatever it was told."""
-        orders = self.orders(node)
+        orders = self.orders(now, node)
         told = self._told.get((node, region))
         if not anew and told is not None and _same(told, orders):
             return None
@@ -116,6 +122,20 @@
         """Who asks at another machine; False where the whole is needed."""
         return self.presence.on_update(now, machine, update)
 
+    # ---- releases ----------------------------------------------------------
+
+    def turn_releases(self, now: int, epoch: int | None) -> ReleaseGrant | None:
+        """Once a second: the grant to send where this machine leads its region, in `epoch`."""
+        if self.releases is None:
+            return None
+        self.releases.on_turn(now, epoch)
+        views = {node: self.handover.releasable(node) for node in self.assigner.nodes}
+        grant = self.releases.grant(now, views)
+        released = self.releases.all_releasable(now)
+        self.changed = self.changed or released != self._released
+        self._released = released
+        return grant
+
     # ---- time ------------------------------------------------------------
 
     def on_time(self, now: int) -> bool:
--- a/windrelay/scale/questions.py
+++ b/windrelay/scale/questions.py
@@ -113,7 +113,7 @@
         """Answer the waiting nodes whose orders have changed."""
         now = time.monotonic_ns()
         for watcher, question in [*self._waiting.items()]:
-            if self._nodes.fresh_orders(question.node, question.region) is not None:
+            if self._nodes.fresh_orders(now, question.node, question.region) is not None:
                 self._again(now, watcher)
 
     def waiting(self) -> int:
@@ -167,7 +167,7 @@
         if isinstance(found, publisher.Elsewhere):
             self._send_on(now, watcher, question, found.machine)
         elif isinstance(found, publisher.Now):
-            orders = self._nodes.fresh_orders(node, region, anew)
+            orders = self._nodes.fresh_orders(now, node, region, anew)
             self._reply(now, watcher, question, listform.encode(found.update, orders), orders)
         else:
             self._put_off(now, watcher, question, found, anew)
@@ -181,7 +181,7 @@
         anew: bool,
     ) -> None:
         """There is nothing to send yet: orders alone, or a pause, or a wait."""
-        orders = self._nodes.fresh_orders(question.node, question.region, anew)
+        orders = self._nodes.fresh_orders(now, question.node, question.region, anew)
         if isinstance(found, publisher.Later):
             pause = max(found.pause // MS, 1)
             body = listform.nothing(question.position, pause_ms=pause)
