Substitutes in a partly lost zone without a walk of the zone for each service

Cause: with most of a zone dead or full, the probes of a service find no node with room, and the rest of its order, 1,950 nodes, was hashed, sorted and walked for each of some 4,400 services: 8.2 million ranks and 1.3 million refused takes at 1,650 dead.

Change: past the probes, only living nodes that can still take the service's rate are ranked; they are kept sorted by what they can take. Where no more are left than are asked for, there is neither probe nor rank. The holders, their digest and what is unmet are the same as before.

--- a/flinthatch/scale/assignment.py
+++ b/flinthatch/scale/assignment.py
@@ -33,6 +33,7 @@
 
 from flinthatch.scale.checks import check_nodes, check_services
 from flinthatch.scale.model import NodeSpec, ScaleError, ServiceSpec
+from flinthatch.scale.substitutes import Substitutes
 from flinthatch.scale.zones import Loads, Zone, hash64, zones_of
 
 
@@ -203,8 +204,9 @@
         self._lost = {
             zone.name for zone in assigner._zones.values() if dead_of[zone.name] == len(zone.nodes)
         }
-        self._loads = {
-            name: Loads(assigner._zones[name], load) for name, load in assigner._loads.items()
+        self._substitutes = {
+            name: Substitutes(zone, Loads(zone, assigner._loads[name]), living)
+            for name, zone in assigner._zones.items()
         }
 
     def run(self) -> Assignment:
@@ -244,16 +246,9 @@
         if not missing or nobody_else or zone in self._lost:
             return tuple(kept)
         rate = self._of._shares[service].rate[zone]
-        kept += self._substitutes(service, zone, missing, rate, frozenset(before))
+        kept += self._substitutes[zone].choose(service, missing, rate, frozenset(before))
         return tuple(sorted(kept))
 
-    def _substitutes(
-        self, service: str, zone: str, count: int, rate: float, before: Collection[str]
-    ) -> list[str]:
-        order = self._of._zones[zone].order(service)
-        others = (name for name in order if name in self._living and name not in before)
-        return _choose(others, count, rate, self._loads[zone])
-
     def _asked(self, service: str, before: Collection[str]) -> int:
         """How many holders of a zone are a fault to be without: one that all nodes hold has none
         to put in a dead one's place."""
@@ -274,7 +269,7 @@
         count = ceil(sum(share.holders.values()) / max(len(zones), 1))
         rate = max(share.rate.values())
         return {
-            zone.name: tuple(sorted(self._substitutes(service, zone.name, count, rate, ())))
+            zone.name: tuple(sorted(self._substitutes[zone.name].choose(service, count, rate, ())))
             for zone in zones
         }
 
--- /dev/null
+++ b/flinthatch/scale/substitutes.py
@@ -0,0 +1,111 @@
+"""Substitutes of lost nodes in one zone: the first living nodes of a service's order with room.
+
+A walk of the whole order costs the zone's size for each service once most of its nodes are dead or
+full. So the walk ends after the probes (see `zones.Zone.probed`): what is left of the order is
+ranked for those nodes only that can still take the service's rate, and these are kept sorted by
+what they can take. The nodes that are chosen are the same as by a walk of the whole order.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left, insort
+from collections.abc import Collection, Iterable
+
+from flinthatch.scale.zones import Loads, Zone
+
+ROUNDING = 1e-9  # of the zone's largest rate: more than sums of its rates can be off by rounding
+
+
+class Substitutes:
+    """Chooses living nodes of one zone, and counts in `loads` what they take."""
+
+    def __init__(self, zone: Zone, loads: Loads, living: Collection[str]) -> None:
+        self._zone = zone
+        self._loads = loads
+        self._living = living
+        self._open: _OpenNodes | None = None  # made when the probes first don't suffice
+
+    def choose(self, service: str, count: int, rate: float, without: Collection[str]) -> list[str]:
+        """The first `count` living nodes of the service's order that have room for `rate`.
+
+        Fewer where no more have room. `rate` is in requests a second; `without` are the nodes
+        that hold the service already, or did before they died.
+        """
+        if self._open is not None and self._open.count_able(rate) <= count:
+            able = [name for name in self._open.able(rate) if name not in without]
+            return self._take_first(able, count, rate)  # all of them: their order tells nothing
+        tried = set(without)
+        chosen = self._probe(service, count, rate, tried)
+        if len(chosen) < count:
+            chosen += self._rank(service, count - len(chosen), rate, tried)
+        return chosen
+
+    def _probe(self, service: str, count: int, rate: float, tried: set[str]) -> list[str]:
+        """Choose among the probed nodes; `tried` grows by the nodes that were looked at."""
+        chosen: list[str] = []
+        for name in self._zone.probed(service):
+            if len(chosen) == count:
+                break
+            if name in self._living and name not in tried:
+                tried.add(name)
+                if self._take(name, rate):
+                    chosen.append(name)
+        return chosen
+
+    def _rank(self, service: str, count: int, rate: float, tried: Collection[str]) -> list[str]:
+        """Choose among the nodes that have not been tried, in the order of their ranks."""
+        if self._open is None:
+            self._open = _OpenNodes(self._zone, self._loads, self._living)
+        able = [name for name in self._open.able(rate) if name not in tried]
+        return self._take_first(self._zone.ranked(service, able), count, rate)
+
+    def _take_first(self, names: Iterable[str], count: int, rate: float) -> list[str]:
+        chosen: list[str] = []
+        for name in names:
+            if len(chosen) == count:
+                break
+            if self._take(name, rate):
+                chosen.append(name)
+        return chosen
+
+    def _take(self, name: str, rate: float) -> bool:
+        taken = self._loads.take(name, rate)
+        if taken and self._open is not None:
+            self._open.update(name)
+        return taken
+
+
+class _OpenNodes:
+    """The living nodes of a zone that may hold one more service, sorted by the rate they can take.
+
+    What a node can take is rounded, so `able` may name a node too many by a hair: `Loads.take`
+    decides.
+    """
+
+    def __init__(self, zone: Zone, loads: Loads, living: Collection[str]) -> None:
+        self._loads = loads
+        self._rounding = ROUNDING * max(zone.rates.values())
+        self._room = {
+            node.name: loads.free_rate(node.name)
+            for node in zone.nodes
+            if node.name in living and loads.has_slot(node.name)
+        }
+        self._sorted = sorted((room, name) for name, room in self._room.items())
+
+    def able(self, rate: float) -> list[str]:
+        """The nodes that can take this many requests a second more."""
+        return [name for _, name in self._sorted[self._first_able(rate) :]]
+
+    def count_able(self, rate: float) -> int:
+        """How many nodes `able` names, at less cost."""
+        return len(self._sorted) - self._first_able(rate)
+
+    def update(self, name: str) -> None:
+        """The node, which was open, has taken a service."""
+        del self._sorted[bisect_left(self._sorted, (self._room.pop(name), name))]
+        if self._loads.has_slot(name):
+            self._room[name] = self._loads.free_rate(name)
+            insort(self._sorted, (self._room[name], name))
+
+    def _first_able(self, rate: float) -> int:
+        return bisect_left(self._sorted, (rate - self._rounding, ""))
--- a/flinthatch/scale/zones.py
+++ b/flinthatch/scale/zones.py
@@ -39,21 +39,27 @@
     def order(self, service: str) -> Iterator[str]:
         """Each node of the zone once, in this service's own order."""
         seen: set[str] = set()
-        for owner in self._probed(service):
+        for owner in self.probed(service):
             if owner not in seen:
                 seen.add(owner)
                 yield owner
-        mark = hash64(f"rank\0{self.name}\0{service}")
-        rest = self.marks.keys() - seen
-        yield from sorted(rest, key=lambda name: (_mix(mark ^ self.marks[name]), name))
+        yield from self.ranked(service, self.marks.keys() - seen)
+
+    def probed(self, service: str) -> Iterator[str]:
+        """The first nodes of the order: those whose points follow the service's probes.
 
-    def _probed(self, service: str) -> Iterator[str]:
-        """The nodes whose points follow the service's probes on the ring."""
+        A node that several probes find comes as many times.
+        """
         for number in range(PROBE_HASHES):
             for probe in _points(f"probe\0{number}\0{self.name}\0{service}"):
                 place = bisect_left(self._points, probe)
                 yield self._owners[place % len(self._owners)]
 
+    def ranked(self, service: str, names: Iterable[str]) -> list[str]:
+        """These nodes, which the probes don't reach, in their places of the order."""
+        mark = hash64(f"rank\0{self.name}\0{service}")
+        return sorted(names, key=lambda name: (_mix(mark ^ self.marks[name]), name))
+
 
 class Loads:
     """What the nodes of one zone hold, and how much more they may.
@@ -97,6 +103,16 @@
         self._rates[name] = rates + rate
         return True
 
+    def has_slot(self, name: str) -> bool:
+        """Whether the node may hold one more service, by their number."""
+        services, _ = self._load(name)
+        return services < self._most[name]
+
+    def free_rate(self, name: str) -> float:
+        """How many requests a second the node may take beside what it has, but for rounding."""
+        _, rates = self._load(name)
+        return self._zone.rates[name] - rates
+
     def _load(self, name: str) -> tuple[int, float]:
         if name in self._services:
             return self._services[name], self._rates[name]
--- a/tests/test_scale_assignment.py
+++ b/tests/test_scale_assignment.py
@@ -17,6 +17,7 @@
 from hypothesis import strategies as st
 
 from benchmarks.assignment import ZONES, make_nodes, make_services
+from flinthatch.scale import zones as scale_zones
 from flinthatch.scale.assignment import (
     Assigner,
     Assignment,
@@ -27,6 +28,7 @@
 )
 from flinthatch.scale.checks import check_machine_known, check_machines
 from flinthatch.scale.model import MachineSpec, NodeSpec, ScaleError, ServiceSpec
+from flinthatch.scale.substitutes import Substitutes, _OpenNodes
 
 RULES = AssignmentRules()
 
@@ -54,6 +56,9 @@
     assert sum(map(len, assignment.holders.values())) == len(holders)
 
 
+DIGEST_OF_1650_DEAD = "76c2f3f4f412f85db9954df91d269321"  # what a walk of whole orders gives too
+MOST_LOOKED_AT = 200_000  # nodes, in an assignment; 4,500 whole orders of a zone have 8.8 million
+
 FULL_NODES = make_nodes(1950)
 FULL_SERVICES = make_services(4500, 850_000)
 
@@ -116,6 +121,107 @@
     assert again.digest == before.digest
 
 
+def partly_lost(dead: int) -> frozenset[str]:
+    """The nodes that live while this many of one zone's 1,950 are dead."""
+    return names(FULL_NODES) - {f"east-1-{number:04}" for number in range(dead)}
+
+
+class CountingNodes(frozenset[str]):
+    """Living nodes that count how often one of them is looked up."""
+
+    lookups = 0
+
+    def __contains__(self, name: object) -> bool:
+        self.lookups += 1
+        return super().__contains__(name)
+
+
+@pytest.mark.parametrize("dead", [10, 40, 400, 1000, 1300, 1650, 1900, 1950])
+def test_a_partly_lost_zone_costs_no_walk_of_the_zone_for_each_service(
+    dead: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    counts = Counter[str]()
+    rank, able = scale_zones._mix, _OpenNodes.able
+
+    def counted_rank(value: int) -> int:
+        counts["ranked"] += 1
+        return rank(value)
+
+    def counted_able(nodes: _OpenNodes, rate: float) -> list[str]:
+        found = able(nodes, rate)
+        counts["listed"] += len(found)
+        return found
+
+    full()
+    monkeypatch.setattr(scale_zones, "_mix", counted_rank)
+    monkeypatch.setattr(_OpenNodes, "able", counted_able)
+    living = CountingNodes(partly_lost(dead))
+    full().with_alive(living)
+    assert living.lookups + counts.total() < MOST_LOOKED_AT, (living.lookups, counts)
+
+
+def test_a_partly_lost_zone_uses_its_living_nodes_to_their_bounds_and_states_the_rest() -> None:
+    after = full().with_alive(partly_lost(1650))
+    assert_consistent(after)
+    assert after.digest == DIGEST_OF_1650_DEAD
+    before = full_assignment()
+    load: defaultdict[str, float] = defaultdict(float)
+    short = set()
+    for spec in FULL_SERVICES:
+        assert [node for node in after.holders[spec.name] if not node.startswith("east-1")] == [
+            node for node in before.holders[spec.name] if not node.startswith("east-1")
+        ]
+        wanted = sum(node.startswith("east-1") for node in before.holders[spec.name])
+        living = [node for node in after.holders[spec.name] if node.startswith("east-1")]
+        if len(living) < wanted:
+            short.add((spec.name, Rule.LEAST if len(living) < RULES.least_per_zone else Rule.ROOM))
+        for node in living:
+            load[node] += spec.rate / 3 / wanted
+    stated = {(one.service, one.rule) for one in after.unmet if one.zone == "east-1"}
+    assert stated == short
+    assert max(load.values()) <= RULES.node_rate * (1 + 1e-9)
+    assert sum(load.values()) > 0.999 * 300 * RULES.node_rate
+    assert max(map(len, after.held.values())) <= FULL_NODES[0].capacity
+    assert full().with_alive(names(FULL_NODES)) == before
+
+
+def walked(
+    search: Substitutes, service: str, count: int, rate: float, without: Collection[str]
+) -> list[str]:
+    """The definition of `Substitutes.choose`: a walk of the service's whole order."""
+    chosen: list[str] = []
+    for name in search._zone.order(service):
+        able = name in search._living and name not in without
+        if len(chosen) < count and able and search._loads.take(name, rate):
+            chosen.append(name)
+    return chosen
+
+
+ONE_ZONE_NODES = [
+    NodeSpec(f"node-{number:03}", "east", "east-1", 6 + number % 7, rate=100.0 + number % 5 * 90)
+    for number in range(300)
+]
+ONE_ZONE_SERVICES = [
+    replace(spec, region="east", zones=("east-1",)) for spec in make_services(250, 9000, 0.8)
+]
+
+
+@cache
+def one_zone() -> Assigner:
+    return Assigner(ONE_ZONE_NODES, ONE_ZONE_SERVICES, RULES)
+
+
+@pytest.mark.parametrize("living", [1, 2, 5, 15, 25, 40, 60, 90, 200])
+def test_substitutes_are_those_of_a_walk_of_the_whole_order(
+    living: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    random = Random(living)
+    sets = [frozenset(random.sample(sorted(names(ONE_ZONE_NODES)), living)) for _ in range(2)]
+    got = [one_zone().with_alive(alive) for alive in sets]
+    monkeypatch.setattr(Substitutes, "choose", walked)
+    assert got == [one_zone().with_alive(alive) for alive in sets]
+
+
 def test_one_more_node_or_service_moves_little() -> None:
     nodes, services = make_nodes(500), make_services(1150, 218_000)
     before = assign(nodes, names(nodes), services, RULES)
