Assignment benchmark: rows of a partly lost zone; one walk to the first nodes with room

Change: partly_lost, and a hand-over with most of a zone dead. The walk that takes the first nodes with room is Loads.take_first, used by the deal and by substitutes (there were two copies).

--- a/benchmarks/assignment.py
+++ b/benchmarks/assignment.py
@@ -28,6 +28,8 @@
 BACKENDS = 120_000
 CAPACITY = 64
 SEED = 1
+PARTLY_LOST = (10, 40, 400, 1000, 1300, 1500, 1650, 1900, 1950)  # dead nodes, of a zone of 1,950
+PARTLY_LOST_RUNS = 5
 T = TypeVar("T")
 
 
@@ -120,6 +122,25 @@
     return result
 
 
+def partly_lost(assigner: Assigner, a_zone: int) -> dict[str, Any]:
+    """The time of one assignment while this many nodes of a zone are dead."""
+    alive = frozenset(assigner.nodes)
+    result: dict[str, Any] = {}
+    for share in PARTLY_LOST:
+        dead = round(share * a_zone / 1950)
+        living = alive - {f"east-1-{n:04}" for n in range(dead)}
+        found = [
+            timed(lambda living=living: assigner.with_alive(living))  # type: ignore[misc]
+            for _ in range(PARTLY_LOST_RUNS)
+        ]
+        result[f"{dead} dead"] = {
+            "ms": median(ms for ms, _ in found),
+            "ms_most": max(ms for ms, _ in found),
+            "unmet": len(found[0][1].unmet),
+        }
+    return result
+
+
 def next_loss(assigner: Assigner, a_zone: int, runs: int) -> dict[str, int]:
     """With half a zone dead, one more: services moved that it did not hold."""
     random = Random(SEED)
@@ -158,7 +179,8 @@
     result: dict[str, Any] = {}
     rack = {f"east-1-{n:04}" for n in range(min(40, a_zone // 2))}
     zone = {f"east-1-{n:04}" for n in range(a_zone)}
-    for name, dead in (("rack of 40", rack), ("zone", zone)):
+    most = {f"east-1-{n:04}" for n in range(round(1650 * a_zone / 1950))}
+    for name, dead in (("rack of 40", rack), ("most of a zone", most), ("zone", zone)):
         whole, without = assigner.with_alive(alive), assigner.with_alive(alive - dead)
         handover = Handover(assigner.nodes.values())
 
@@ -205,6 +227,7 @@
         "assignment_bytes": kept_bytes(lambda: assigner.with_alive(alive - {nodes[0].name})),
         "spread": spread_of(before),
         "lost": losses(assigner, before, a_zone, runs),
+        "partly_lost": partly_lost(assigner, a_zone),
         "one_more_lost": next_loss(assigner, a_zone, min(runs, 50)),
         "changed": changes(assigner, before),
         "hand_over": hand_over(assigner, a_zone),
--- a/flinthatch/scale/assignment.py
+++ b/flinthatch/scale/assignment.py
@@ -173,9 +173,8 @@
         unmet = list(share.unmet)
         dealt: dict[str, tuple[str, ...]] = {}
         for zone, wanted in share.holders.items():
-            chosen = _choose(
-                self._zones[zone].order(service), wanted, share.rate[zone], self._loads[zone]
-            )
+            order = self._zones[zone].order(service)
+            chosen = self._loads[zone].take_first(order, wanted, share.rate[zone])
             dealt[zone] = tuple(sorted(chosen))
             if len(chosen) < wanted:
                 rule = Rule.LEAST if len(chosen) < self.rules.least_per_zone else Rule.RATE
@@ -319,17 +318,6 @@
     return _Share(holders, rate, tuple(unmet))
 
 
-def _choose(order: Iterable[str], count: int, rate: float, load: Loads) -> list[str]:
-    """The first `count` nodes that have room, each of which takes its share."""
-    chosen: list[str] = []
-    for name in order:
-        if len(chosen) == count:
-            break
-        if load.take(name, rate):
-            chosen.append(name)
-    return chosen
-
-
 def _deal_order(spec: ServiceSpec, everywhere: Collection[str]) -> tuple[bool, int, int, str]:
     """The services that all nodes hold, then large ones, as they are the hardest to place; by
     powers of two, so that a small change of a rate leaves the order as it was."""
--- a/flinthatch/scale/substitutes.py
+++ b/flinthatch/scale/substitutes.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left, insort
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Iterator
 
 from flinthatch.scale.zones import Loads, Zone
 
@@ -33,46 +33,34 @@
         """
         if self._open is not None and self._open.count_able(rate) <= count:
             able = [name for name in self._open.able(rate) if name not in without]
-            return self._take_first(able, count, rate)  # all of them: their order tells nothing
+            return self._take(able, count, rate)  # all of them: their order tells nothing
         tried = set(without)
-        chosen = self._probe(service, count, rate, tried)
+        chosen = self._take(self._probed(service, tried), count, rate)
         if len(chosen) < count:
-            chosen += self._rank(service, count - len(chosen), rate, tried)
+            ranked = self._ranked(service, rate, tried)
+            chosen += self._take(ranked, count - len(chosen), rate)
         return chosen
 
-    def _probe(self, service: str, count: int, rate: float, tried: set[str]) -> list[str]:
-        """Choose among the probed nodes; `tried` grows by the nodes that were looked at."""
-        chosen: list[str] = []
+    def _probed(self, service: str, tried: set[str]) -> Iterator[str]:
+        """The living nodes among the probed; `tried` grows by those that were looked at."""
         for name in self._zone.probed(service):
-            if len(chosen) == count:
-                break
             if name in self._living and name not in tried:
                 tried.add(name)
-                if self._take(name, rate):
-                    chosen.append(name)
-        return chosen
+                yield name
 
-    def _rank(self, service: str, count: int, rate: float, tried: Collection[str]) -> list[str]:
-        """Choose among the nodes that have not been tried, in the order of their ranks."""
+    def _ranked(self, service: str, rate: float, tried: Collection[str]) -> list[str]:
+        """The living nodes after the probed ones, but for those without room."""
         if self._open is None:
             self._open = _OpenNodes(self._zone, self._loads, self._living)
         able = [name for name in self._open.able(rate) if name not in tried]
-        return self._take_first(self._zone.ranked(service, able), count, rate)
-
-    def _take_first(self, names: Iterable[str], count: int, rate: float) -> list[str]:
-        chosen: list[str] = []
-        for name in names:
-            if len(chosen) == count:
-                break
-            if self._take(name, rate):
-                chosen.append(name)
-        return chosen
+        return self._zone.ranked(service, able)
 
-    def _take(self, name: str, rate: float) -> bool:
-        taken = self._loads.take(name, rate)
-        if taken and self._open is not None:
-            self._open.update(name)
-        return taken
+    def _take(self, names: Iterable[str], count: int, rate: float) -> list[str]:
+        chosen = self._loads.take_first(names, count, rate)
+        if self._open is not None:
+            for name in chosen:
+                self._open.update(name)
+        return chosen
 
 
 class _OpenNodes:
--- a/flinthatch/scale/zones.py
+++ b/flinthatch/scale/zones.py
@@ -5,6 +5,7 @@
 from bisect import bisect_left
 from collections.abc import Iterable, Iterator, Sequence
 from hashlib import blake2b
+from itertools import islice
 from struct import Struct
 
 from flinthatch.scale.model import NodeSpec
@@ -103,6 +104,13 @@
         self._rates[name] = rates + rate
         return True
 
+    def take_first(self, order: Iterable[str], count: int, rate: float) -> list[str]:
+        """Give one service to the first `count` nodes that have room, and name them.
+
+        The order is read no further than that.
+        """
+        return list(islice((name for name in order if self.take(name, rate)), count))
+
     def has_slot(self, name: str) -> bool:
         """Whether the node may hold one more service, by their number."""
         services, _ = self._load(name)
