Log bytes that a backend sends although no request has asked for them

Callers got foreign answers; neither log nor metric told whether a backend had sent more than its responses, or whether the node had mixed them up itself. Change: a connection that is closed because of such bytes logs the backend, when they came and the first 48 of them. Noise, a second copy and the response to another request can be told apart.

--- a/loadbalancer/proxy/upstream/connection.py
+++ b/loadbalancer/proxy/upstream/connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import logging
 import socket
 from typing import TYPE_CHECKING, Protocol, cast
 
@@ -18,6 +19,10 @@
     from loadbalancer.proxy.exchange import Attempt
     from loadbalancer.proxy.ports import BackendHost
 
+logger = logging.getLogger(__name__)
+
+MAX_LOGGED_BYTES = 48  # of what a backend sent although no request asked for it
+
 
 class Pool(Protocol):
     """The part of the connection pool that its connections use."""
@@ -134,12 +139,24 @@
         if transport is None or transport.is_closing() or self._sock is None:
             return False
         try:
-            self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            data = self._sock.recv(MAX_LOGGED_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
             return True
         except OSError:
             return False
-        return False  # end of stream, or bytes that belong to no response
+        if data:
+            self._log_unsolicited(data, "between two requests")
+        return False
+
+    def _log_unsolicited(self, data: bytes, when: str) -> None:
+        """Log bytes that no request on this connection has asked for."""
+        logger.info(
+            "backend %s sent bytes that belong to no request, %s: closing the connection; "
+            "they begin %r",
+            self.address,
+            when,
+            data[:MAX_LOGGED_BYTES],
+        )
 
     def _recycle(self, reusable: bool) -> None:
         if reusable:
--- a/loadbalancer/proxy/upstream/response_receiver.py
+++ b/loadbalancer/proxy/upstream/response_receiver.py
@@ -19,7 +19,7 @@
     OK_STATUS,
     ResponseReader,
 )
-from loadbalancer.proxy.upstream.states import CLOSED, CLOSING, STREAMING
+from loadbalancer.proxy.upstream.states import CLOSED, CLOSING, IDLE, STREAMING
 
 if TYPE_CHECKING:
     from loadbalancer.config.address import Address
@@ -73,6 +73,10 @@
     def _close(self) -> None:
         """Close without settling the attempt; does nothing if closed already."""
 
+    @abstractmethod
+    def _log_unsolicited(self, data: bytes, when: str) -> None:
+        """Log bytes that no request on this connection has asked for."""
+
     @abstractmethod
     def _fail(self, outcome: Outcome) -> None:
         """Close the connection and settle its attempt, if there is one."""
@@ -81,6 +85,8 @@
         """Process the next bytes of the response."""
         if self.attempt is None:
             # Bytes on an idle connection would be taken for the response to the next request.
+            if self._state is IDLE:
+                self._log_unsolicited(data, "between two requests")
             self._close()
             return
         reader = self.reader
