Keep a late second response apart from the response to the next request

Cause: a connection was used again as soon as a response was complete, in request_writer._write_request and pool._take_idle. A second copy that a backend sends 3 ms late crosses the next request on its way and is taken for its response; the connection stays shifted by one. Change: core/connection_reuse. A connection settles 10 ms after its last response: copy and response travel the same way, so the path doesn't matter. Settled connections are preferred; on others the last byte is withheld until they have settled, a long body is begun then. Bytes before that byte are a surplus: the attempt moves to another connection, without an outcome. No backend executes a request without its last byte, so nothing runs twice. Related: the 2 ms delay of unsafe requests believed what came meanwhile; on a used connection it now moves the attempt, and before the last byte the socket is read directly, as after a stall the timer fires before the bytes are reported. test_pool: the two tests of the order of use take connections that have settled; one was added for those that have not.

--- a/loadbalancer/proxy/upstream/connection.py
+++ b/loadbalancer/proxy/upstream/connection.py
@@ -31,6 +31,9 @@
     count: int
     pending: dict[BackendConnection, None]
 
+    def send(self, attempt: Attempt) -> None:
+        """Send an attempt on one of the connections to its backend, or on a new one."""
+
     def release(self, conn: BackendConnection) -> None:
         """Make the connection available to the next attempt."""
 
@@ -46,13 +49,12 @@
     settles its attempt. The pool's count of descriptors is decremented exactly once.
     """
 
-    __slots__ = ("_loop_owns_socket", "_task", "backend", "idle_since", "pool")
+    __slots__ = ("_loop_owns_socket", "_task", "backend", "pool")
 
     def __init__(self, pool: Pool, backend: int, address: Address) -> None:
         super().__init__(pool.host, address)
         self.pool = pool
         self.backend = backend
-        self.idle_since = 0  # monotonic clock in nanoseconds, set by the pool
         self._loop_owns_socket = False
         self._task: asyncio.Task[None] | None = None
 
@@ -117,13 +119,13 @@
             self._write_request()
         else:
             # The client has left or the attempt is no longer needed; nothing was written.
-            self.attempt = None
-            self._close()
+            self.abandon()
             self.host.record_outcome(attempt, Outcome.MOOT)
 
     def begin(self, attempt: Attempt) -> None:
         """Send an attempt on this idle connection."""
         self.request_written = False
+        self._delays_last_byte = False
         self._content_began_s = 0.0
         self.reader.reset()
         self.attempt = attempt
@@ -174,6 +176,21 @@
         self._close()
         return self.request_written
 
+    def _reroute_attempt(self) -> None:
+        """Close, and send the attempt, whose last byte is withheld, on another connection.
+
+        The attempt has not been executed and its backend has not failed, so it has no outcome yet.
+        The withheld byte keeps this connection's part of the request from ever being executed.
+        """
+        attempt = self.attempt
+        assert attempt is not None
+        self.abandon()
+        attempt.connection = None
+        if self.host.may_begin(attempt):
+            self.pool.send(attempt)
+        else:
+            self.host.record_outcome(attempt, Outcome.MOOT)
+
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002 -- asyncio's signature
         """Handle the end of the connection, whichever side closed it."""
         self._fail(Outcome.RESET)
--- a/loadbalancer/proxy/upstream/pool.py
+++ b/loadbalancer/proxy/upstream/pool.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from loadbalancer.core import Outcome
+from loadbalancer.core.connection_reuse import select_idle
 from loadbalancer.proxy.upstream.connection import BackendConnection
 
 if TYPE_CHECKING:
@@ -22,8 +23,7 @@
 
     Rules:
 
-    1. An attempt is sent on the connection to its backend that became idle most recently, so
-       that surplus connections age and are closed.
+    1. An attempt is sent on the idle connection to its backend that `connection_reuse` selects.
     2. An idle connection is not used if the kernel has received the backend's close or any bytes.
     3. If no idle connection can be used, a new one is opened, provided that a descriptor is
        available. Otherwise the attempt's outcome is MOOT, which does not count against the
@@ -34,6 +34,8 @@
        immediately.
     6. The oldest idle connection is closed when its descriptor is needed for something else.
        Every idle connection is closed some time before the backend would close it.
+    7. If bytes arrive while an attempt's last byte is withheld, its connection is closed and the
+       attempt is sent again by rules 1 to 3.
     """
 
     __slots__ = ("by_age", "count", "host", "idle", "pending")
@@ -77,7 +79,7 @@
         conns = self.idle.get(backend)
         if not conns:
             return None
-        conn = conns.pop()
+        conn = conns.pop(select_idle(conns, time.monotonic_ns()))
         if not conns:
             del self.idle[backend]
         del self.by_age[conn]
--- a/loadbalancer/proxy/upstream/request_writer.py
+++ b/loadbalancer/proxy/upstream/request_writer.py
@@ -5,10 +5,16 @@
 import asyncio
 import time
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING
 
-from loadbalancer.core.balancing.model import MS
+from loadbalancer.core.balancing.model import MS, SECOND
+from loadbalancer.core.connection_reuse import (
+    NEVER,
+    UNSAFE_DELAY_NS,
+    last_byte_delay,
+    settling_delay,
+)
 from loadbalancer.proxy.upstream.states import (
     AWAITING_RESPONSE,
     CONNECTING,
@@ -22,8 +28,8 @@
     from loadbalancer.proxy.flow_control import Flow
     from loadbalancer.proxy.ports import BackendHost
 
-# How long the last byte of an unsafe request is withheld; see `_write_request`.
-LAST_BYTE_DELAY_S = 0.002
+# The event loop's timers count whole milliseconds, and one may fire this much early.
+TIMER_EARLINESS_NS = MS + MS // 2
 
 
 class RequestWriter(asyncio.Protocol, ABC):
@@ -36,7 +42,8 @@
 
     __slots__ = (
         "_delays_last_byte", "_next_piece", "_pieces", "_state", "_timer", "_upload",
-        "_write_paused", "address", "attempt", "host", "request_written", "transport",
+        "_write_paused", "address", "attempt", "host", "idle_since", "request_written",
+        "transport",
     )  # fmt: skip
 
     def __init__(self, host: BackendHost, address: Address) -> None:
@@ -45,6 +52,8 @@
         self.attempt: Attempt | None = None
         self.transport: asyncio.Transport | None = None
         self.request_written = False
+        # When its last response was complete, set by the pool; monotonic clock, nanoseconds.
+        self.idle_since = NEVER
         self._state: ConnectionState = CONNECTING
         # The timer of the current state: for the connect timeout, the delay of the last byte or
         # the timeout of the response's next bytes.
@@ -62,12 +71,21 @@
         Returns False if the request's last byte was certainly never written.
         """
 
+    @abstractmethod
+    def is_usable(self) -> bool:
+        """Whether the kernel has received neither a close nor any bytes that were not read."""
+
+    @abstractmethod
+    def _reroute_attempt(self) -> None:
+        """Close, and send the attempt, whose last byte is withheld, on another connection."""
+
     def _stop_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
     def _write_request(self) -> None:
+        """Write the attempt's request, but withhold its last byte as `connection_reuse` says."""
         attempt = self.attempt
         assert attempt is not None
         self._state = SENDING
@@ -75,31 +93,48 @@
         attempt.connected = True
         request = attempt.request
         self._next_piece = 0
-        remaining = attempt.sent_at + attempt.timeout - time.monotonic_ns()
-        head = b"%s%d\r\n\r\n" % (request.head, max(remaining // MS, 1))
+        now = time.monotonic_ns()
         if request.flow is not None:
-            self._begin_upload(request.flow, head)
+            self._upload_when_settled(request.flow, settling_delay(now, self.idle_since))
             return
-        message = b"".join((head, *request.body))
-        if not request.unsafe:
+        delay_ns = last_byte_delay(now, self.idle_since, request.unsafe)
+        message = b"".join((self._head(attempt, now + delay_ns), *request.body))
+        if not delay_ns:
             self._pieces = (message,)
             self._write_pieces()
             return
-        # The backend may have closed this connection, or may reset it when the request arrives,
-        # and this process would notice only after the whole request is written. An unsafe
-        # request could then not be retried, and its client would get a 502 although it was never
-        # executed. So the last byte is delayed until a close or reset would have arrived. No
-        # backend executes a request without its last byte, so it can still be sent to another.
-        self._delays_last_byte = True
         self._pieces = (message[:-1], message[-1:])
+        self._delays_last_byte = True
         self._write_pieces()
         if self._state is SENDING:
-            self._timer = self.host.loop.call_later(LAST_BYTE_DELAY_S, self._write_last_byte)
+            self._start_delay(delay_ns, self._write_last_byte)
+
+    def _head(self, attempt: Attempt, now: int) -> bytes:
+        """The request's head, with the time that is left to the attempt at `now`."""
+        remaining = attempt.sent_at + attempt.timeout - now
+        return b"%s%d\r\n\r\n" % (attempt.request.head, max(remaining // MS, 1))
+
+    def _start_delay(self, delay_ns: int, callback: Callable[[], None]) -> None:
+        if delay_ns > UNSAFE_DELAY_NS:
+            delay_ns += TIMER_EARLINESS_NS
+        self._timer = self.host.loop.call_later(delay_ns / SECOND, callback)
 
     def _write_last_byte(self) -> None:
+        if self._end_delay():
+            self._write_pieces()
+
+    def _end_delay(self) -> bool:
+        """End the delay; returns False if the attempt was sent on another connection instead.
+
+        The socket is read directly: after a stall of this process the timer may fire before the
+        event loop has reported the bytes that arrived meanwhile.
+        """
         self._timer = None
+        if self.idle_since != NEVER and not self.is_usable():
+            self._reroute_attempt()
+            return False
         self._delays_last_byte = False
-        self._write_pieces()
+        return True
 
     def _write_pieces(self) -> None:
         """Write the pieces in order; stops while the kernel accepts no more bytes."""
@@ -139,9 +174,26 @@
 
     # For long bodies this connection is the sink of the flow.
 
-    def _begin_upload(self, flow: Flow, head: bytes) -> None:
+    def _upload_when_settled(self, flow: Flow, delay_ns: int) -> None:
+        """Begin to forward a long body once the connection has settled.
+
+        Nothing is written before, as the body's pieces are written as they come.
+        """
+        if not delay_ns:
+            self._begin_upload(flow)
+            return
+
+        def begin() -> None:
+            if self._end_delay():
+                self._begin_upload(flow)
+
+        self._delays_last_byte = True
+        self._start_delay(delay_ns, begin)
+
+    def _begin_upload(self, flow: Flow) -> None:
         assert self.transport is not None
-        self.transport.write(head)
+        assert self.attempt is not None
+        self.transport.write(self._head(self.attempt, time.monotonic_ns()))
         self._upload = flow
         if self._write_paused:
             flow.block()
--- a/loadbalancer/proxy/upstream/response_receiver.py
+++ b/loadbalancer/proxy/upstream/response_receiver.py
@@ -9,6 +9,7 @@
 
 from loadbalancer.core import Outcome
 from loadbalancer.core.balancing.model import SECOND
+from loadbalancer.core.connection_reuse import NEVER
 from loadbalancer.proxy.flow_control import MIN_WINDOW_BYTES, STREAMING_THRESHOLD_BYTES, Flow
 from loadbalancer.proxy.upstream.load_report import parse_load_report
 from loadbalancer.proxy.upstream.request_writer import RequestWriter
@@ -89,6 +90,10 @@
                 self._log_unsolicited(data, "between two requests")
             self._close()
             return
+        if self._delays_last_byte and self.idle_since != NEVER:
+            self._log_unsolicited(data, "before the last byte of the next request")
+            self._reroute_attempt()
+            return
         reader = self.reader
         reader.feed(data)
         if self._state is STREAMING:
--- /dev/null
+++ b/tests/proxy/upstream/test_late_responses.py
@@ -0,0 +1,276 @@
+"""A backend sends more than its response, some milliseconds late: no request gets the surplus.
+
+A second copy of a response crosses the next request on its way. Taken for the response to that
+request, it would shift the connection by one: its client, and the one after it, would get the
+response to another request, and a 503 that promises "not executed" would be believed of a request
+that is being executed, which would then be sent again or be refused as if it had never run.
+"""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Callable, Iterator
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+
+from loadbalancer.config.address import Address
+from loadbalancer.core import Outcome
+from loadbalancer.core.connection_reuse import SETTLING_TIME_NS
+from loadbalancer.proxy.exchange import Attempt
+from loadbalancer.proxy.flow_control import BufferBudget, Flow
+from loadbalancer.proxy.upstream.connection import BackendConnection
+from loadbalancer.proxy.upstream.pool import ConnectionPool
+from tests.harness import answer
+
+BACKEND = 1
+ADDRESS = Address("127.0.0.1", 8001)
+TIMEOUT_NS = 1_000_000_000
+HEAD = b"GET /balance/1 HTTP/1.1\r\nX-Timeout-Ms: "
+FIRST = answer(b"the first response")
+REJECTION = answer(b"", "503 Service Unavailable", "X-Not-Processed: 1")
+SURPLUS = [FIRST, REJECTION, b"\x8a\x00noise", FIRST[:5], b"HTTP/1.1 100 Continue\r\n\r\n"]
+
+
+class Loop:
+    """An event loop whose timers fire when the test says so."""
+
+    def __init__(self) -> None:
+        self.callbacks: list[tuple[float, Callable[[], None]]] = []
+
+    def call_later(self, delay_s: float, callback: Callable[..., None], *args: Any) -> Any:
+        entry = (delay_s, lambda: callback(*args))
+        self.callbacks.append(entry)
+
+        def cancel() -> None:
+            if entry in self.callbacks:
+                self.callbacks.remove(entry)
+
+        return SimpleNamespace(cancel=cancel)
+
+    def fire(self) -> None:
+        """Fire the only timer."""
+        ((_, callback),) = self.callbacks
+        self.callbacks = []
+        callback()
+
+
+class Host:
+    """A host with one backend that may open no further connection."""
+
+    on_descriptor_freed: Any = staticmethod(lambda: None)
+
+    def __init__(self) -> None:
+        endpoint_list = SimpleNamespace(endpoints={BACKEND: ADDRESS})
+        self.discovery = SimpleNamespace(endpoint_list=endpoint_list)
+        settings = SimpleNamespace(connect_timeout=250_000_000)
+        self.config = SimpleNamespace(settings=settings, reports=False, idle_close=TIMEOUT_NS)
+        self.loop = Loop()
+        self.allows_begin = True
+        self.outcomes: list[Outcome] = []
+
+    def may_begin(self, _attempt: Attempt) -> bool:
+        return self.allows_begin
+
+    def may_open_upstream(self) -> bool:
+        return False
+
+    def on_body_started(self, _attempt: Attempt) -> None:
+        pass
+
+    def on_body_sent(self, _attempt: Attempt) -> None:
+        pass
+
+    def record_outcome(self, attempt: Attempt, outcome: Outcome, _load: Any = ()) -> None:
+        attempt.settled = True
+        self.outcomes.append(outcome)
+
+
+class Transport:
+    """A transport that records what is written."""
+
+    def __init__(self) -> None:
+        self.written = b""
+        self.aborted = False
+
+    def set_write_buffer_limits(self, high: int) -> None:
+        assert high == 0
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+
+    def abort(self) -> None:
+        self.aborted = True
+
+    def is_closing(self) -> bool:
+        return self.aborted
+
+
+class Client:
+    """A client that records the responses it gets."""
+
+    def __init__(self) -> None:
+        self.responses: list[bytes] = []
+
+    def respond(self, _content_type: bytes, chunks: list[bytes], _size: int) -> None:
+        self.responses.append(b"".join(chunks))
+
+
+class Link:
+    """A connection in a pool that has just carried a request and its response."""
+
+    def __init__(self, pool: ConnectionPool, host: Host) -> None:
+        self.transport = Transport()
+        self.connection = BackendConnection(pool, BACKEND, ADDRESS)
+        self.connection._sock, self.backend = socket.socketpair()
+        self.connection.attempt = attempt(Client())
+        self.connection.connection_made(cast(Any, self.transport))
+        self.connection.data_received(FIRST)
+        host.outcomes.clear()
+        self.transport.written = b""
+
+    def settle(self) -> None:
+        self.connection.idle_since -= SETTLING_TIME_NS
+
+    def close(self) -> None:
+        assert self.connection._sock is not None
+        self.connection._sock.close()
+        self.backend.close()
+
+
+def attempt(client: Client, unsafe: bool = False, flow: Flow | None = None) -> Attempt:
+    request = SimpleNamespace(
+        head=HEAD, body=[], flow=flow, chunked=False, unsafe=unsafe, ended=False, client=client
+    )
+    sent = Attempt(cast(Any, request), 0, BACKEND, time.monotonic_ns())
+    sent.timeout = TIMEOUT_NS
+    return sent
+
+
+@pytest.fixture
+def host() -> Host:
+    return Host()
+
+
+@pytest.fixture
+def pool(host: Host) -> ConnectionPool:
+    return ConnectionPool(cast(Any, host))
+
+
+@pytest.fixture
+def link(pool: ConnectionPool, host: Host) -> Iterator[Link]:
+    link = Link(pool, host)
+    yield link
+    link.close()
+
+
+@pytest.fixture
+def other(pool: ConnectionPool, host: Host, link: Link) -> Iterator[Link]:
+    """A second connection, which has become idle after the first."""
+    assert not link.transport.aborted
+    other = Link(pool, host)
+    yield other
+    other.close()
+
+
+@pytest.mark.parametrize("unsafe", [False, True], ids=["safe", "unsafe"])
+@pytest.mark.parametrize("surplus", SURPLUS, ids=["copy", "503", "noise", "a part", "interim"])
+def test_a_surplus_that_crosses_the_next_request_moves_it_to_another_connection(
+    pool: ConnectionPool, host: Host, link: Link, other: Link, surplus: bytes, unsafe: bool
+) -> None:
+    client = Client()
+    pool.send(attempt(client, unsafe))
+    assert link.transport.written.startswith(HEAD)
+    assert not link.transport.written.endswith(b"\r\n\r\n")
+    link.connection.data_received(surplus)
+    assert link.transport.aborted
+    assert (client.responses, host.outcomes) == ([], [])
+    host.loop.fire()
+    assert other.transport.written.endswith(b"\r\n\r\n")
+    other.connection.data_received(answer(b"the second response"))
+    assert (client.responses, host.outcomes) == ([b"the second response"], [Outcome.OK])
+
+
+@pytest.mark.parametrize("allowed", [True, False], ids=["no descriptor", "client has left"])
+def test_an_attempt_that_can_not_move_was_not_executed(
+    pool: ConnectionPool, host: Host, link: Link, allowed: bool
+) -> None:
+    """Its outcome must not count against a backend that answers, nor end an unsafe request."""
+    client = Client()
+    pool.send(attempt(client, unsafe=True))
+    host.allows_begin = allowed
+    link.connection.data_received(REJECTION)
+    assert (client.responses, host.outcomes) == ([], [Outcome.MOOT])
+    assert host.loop.callbacks == []
+
+
+def test_a_surplus_that_the_event_loop_has_not_reported_yet_is_found(
+    pool: ConnectionPool, host: Host, link: Link
+) -> None:
+    """The process was held up: the timer of the last byte fires before the bytes are read."""
+    pool.send(attempt(Client()))
+    link.backend.send(FIRST)
+    host.loop.fire()
+    assert link.transport.aborted
+    assert not link.transport.written.endswith(b"\r\n\r\n")
+    assert host.outcomes == [Outcome.MOOT]
+
+
+def test_the_last_byte_follows_once_the_connection_has_settled(
+    pool: ConnectionPool, host: Host, link: Link
+) -> None:
+    client = Client()
+    pool.send(attempt(client))
+    ((delay_s, _),) = host.loop.callbacks
+    settled_at = link.connection.idle_since + SETTLING_TIME_NS
+    assert time.monotonic_ns() + delay_s * 1e9 >= settled_at
+    host.loop.fire()
+    assert link.transport.written.endswith(b"\r\n\r\n")
+    link.connection.data_received(answer(b"the second response"))
+    assert client.responses == [b"the second response"]
+
+
+def test_on_a_settled_connection_a_safe_request_is_written_at_once(
+    pool: ConnectionPool, host: Host, link: Link
+) -> None:
+    link.settle()
+    pool.send(attempt(Client()))
+    assert link.transport.written.endswith(b"\r\n\r\n")
+    assert host.loop.callbacks == []
+
+
+def test_a_long_body_is_forwarded_only_once_the_connection_has_settled(
+    pool: ConnectionPool, host: Host, link: Link, other: Link
+) -> None:
+    """Its pieces are written as they come, so no last byte can be withheld."""
+    source = SimpleNamespace(pause_flow=lambda: None, resume_flow=lambda: None)
+    flow = Flow(BufferBudget(128), cast(Any, source))
+    flow.push(b"content")
+    pool.send(attempt(Client(), unsafe=True, flow=flow))
+    assert link.transport.written == b""
+    link.connection.data_received(FIRST)
+    assert link.transport.aborted
+    host.loop.fire()
+    assert other.transport.written.startswith(HEAD)
+    assert other.transport.written.endswith(b"content")
+    assert host.outcomes == []
+
+
+def test_a_response_before_the_last_byte_on_a_new_connection_is_believed(
+    pool: ConnectionPool, host: Host
+) -> None:
+    """A backend that has no capacity may reject a connection before its first request is complete.
+
+    No earlier response can have left anything there.
+    """
+    transport = Transport()
+    connection = BackendConnection(pool, BACKEND, ADDRESS)
+    connection.attempt = attempt(Client(), unsafe=True)
+    connection.connection_made(cast(Any, transport))
+    connection.data_received(REJECTION)
+    assert host.outcomes == [Outcome.FULL]
--- a/tests/proxy/upstream/test_pool.py
+++ b/tests/proxy/upstream/test_pool.py
@@ -67,10 +67,11 @@
 
 
 def idle(pool: ConnectionPool, count: int, **properties: Any) -> list[Connection]:
-    """Put `count` idle connections into the pool; returns them, oldest first."""
+    """Put `count` idle connections into the pool, long settled; returns them, oldest first."""
     conns = [Connection(pool, **properties) for _ in range(count)]
     for conn in conns:
         pool.release(cast(Any, conn))
+        conn.idle_since -= SECOND_NS
     return conns
 
 
@@ -99,6 +100,18 @@
     assert len(usable.attempts) == 1
 
 
+def test_a_connection_that_has_settled_is_used_before_one_that_became_idle_just_now(
+    pool: ConnectionPool,
+) -> None:
+    (settled,) = idle(pool, 1)
+    recent = Connection(pool)
+    pool.release(cast(Any, recent))
+    pool.send(attempt())
+    assert (len(settled.attempts), len(recent.attempts)) == (1, 0)
+    pool.send(attempt())
+    assert (len(settled.attempts), len(recent.attempts)) == (1, 1)
+
+
 @pytest.mark.parametrize(("backend", "outcome"), [(1, Outcome.MOOT), (2, Outcome.CONNECT_FAILED)])
 def test_without_a_descriptor_an_attempt_is_moot_and_without_an_address_it_fails(
     host: Host, pool: ConnectionPool, backend: int, outcome: Outcome
