Read lists that have no length and end with their connection

The log said `list call failed` for each call. Cause: HttpGet.connection_lost reported every end of the connection as a failed call; httptools isn't told of the end of the stream, so it never completes a message that the end completes. Change: eof_received completes a response with neither Content-Length nor Transfer-Encoding (RFC 9112, section 6.3). A reset, an end in the head, short of the length or of the last chunk, and a TLS stream without close_notify stay incomplete.

--- a/loadbalancer/sources/http_get.py
+++ b/loadbalancer/sources/http_get.py
@@ -51,8 +51,8 @@
     """
 
     __slots__ = (
-        "_body", "_deadline", "_head", "_headers", "_on_done", "_parser", "_size", "_task",
-        "_timer", "_tls", "_transport", "connected",
+        "_body", "_deadline", "_ends_with_stream", "_head", "_headers", "_on_done", "_parser",
+        "_size", "_task", "_timer", "_tls", "_transport", "connected",
     )  # fmt: skip
 
     def __init__(
@@ -75,6 +75,8 @@
         self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
         self._size = 0
+        # Whether the response is complete once the service ends the stream.
+        self._ends_with_stream = False
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self.connected = False  # whether the connection was established
@@ -117,6 +119,34 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._finish(None)
 
+    def eof_received(self) -> bool:
+        """Handle the end of the service's stream, which completes a response without a length.
+
+        A response with neither a Content-Length nor a Transfer-Encoding ends with its connection
+        (RFC 9112, section 6.3), which the request asked to be closed. The parser isn't told of the
+        end. Any other response is incomplete. A reset never gets here.
+
+        Returns False, so that the transport is closed.
+        """
+        if self._ends_with_stream and not self._is_cut_tls_stream():
+            self._report_response()
+        return False
+
+    def _is_cut_tls_stream(self) -> bool:
+        """Whether a TLS stream has ended without a close_notify alert.
+
+        Such an end may be an attacker's or a failed connection's (RFC 9112, section 9.8).
+        """
+        assert self._transport is not None
+        tls_stream = self._transport.get_extra_info("ssl_object")
+        if tls_stream is None:
+            return False
+        try:
+            tls_stream.read(1)
+        except ssl.SSLWantReadError:
+            return True  # the alert may still come: all that has arrived is read
+        return False
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Report None if the connection is lost before the response is complete."""
         del exc
@@ -129,6 +159,13 @@
         self._count(len(name) + len(value))
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
+    def on_headers_complete(self) -> None:
+        """Note whether the header fields leave the response's length open."""
+        headers = self._headers
+        self._ends_with_stream = (
+            "content-length" not in headers and "transfer-encoding" not in headers
+        )
+
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
         self._body.append(body)
@@ -136,6 +173,9 @@
 
     def on_message_complete(self) -> None:
         """Report the complete response."""
+        self._report_response()
+
+    def _report_response(self) -> None:
         parser = self._parser
         if parser is not None:
             status = parser.get_status_code()
