Don't take an interim response of the list service for its list

A list service that sends 1xx ahead of its response was never understood: each call counted as failed, with status 103. Cause: HttpGet.on_message_complete reported the first message of the connection. Change: a message with a 1xx status other than 101 is dropped with its header fields (RFC 9110, 15.2). Result: 7 of the new cases fail before, all pass after.

--- a/loadbalancer/sources/http_get.py
+++ b/loadbalancer/sources/http_get.py
@@ -16,6 +16,9 @@
 logger = logging.getLogger(__name__)
 
 MAX_RESPONSE_BYTES = 16 << 20  # header fields and body
+# Statuses followed by the final response (RFC 9110, section 15.2). 101 is not one of them: what
+# follows it is another protocol.
+INTERIM_STATUSES = frozenset(range(100, 200)) - {101}
 MAX_DIGITS = 18  # of a number in a header field or query; such a number fits in 64 bits
 
 
@@ -172,7 +175,12 @@
         self._count(len(body))
 
     def on_message_complete(self) -> None:
-        """Report the complete response."""
+        """Report the complete response; an interim one is followed by another, and dropped."""
+        parser = self._parser
+        if parser is not None and parser.get_status_code() in INTERIM_STATUSES:
+            self._headers = {}
+            self._ends_with_stream = False
+            return
         self._report_response()
 
     def _report_response(self) -> None:
--- a/tests/sources/test_http_get.py
+++ b/tests/sources/test_http_get.py
@@ -12,6 +12,7 @@
 from loadbalancer.sources.http_get import HttpGet, Response
 
 TIMEOUT_S = 20.0
+EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 
 
 async def get_from(response: bytes, raises: bool = False) -> list[Response | None]:
@@ -47,6 +48,23 @@
     assert [(r.status, r.body) for r in reported if r is not None] == [(200, b"[]")]
 
 
+@pytest.mark.parametrize(
+    "interim", [b"HTTP/1.1 100 Continue\r\n\r\n", EARLY_HINTS, EARLY_HINTS * 2]
+)
+@pytest.mark.parametrize("length", [b"Content-Length: 2\r\n", b""])
+def test_interim_responses_are_not_taken_for_the_response(interim: bytes, length: bytes) -> None:
+    """A list service sends 1xx responses first: its list would be lost as a failed call."""
+    reported = asyncio.run(get_from(interim + b"HTTP/1.1 200 OK\r\n" + length + b"\r\n[]"))
+    (response,) = reported
+    assert response is not None
+    assert (response.status, response.body) == (200, b"[]")
+    assert "link" not in response.headers
+
+
+def test_an_interim_response_alone_is_incomplete() -> None:
+    assert asyncio.run(get_from(EARLY_HINTS)) == [None]
+
+
 @pytest.mark.parametrize("response", [b"", b"no HTTP\r\n\r\n", b"HTTP/1.1 200 OK\r\n"])
 def test_an_incomplete_or_malformed_response_is_reported_as_none(response: bytes) -> None:
     assert asyncio.run(get_from(response)) == [None]
