--- a/fakes/web.py
+++ b/fakes/web.py
@@ -71,7 +71,7 @@
 ) -> None:
     try:
         while True:
-            request = await _read_request(reader)
+            request = await read_request(reader)
             reply = await handler(request)
             if reply.silent:
                 await reader.read()
@@ -93,7 +93,13 @@
             writer.close()
 
 
-async def _read_request(reader: asyncio.StreamReader) -> Request:
+async def read_request(reader: asyncio.StreamReader) -> Request:
+    """Read one request.
+
+    Raises:
+        asyncio.IncompleteReadError: the stream has ended.
+        ValueError: it is not HTTP/1.1, or its body is too large.
+    """
     lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
     method, target, _version = lines[0].split(" ")
     headers = {}
