Wait for the last byte until the connection has settled, not for a timer that may be early

Need: uvloop's timers count whole milliseconds; measured, one of 2 to 10 ms fired up to 1.4 ms early. A slack was added to long delays only, so a connection with under 2 ms to go was used up to 1.4 ms too soon, and all others waited longer than they had to. Change: when the timer fires, the clock decides; a connection that has not settled waits 1 ms more. Tests of the order of use no longer depend on how fast the machine is: their connections settle when the test says so. Result: test_the_last_byte_follows_once_the_connection_has_settled fires early, and fails before.

--- a/loadbalancer/proxy/upstream/request_writer.py
+++ b/loadbalancer/proxy/upstream/request_writer.py
@@ -6,12 +6,12 @@
 import time
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Sequence
+from functools import partial
 from typing import TYPE_CHECKING
 
 from loadbalancer.core.balancing.model import MS, SECOND
 from loadbalancer.core.connection_reuse import (
     NEVER,
-    UNSAFE_DELAY_NS,
     last_byte_delay,
     settling_delay,
 )
@@ -28,8 +28,8 @@
     from loadbalancer.proxy.flow_control import Flow
     from loadbalancer.proxy.ports import BackendHost
 
-# The event loop's timers count whole milliseconds, and one may fire this much early.
-TIMER_EARLINESS_NS = MS + MS // 2
+# The event loop's timers count whole milliseconds and may fire early; a shorter one fires at once.
+MIN_TIMER_S = 0.001
 
 
 class RequestWriter(asyncio.Protocol, ABC):
@@ -107,34 +107,31 @@
         self._delays_last_byte = True
         self._write_pieces()
         if self._state is SENDING:
-            self._start_delay(delay_ns, self._write_last_byte)
+            self._start_delay(delay_ns, self._write_pieces)
 
     def _head(self, attempt: Attempt, now: int) -> bytes:
         """The request's head, with the time that is left to the attempt at `now`."""
         remaining = attempt.sent_at + attempt.timeout - now
         return b"%s%d\r\n\r\n" % (attempt.request.head, max(remaining // MS, 1))
 
-    def _start_delay(self, delay_ns: int, callback: Callable[[], None]) -> None:
-        if delay_ns > UNSAFE_DELAY_NS:
-            delay_ns += TIMER_EARLINESS_NS
-        self._timer = self.host.loop.call_later(delay_ns / SECOND, callback)
+    def _start_delay(self, delay_ns: int, write: Callable[[], None]) -> None:
+        """Call `write` after a delay, or later if the connection has not settled by then."""
+        self._timer = self.host.loop.call_later(delay_ns / SECOND, self._end_delay, write)
 
-    def _write_last_byte(self) -> None:
-        if self._end_delay():
-            self._write_pieces()
-
-    def _end_delay(self) -> bool:
-        """End the delay; returns False if the attempt was sent on another connection instead.
+    def _end_delay(self, write: Callable[[], None]) -> None:
+        """Call `write`, or send the attempt on another connection if anything was received.
 
         The socket is read directly: after a stall of this process the timer may fire before the
         event loop has reported the bytes that arrived meanwhile.
         """
         self._timer = None
-        if self.idle_since != NEVER and not self.is_usable():
+        if settling_delay(time.monotonic_ns(), self.idle_since):
+            self._timer = self.host.loop.call_later(MIN_TIMER_S, self._end_delay, write)
+        elif self.idle_since != NEVER and not self.is_usable():
             self._reroute_attempt()
-            return False
-        self._delays_last_byte = False
-        return True
+        else:
+            self._delays_last_byte = False
+            write()
 
     def _write_pieces(self) -> None:
         """Write the pieces in order; stops while the kernel accepts no more bytes."""
@@ -179,16 +176,11 @@
 
         Nothing is written before, as the body's pieces are written as they come.
         """
-        if not delay_ns:
+        if delay_ns:
+            self._delays_last_byte = True
+            self._start_delay(delay_ns, partial(self._begin_upload, flow))
+        else:
             self._begin_upload(flow)
-            return
-
-        def begin() -> None:
-            if self._end_delay():
-                self._begin_upload(flow)
-
-        self._delays_last_byte = True
-        self._start_delay(delay_ns, begin)
 
     def _begin_upload(self, flow: Flow) -> None:
         assert self.transport is not None
--- a/tests/proxy/upstream/test_late_responses.py
+++ b/tests/proxy/upstream/test_late_responses.py
@@ -28,6 +28,7 @@
 BACKEND = 1
 ADDRESS = Address("127.0.0.1", 8001)
 TIMEOUT_NS = 1_000_000_000
+LATER_NS = 3600 * 1_000_000_000  # more than a test takes, however slow the machine is
 HEAD = b"GET /balance/1 HTTP/1.1\r\nX-Timeout-Ms: "
 FIRST = answer(b"the first response")
 REJECTION = answer(b"", "503 Service Unavailable", "X-Not-Processed: 1")
@@ -51,7 +52,7 @@
         return SimpleNamespace(cancel=cancel)
 
     def fire(self) -> None:
-        """Fire the only timer."""
+        """Fire the only timer, however long it still has to run."""
         ((_, callback),) = self.callbacks
         self.callbacks = []
         callback()
@@ -122,7 +123,7 @@
 
 
 class Link:
-    """A connection in a pool that has just carried a request and its response."""
+    """A connection in a pool that has carried a request, and settles when the test says so."""
 
     def __init__(self, pool: ConnectionPool, host: Host) -> None:
         self.transport = Transport()
@@ -131,11 +132,12 @@
         self.connection.attempt = attempt(Client())
         self.connection.connection_made(cast(Any, self.transport))
         self.connection.data_received(FIRST)
+        self.connection.idle_since += LATER_NS
         host.outcomes.clear()
         self.transport.written = b""
 
     def settle(self) -> None:
-        self.connection.idle_since -= SETTLING_TIME_NS
+        self.connection.idle_since -= LATER_NS + SETTLING_TIME_NS
 
     def close(self) -> None:
         assert self.connection._sock is not None
@@ -190,6 +192,7 @@
     link.connection.data_received(surplus)
     assert link.transport.aborted
     assert (client.responses, host.outcomes) == ([], [])
+    other.settle()
     host.loop.fire()
     assert other.transport.written.endswith(b"\r\n\r\n")
     other.connection.data_received(answer(b"the second response"))
@@ -215,6 +218,7 @@
     """The process was held up: the timer of the last byte fires before the bytes are read."""
     pool.send(attempt(Client()))
     link.backend.send(FIRST)
+    link.settle()
     host.loop.fire()
     assert link.transport.aborted
     assert not link.transport.written.endswith(b"\r\n\r\n")
@@ -227,8 +231,10 @@
     client = Client()
     pool.send(attempt(client))
     ((delay_s, _),) = host.loop.callbacks
-    settled_at = link.connection.idle_since + SETTLING_TIME_NS
-    assert time.monotonic_ns() + delay_s * 1e9 >= settled_at
+    assert LATER_NS / 2 < delay_s * 1e9 <= LATER_NS + SETTLING_TIME_NS
+    host.loop.fire()  # early, as a timer may
+    assert not link.transport.written.endswith(b"\r\n\r\n")
+    link.settle()
     host.loop.fire()
     assert link.transport.written.endswith(b"\r\n\r\n")
     link.connection.data_received(answer(b"the second response"))
@@ -255,6 +261,7 @@
     assert link.transport.written == b""
     link.connection.data_received(FIRST)
     assert link.transport.aborted
+    other.settle()
     host.loop.fire()
     assert other.transport.written.startswith(HEAD)
     assert other.transport.written.endswith(b"content")
--- a/tests/proxy/upstream/test_pool.py
+++ b/tests/proxy/upstream/test_pool.py
@@ -106,6 +106,7 @@
     (settled,) = idle(pool, 1)
     recent = Connection(pool)
     pool.release(cast(Any, recent))
+    recent.idle_since += SECOND_NS  # has not settled, however slow the machine is
     pool.send(attempt())
     assert (len(settled.attempts), len(recent.attempts)) == (1, 0)
     pool.send(attempt())
