One rule for where a response ends; log lines name the request; faults of a handler reach the log

Its test fails before. - Bytes before a request's last byte were logged as "between two requests" if found by the look into the socket; the line now names the request and says that it was not executed. - resume_writing would have taken a long body that waits for its connection to settle for written, had it been called then; nothing calls it, as such a connection isn't paused. The pieces decide now. - Tests: the order of pieces and of a reset is forced, not waited for; a surplus of a long response, of a rejection and of an error. The cases without the mend of the log line fail.

--- a/fakes/repeating_backend.py
+++ b/fakes/repeating_backend.py
@@ -18,7 +18,7 @@
 
 from fakes.web import Request, read_request
 
-MAX_LATE_S = 0.008
+MAX_LATE_S = 0.008  # behind its response; what comes later is this process being held up
 LATE_S = (0.001, 0.005)  # of a second copy after its response
 
 
--- a/loadbalancer/proxy/upstream/connection.py
+++ b/loadbalancer/proxy/upstream/connection.py
@@ -132,7 +132,7 @@
         self._write_request()
 
     def is_usable(self) -> bool:
-        """Whether the kernel has received neither a close nor any bytes on an idle connection.
+        """Whether the kernel has received neither a close nor any bytes that were not read.
 
         The backend may have closed it without the event loop having noticed yet. A request
         written to it would be answered with a reset and count as possibly executed.
@@ -147,18 +147,27 @@
         except OSError:
             return False
         if data:
-            self._log_unsolicited(data, "between two requests")
+            self._log_unsolicited(data)
         return False
 
-    def _log_unsolicited(self, data: bytes, when: str) -> None:
-        """Log bytes that no request on this connection has asked for."""
-        logger.info(
-            "backend %s sent bytes that belong to no request, %s: closing the connection; "
-            "they begin %r",
-            self.address,
-            when,
-            data[:MAX_LOGGED_BYTES],
-        )
+    def _log_unsolicited(self, data: bytes) -> None:
+        """Log bytes that no request on this connection has asked for, and what follows."""
+        start = data[:MAX_LOGGED_BYTES]
+        if self.attempt is None:
+            logger.info(
+                "backend %s sent bytes that belong to no request, between two requests: closing "
+                "the connection; they begin %r",
+                self.address,
+                start,
+            )
+        else:
+            logger.info(
+                "backend %s sent bytes that belong to no request, before the last byte of request "
+                "%r, which was not executed: closing the connection; they begin %r",
+                self.address,
+                self.attempt.request.client_request_id.decode("latin-1"),
+                start,
+            )
 
     def _recycle(self, reusable: bool) -> None:
         if reusable:
--- a/loadbalancer/proxy/upstream/request_writer.py
+++ b/loadbalancer/proxy/upstream/request_writer.py
@@ -10,11 +10,7 @@
 from typing import TYPE_CHECKING
 
 from loadbalancer.core.balancing.model import MS, SECOND
-from loadbalancer.core.connection_reuse import (
-    NEVER,
-    last_byte_delay,
-    settling_delay,
-)
+from loadbalancer.core.connection_reuse import NEVER, last_byte_delay, settling_delay
 from loadbalancer.proxy.upstream.states import (
     AWAITING_RESPONSE,
     CONNECTING,
@@ -79,6 +75,15 @@
     def _reroute_attempt(self) -> None:
         """Close, and send the attempt, whose last byte is withheld, on another connection."""
 
+    @property
+    def _awaits_no_response(self) -> bool:
+        """Whether bytes that arrive now can't be the response to the attempt.
+
+        No backend executes a request without its last byte. On a new connection a backend may
+        reject the request before: nothing of an earlier one can have been left there.
+        """
+        return self._delays_last_byte and self.idle_since != NEVER
+
     def _stop_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -119,7 +124,7 @@
         self._timer = self.host.loop.call_later(delay_ns / SECOND, self._end_delay, write)
 
     def _end_delay(self, write: Callable[[], None]) -> None:
-        """Call `write`, or send the attempt on another connection if anything was received.
+        """Call `write`, or send the attempt on another connection if bytes or the end arrived.
 
         The socket is read directly: after a stall of this process the timer may fire before the
         event loop has reported the bytes that arrived meanwhile.
@@ -127,7 +132,7 @@
         self._timer = None
         if settling_delay(time.monotonic_ns(), self.idle_since):
             self._timer = self.host.loop.call_later(MIN_TIMER_S, self._end_delay, write)
-        elif self.idle_since != NEVER and not self.is_usable():
+        elif self._awaits_no_response and not self.is_usable():
             self._reroute_attempt()
         else:
             self._delays_last_byte = False
@@ -166,7 +171,7 @@
         self._write_paused = False
         if self._upload is not None:
             self._upload.unblock()
-        elif self._state is SENDING:
+        elif self._pieces:
             self._write_pieces()
 
     # For long bodies this connection is the sink of the flow.
--- a/loadbalancer/proxy/upstream/response_reader.py
+++ b/loadbalancer/proxy/upstream/response_reader.py
@@ -6,13 +6,11 @@
 
 import httptools
 
+from loadbalancer.core.http_framing import INTERIM_STATUSES, ends_with_stream
 from loadbalancer.proxy.flow_control import MAX_MESSAGE_BYTES, STREAMING_THRESHOLD_BYTES
 
 MAX_HEAD_BYTES = 16 << 10  # of a response's status line and header fields
 OK_STATUS = 200
-# Statuses followed by another response (RFC 9110, section 15.2). 101 is not one of them: what
-# follows it is another protocol.
-INTERIM_STATUSES = frozenset(range(100, 200)) - {101}
 MAX_INTERIM_RESPONSES = 8
 
 
@@ -42,8 +40,9 @@
     """
 
     __slots__ = (
-        "_chunked", "_closes", "_head_size", "_interim", "_parser", "chunks", "content_type",
-        "keep_alive", "length", "load_report", "not_processed", "size", "state", "status",
+        "_closes", "_has_transfer_encoding", "_head_size", "_interim", "_parser", "chunks",
+        "content_type", "keep_alive", "length", "load_report", "not_processed", "size", "state",
+        "status",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -66,7 +65,7 @@
         self.not_processed = False
         self.keep_alive = False
         self._head_size = 0
-        self._chunked = False
+        self._has_transfer_encoding = False
         self._closes = False
 
     def close(self) -> None:
@@ -97,14 +96,16 @@
     def feed_eof(self) -> bool:
         """Handle the end of the backend's stream; returns whether it completes the response.
 
-        It completes only a response that has neither a Content-Length nor chunked encoding
-        (RFC 9112, section 6.3).
+        It completes only a response whose header fields leave its length open.
         """
-        if self.state is not CONTENT or self.length >= 0 or self._chunked:
+        if self.state is not CONTENT or not self._ends_with_stream():
             return False
         self.state = COMPLETE
         return True
 
+    def _ends_with_stream(self) -> bool:
+        return ends_with_stream(self.length >= 0, self._has_transfer_encoding)
+
     def take_chunks(self) -> list[bytes]:
         """Return and remove the content read since the last call."""
         chunks, self.chunks = self.chunks, []
@@ -128,7 +129,7 @@
         elif name == b"content-type":
             self.content_type = value
         elif name == b"transfer-encoding":
-            self._chunked = True
+            self._has_transfer_encoding = True
         elif name == b"connection":
             self._closes = b"close" in (option.strip() for option in value.lower().split(b","))
         elif name == b"x-not-processed":
@@ -146,7 +147,7 @@
         # A response with neither a length nor chunked encoding ends when its connection is closed.
         # Unless the backend has announced that with `Connection: close`, the end cannot be told
         # from a failed connection, and a client could get a truncated response as complete.
-        unbounded = self.length < 0 and not self._chunked and not self._closes
+        unbounded = self._ends_with_stream() and not self._closes
         if self.status == OK_STATUS and (unbounded or self.length > MAX_MESSAGE_BYTES):
             self.state = MALFORMED
 
--- a/loadbalancer/proxy/upstream/response_receiver.py
+++ b/loadbalancer/proxy/upstream/response_receiver.py
@@ -9,7 +9,6 @@
 
 from loadbalancer.core import Outcome
 from loadbalancer.core.balancing.model import SECOND
-from loadbalancer.core.connection_reuse import NEVER
 from loadbalancer.proxy.flow_control import MIN_WINDOW_BYTES, STREAMING_THRESHOLD_BYTES, Flow
 from loadbalancer.proxy.upstream.load_report import parse_load_report
 from loadbalancer.proxy.upstream.request_writer import RequestWriter
@@ -75,8 +74,8 @@
         """Close without settling the attempt; does nothing if closed already."""
 
     @abstractmethod
-    def _log_unsolicited(self, data: bytes, when: str) -> None:
-        """Log bytes that no request on this connection has asked for."""
+    def _log_unsolicited(self, data: bytes) -> None:
+        """Log bytes that no request on this connection has asked for, and what follows."""
 
     @abstractmethod
     def _fail(self, outcome: Outcome) -> None:
@@ -87,11 +86,11 @@
         if self.attempt is None:
             # Bytes on an idle connection would be taken for the response to the next request.
             if self._state is IDLE:
-                self._log_unsolicited(data, "between two requests")
+                self._log_unsolicited(data)
             self._close()
             return
-        if self._delays_last_byte and self.idle_since != NEVER:
-            self._log_unsolicited(data, "before the last byte of the next request")
+        if self._awaits_no_response:
+            self._log_unsolicited(data)
             self._reroute_attempt()
             return
         reader = self.reader
--- a/loadbalancer/sources/http_get.py
+++ b/loadbalancer/sources/http_get.py
@@ -12,13 +12,11 @@
 import httptools
 
 from loadbalancer.config.address import Address
+from loadbalancer.core.http_framing import INTERIM_STATUSES, ends_with_stream
 
 logger = logging.getLogger(__name__)
 
 MAX_RESPONSE_BYTES = 16 << 20  # header fields and body
-# Statuses followed by the final response (RFC 9110, section 15.2). 101 is not one of them: what
-# follows it is another protocol.
-INTERIM_STATUSES = frozenset(range(100, 200)) - {101}
 MAX_DIGITS = 18  # of a number in a header field or query; such a number fits in 64 bits
 
 
@@ -117,22 +115,27 @@
         except httptools.HttpParserCallbackError:
             # `on_done` raised within a callback of the parser, which wraps the exception in one of
             # its own errors. Without this branch it would look like a malformed response.
-            logger.exception("the handler of a response raised an exception")
+            self._log_handler_fault()
             self._finish(None)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._finish(None)
 
+    def _log_handler_fault(self) -> None:
+        logger.exception("the handler of a response raised an exception")
+
     def eof_received(self) -> bool:
         """Handle the end of the service's stream, which completes a response without a length.
 
-        A response with neither a Content-Length nor a Transfer-Encoding ends with its connection
-        (RFC 9112, section 6.3), which the request asked to be closed. The parser isn't told of the
-        end. Any other response is incomplete. A reset never gets here.
+        The request asked for the connection to be closed, so such a response is expected. The
+        parser isn't told of the end. Any other response is incomplete. A reset never gets here.
 
         Returns False, so that the transport is closed.
         """
         if self._ends_with_stream and not self._is_cut_tls_stream():
-            self._report_response()
+            try:
+                self._report_response()
+            except Exception:  # noqa: BLE001 -- as in `data_received`, whose parser wraps it
+                self._log_handler_fault()
         return False
 
     def _is_cut_tls_stream(self) -> bool:
@@ -165,8 +168,8 @@
     def on_headers_complete(self) -> None:
         """Note whether the header fields leave the response's length open."""
         headers = self._headers
-        self._ends_with_stream = (
-            "content-length" not in headers and "transfer-encoding" not in headers
+        self._ends_with_stream = ends_with_stream(
+            "content-length" in headers, "transfer-encoding" in headers
         )
 
     def on_body(self, body: bytes) -> None:
--- a/tests/proxy/upstream/test_late_responses.py
+++ b/tests/proxy/upstream/test_late_responses.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import logging
 import socket
 import time
 from collections.abc import Callable, Iterator
@@ -20,7 +21,7 @@
 from loadbalancer.core import Outcome
 from loadbalancer.core.connection_reuse import SETTLING_TIME_NS
 from loadbalancer.proxy.exchange import Attempt
-from loadbalancer.proxy.flow_control import BufferBudget, Flow
+from loadbalancer.proxy.flow_control import STREAMING_THRESHOLD_BYTES, BufferBudget, Flow
 from loadbalancer.proxy.upstream.connection import BackendConnection
 from loadbalancer.proxy.upstream.pool import ConnectionPool
 from tests.harness import answer
@@ -31,6 +32,7 @@
 LATER_NS = 3600 * 1_000_000_000  # more than a test takes, however slow the machine is
 HEAD = b"GET /balance/1 HTTP/1.1\r\nX-Timeout-Ms: "
 FIRST = answer(b"the first response")
+LONG = answer(bytes(2 * STREAMING_THRESHOLD_BYTES))
 REJECTION = answer(b"", "503 Service Unavailable", "X-Not-Processed: 1")
 SURPLUS = [FIRST, REJECTION, b"\x8a\x00noise", FIRST[:5], b"HTTP/1.1 100 Continue\r\n\r\n"]
 
@@ -70,8 +72,12 @@
         self.config = SimpleNamespace(settings=settings, reports=False, idle_close=TIMEOUT_NS)
         self.loop = Loop()
         self.allows_begin = True
+        self.budget = BufferBudget(128)
         self.outcomes: list[Outcome] = []
 
+    def on_response_started(self, _attempt: Attempt) -> None:
+        pass
+
     def may_begin(self, _attempt: Attempt) -> bool:
         return self.allows_begin
 
@@ -111,6 +117,9 @@
     def is_closing(self) -> bool:
         return self.aborted
 
+    def pause_reading(self) -> None:
+        pass
+
 
 class Client:
     """A client that records the responses it gets."""
@@ -121,17 +130,22 @@
     def respond(self, _content_type: bytes, chunks: list[bytes], _size: int) -> None:
         self.responses.append(b"".join(chunks))
 
+    def begin_streaming(self, _content_type: bytes, _length: int, _flow: Flow) -> None:
+        pass
+
 
 class Link:
     """A connection in a pool that has carried a request, and settles when the test says so."""
 
-    def __init__(self, pool: ConnectionPool, host: Host) -> None:
+    def __init__(self, pool: ConnectionPool, host: Host, response: bytes = FIRST) -> None:
         self.transport = Transport()
         self.connection = BackendConnection(pool, BACKEND, ADDRESS)
         self.connection._sock, self.backend = socket.socketpair()
         self.connection.attempt = attempt(Client())
         self.connection.connection_made(cast(Any, self.transport))
-        self.connection.data_received(FIRST)
+        half = len(response) // 2
+        self.connection.data_received(response[:half])
+        self.connection.data_received(response[half:])
         self.connection.idle_since += LATER_NS
         host.outcomes.clear()
         self.transport.written = b""
@@ -147,8 +161,9 @@
 
 def attempt(client: Client, unsafe: bool = False, flow: Flow | None = None) -> Attempt:
     request = SimpleNamespace(
-        head=HEAD, body=[], flow=flow, chunked=False, unsafe=unsafe, ended=False, client=client
-    )
+        head=HEAD, body=[], flow=flow, chunked=False, unsafe=unsafe, ended=False, client=client,
+        client_request_id=b"r-1",
+    )  # fmt: skip
     sent = Attempt(cast(Any, request), 0, BACKEND, time.monotonic_ns())
     sent.timeout = TIMEOUT_NS
     return sent
@@ -165,8 +180,9 @@
 
 
 @pytest.fixture
-def link(pool: ConnectionPool, host: Host) -> Iterator[Link]:
-    link = Link(pool, host)
+def link(pool: ConnectionPool, host: Host, request: pytest.FixtureRequest) -> Iterator[Link]:
+    """A connection; an indirect parameter is the response that it has carried."""
+    link = Link(pool, host, getattr(request, "param", FIRST))
     yield link
     link.close()
 
@@ -199,6 +215,25 @@
     assert (client.responses, host.outcomes) == ([b"the second response"], [Outcome.OK])
 
 
+@pytest.mark.parametrize(
+    "link",
+    [LONG, REJECTION, answer(b"", "500 -")],
+    ids=["long", "rejection", "error"],
+    indirect=True,
+)
+def test_a_surplus_of_any_response_is_kept_apart(
+    pool: ConnectionPool, host: Host, link: Link, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Long responses are streamed, and rejections and errors have no content for the client."""
+    client = Client()
+    pool.send(attempt(client))
+    assert not link.transport.written.endswith(b"\r\n\r\n")
+    with caplog.at_level(logging.INFO, "loadbalancer"):
+        link.connection.data_received(FIRST)
+    assert (client.responses, host.outcomes) == ([], [Outcome.MOOT])
+    assert "before the last byte of request 'r-1', which was not executed" in caplog.text
+
+
 @pytest.mark.parametrize("allowed", [True, False], ids=["no descriptor", "client has left"])
 def test_an_attempt_that_can_not_move_was_not_executed(
     pool: ConnectionPool, host: Host, link: Link, allowed: bool
--- a/tests/sources/test_http_get.py
+++ b/tests/sources/test_http_get.py
@@ -70,9 +70,17 @@
     assert asyncio.run(get_from(response)) == [None]
 
 
-def test_an_exception_of_the_response_handler_is_logged(caplog: pytest.LogCaptureFixture) -> None:
-    """It is raised within the parser's callback and would look like a malformed response."""
-    response = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]"
+@pytest.mark.parametrize("length", [b"Content-Length: 2\r\n", b""])
+def test_an_exception_of_the_response_handler_is_logged(
+    caplog: pytest.LogCaptureFixture, length: bytes
+) -> None:
+    """Raised within the parser's callback it would look like a malformed response.
+
+    Raised at the end of the stream, as of a response without a length, it would reach the event
+    loop, whose log is not the process's.
+    """
+    response = b"HTTP/1.1 200 OK\r\n" + length + b"\r\n[]"
     with caplog.at_level(logging.ERROR, "loadbalancer"):
         assert len(asyncio.run(get_from(response, raises=True))) == 1
     assert "a fault of the response's handler" in caplog.text
+    assert {record.name for record in caplog.records} == {"loadbalancer.sources.http_get"}
--- a/tests/sources/test_responses_without_length.py
+++ b/tests/sources/test_responses_without_length.py
@@ -15,6 +15,7 @@
 import struct
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import pytest
 import trustme
@@ -33,7 +34,6 @@
 )
 
 TIMEOUT_S = 20.0
-READ_S = 0.05  # for the client to read what came before a faulty end
 HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
 Contexts = tuple[ssl.SSLContext | None, ssl.SSLContext | None]  # of the server and of the client
 PLAIN: Contexts = (None, None)
@@ -57,17 +57,32 @@
         sock.shutdown(socket.SHUT_WR)
 
 
+class ObservedGet(HttpGet):
+    """A request whose server can wait until what it has sent was read."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.was_read = asyncio.Event()
+
+    def data_received(self, data: bytes) -> None:
+        super().data_received(data)
+        self.was_read.set()
+
+
 async def get(pieces: tuple[bytes, ...], end: End, contexts: Contexts) -> Response | None:
-    """Return what a request reports if the server sends these pieces and ends the connection."""
+    """Return what a request reports if the server sends these pieces and ends the connection.
+
+    Each piece is read before the next one is sent, and all are before the end.
+    """
     done: asyncio.Future[Response | None] = asyncio.get_running_loop().create_future()
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(ConnectionError):
             await reader.readuntil(b"\r\n\r\n")
             for piece in pieces:
+                request.was_read.clear()
                 writer.write(piece)
-                await writer.drain()
-                await asyncio.sleep(READ_S)
+                await asyncio.wait_for(request.was_read.wait(), TIMEOUT_S)
         end(writer)
         await asyncio.wait([done])
         writer.close()
@@ -76,7 +91,7 @@
     server = await asyncio.start_server(serve, "127.0.0.1", 0, ssl=server_tls)
     async with server:
         address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
-        HttpGet(address, "/", TIMEOUT_S, done.set_result, tls=client_tls)
+        request = ObservedGet(address, "/", TIMEOUT_S, done.set_result, tls=client_tls)
         return await done
 
 
