--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -9,7 +9,7 @@
 import pytest
 
 from tests.harness import ROOT
-from tests.known_red import MAX_ENTRIES, read
+from tests.known_red import MAX_ENTRIES, Entries, read
 
 SUITE = """
 def test_good():
@@ -25,6 +25,7 @@
     (tmp_path / "tests").mkdir()
     (tmp_path / "tests" / "test_it.py").write_text(SUITE)
     (tmp_path / "pytest.ini").write_text("[pytest]\ntestpaths = tests\naddopts = --xfail-tb -rx\n")
+    (tmp_path / "case.sh").write_text("exit 1\n")
     (tmp_path / "KNOWN-RED.txt").write_text(known_red)
     done = subprocess.run(
         [sys.executable, "-m", "pytest", "-p", "tests.known_red", "-p", "no:cacheprovider", *args],
@@ -39,6 +40,7 @@
 BAD = "tests/test_it.py::test_bad"
 GOOD = "tests/test_it.py::test_good"
 DETAILS = "pytest, seed 7 | the fault | 35"
+CASE = "command: case.sh --quick | 7 | requests lost | 52"
 
 
 @pytest.mark.parametrize("workers", [(), ("-n", "2")])
@@ -50,6 +52,20 @@
     assert "1 passed, 1 xfailed" in text
 
 
+@pytest.mark.parametrize("workers", [(), ("-n", "2")])
+def test_a_listed_command_is_printed_and_not_run(tmp_path: Path, workers: tuple[str, ...]) -> None:
+    status, text = run_suite(tmp_path, f"{BAD} | {DETAILS}\n{CASE}\n", *workers)
+    assert status == 0, text
+    assert "not run: case.sh --quick (seed: 7): requests lost (issue 52)" in text
+    assert "1 passed, 1 xfailed" in text
+
+
+def test_a_listed_command_excuses_no_test(tmp_path: Path) -> None:
+    status, text = run_suite(tmp_path, f"{CASE}\n")
+    assert status != 0, text
+    assert "1 failed, 1 passed" in text
+
+
 @pytest.mark.parametrize(
     ("known_red", "message"),
     [
@@ -61,6 +77,19 @@
         (f"{BAD} | pytest, seed 7 | | 35\n", "KNOWN-RED.txt:1"),
         (f"{BAD} | pytest, seed 7 | the fault | soon\n", "KNOWN-RED.txt:1"),
         (f"{BAD} | p | a | 1\n{BAD} | p | b | 2\n", "stands twice"),
+        ("command: case.sh | 7 | lost\n", "KNOWN-RED.txt:1: not `command:"),
+        ("command: | 7 | lost | 52\n", "KNOWN-RED.txt:1: not `command:"),
+        ("command: case.sh | 7 | lost | soon\n", "KNOWN-RED.txt:1: not `command:"),
+        ("case.sh | 7 | lost | 52\n", "KNOWN-RED.txt:1"),
+        (f"command: pytest {BAD} | 7 | lost | 52\n", "list the test by its id"),
+        (f"command: case.sh {BAD} | 7 | lost | 52\n", "list the test by its id"),
+        ("command: gone.sh | 7 | lost | 52\n", "no file of the repository is called gone.sh"),
+        ("command: /bin/sh | 7 | lost | 52\n", "no file of the repository is called /bin/sh"),
+        (f"{CASE}\n{CASE}\n", "stands twice"),
+        (
+            f"{CASE}\n" + "".join(f"a.py::b{i} | p | c | 1\n" for i in range(MAX_ENTRIES)),
+            "3 at most",
+        ),
         ("".join(f"a.py::b{i} | p | c | 1\n" for i in range(MAX_ENTRIES + 1)), "3 at most"),
     ],
 )
@@ -78,4 +107,4 @@
 
 
 def test_the_usual_state_is_an_empty_list() -> None:
-    assert read("\n\n") == []
+    assert read("\n\n") == Entries([], [])
