Review: the stand-in of discovery takes its answers from one method

Need: cases that change what discovery answers. Change: Discovery.respond; world() takes a discovery and settings. Result: the cases 6 to 10 use what they used before.

--- a/review/lib2/stand.py
+++ b/review/lib2/stand.py
@@ -217,8 +217,7 @@
             while (head := await read_head(reader)) is not None:
                 _, _, query = head[0].split(" ", 2)[1].partition("?")
                 values = dict(part.split("=", 1) for part in query.split("&") if part)
-                body = await self._list(values)
-                writer.write(answer(200, json.dumps(body).encode()))
+                writer.write(await self.respond(values))
                 await writer.drain()
                 if head[1].get("connection", "").lower() == "close":
                     break
@@ -227,6 +226,10 @@
         finally:
             writer.close()
 
+    async def respond(self, query: dict[str, str]) -> bytes:
+        """The answer to one call."""
+        return answer(200, json.dumps(await self._list(query)).encode())
+
     async def _list(self, query: dict[str, str]) -> dict[str, Any]:
         present = [row for row in self.rows.values() if row["state"] != "left"]
         if "from" not in query:
@@ -351,18 +354,19 @@
 
 @contextlib.asynccontextmanager
 async def world(
-    record: Record, folder: Path, handler: Handler, servers: int = 4, **of_node: Any
-) -> AsyncIterator[World]:
+    record: Record, folder: Path, handler: Handler, servers: int = 4,
+    discovery: Discovery | None = None, settings: dict[str, Any] | None = None, **of_node: Any,
+) -> AsyncIterator[World]:  # fmt: skip
     """Start so many servers, discovery and a node; end all of them at the end of the block."""
     started = [Server(record, f"s-{number}", handler) for number in range(servers)]
-    discovery, node = Discovery(record), Node(record, folder)
+    discovery, node = discovery or Discovery(record), Node(record, folder)
     try:
         for server in started:
             await server.start()
         rows = [target(server.name, server.address) for server in started]
         discovery.rows = {row["uid"]: row for row in rows}
         await discovery.start()
-        await node.start(discovery.address, rows, SETTINGS, **of_node)
+        await node.start(discovery.address, rows, settings or SETTINGS, **of_node)
         yield World(node, started, discovery)
     finally:
         await node.end()
