--- a/review/7/case.py
+++ b/review/7/case.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import contextlib
-import signal
 import sys
 from pathlib import Path
 
@@ -23,41 +22,6 @@
 ANSWER_WITHIN_S = 2.0 + 0.5  # the deadline of `balance`, and half a second
 
 
-def resident_mb(pid: int) -> float:
-    """The memory that a process has resident, in MB; 0 once it has ended."""
-    try:
-        status = Path(f"/proc/{pid}/status").read_text(encoding="ascii", errors="replace")
-    except OSError:
-        return 0.0
-    sizes = [line.split()[1] for line in status.splitlines() if line.startswith("VmRSS:")]
-    return int(sizes[0]) / 1024 if sizes else 0.0
-
-
-class Platform:
-    """Kills a node whose memory is over its limit."""
-
-    def __init__(self, record: stand.Record, node: stand.Node) -> None:
-        self.most_mb = 0.0
-        self.has_killed = False
-        self._record = record
-        self._node = node
-
-    async def watch(self) -> None:
-        """Look at the node's memory until it is killed."""
-        assert self._node.process is not None
-        pid = self._node.process.pid
-        while not self.has_killed:
-            now_mb = resident_mb(pid)
-            if now_mb > self.most_mb + 10:
-                self._record.line(f"the node has {now_mb:.0f} MB")
-            self.most_mb = max(self.most_mb, now_mb)
-            if now_mb > MEMORY_MB:
-                self._record.line(f"the node has {now_mb:.0f} MB, over {MEMORY_MB}: killed")
-                self.has_killed = True
-                self._node.signal(signal.SIGKILL)
-            await asyncio.sleep(0.02)
-
-
 class Clients:
     """The usual clients: each asks, waits for the answer and asks again."""
 
@@ -117,7 +81,7 @@
 
     limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024}
     async with stand.world(record, folder, handle, limits=limits) as world:
-        platform = Platform(record, world.node)
+        platform = stand.Platform(record, world.node, MEMORY_MB)
         clients = Clients(record, world.node.listen)
         watch = asyncio.create_task(platform.watch())
         asking = [asyncio.create_task(clients.run(number)) for number in range(CLIENTS)]
--- a/review/lib2/stand.py
+++ b/review/lib2/stand.py
@@ -412,6 +412,42 @@
         return None
 
 
+def resident_mb(pid: int) -> float:
+    """The memory that a process has resident, in MB; 0 once it has ended."""
+    try:
+        status = Path(f"/proc/{pid}/status").read_text(encoding="ascii", errors="replace")
+    except OSError:
+        return 0.0
+    sizes = [line.split()[1] for line in status.splitlines() if line.startswith("VmRSS:")]
+    return int(sizes[0]) / 1024 if sizes else 0.0
+
+
+class Platform:
+    """Kills a node whose memory is over its limit."""
+
+    def __init__(self, record: Record, node: Node, memory_mb: int) -> None:
+        self.most_mb = 0.0
+        self.has_killed = False
+        self._record = record
+        self._node = node
+        self._memory_mb = memory_mb
+
+    async def watch(self) -> None:
+        """Look at the node's memory until it is killed."""
+        assert self._node.process is not None
+        pid = self._node.process.pid
+        while not self.has_killed:
+            now_mb = resident_mb(pid)
+            if now_mb > self.most_mb + 10:
+                self._record.line(f"the node has {now_mb:.0f} MB")
+            self.most_mb = max(self.most_mb, now_mb)
+            if now_mb > self._memory_mb:
+                self._record.line(f"the node has {now_mb:.0f} MB, over {self._memory_mb}: killed")
+                self.has_killed = True
+                self._node.signal(signal.SIGKILL)
+            await asyncio.sleep(0.02)
+
+
 Case = Callable[[Record, Path], Awaitable[int]]
 
 
