--- a/review/lib2/stand.py
+++ b/review/lib2/stand.py
@@ -1,4 +1,4 @@
-"""Stand-ins and helpers for the cases 6 to 10: the platform, clients, servers, discovery.
+"""Stand-ins and helpers for the cases 6 to 8: the platform, clients, servers, discovery.
 
 Only the standard library. Everything listens on loopback, at ports that the system picks.
 """
--- a/review/lib3/rig.py
+++ b/review/lib3/rig.py
@@ -1,4 +1,4 @@
-"""What the cases 9, 10 and 13 to 15 share: processes, stand-ins, HTTP calls, the record.
+"""What the cases 9 and 10 share: processes, stand-ins, HTTP calls, the record.
 
 Loopback addresses only, the real clock, a temporary folder. Every process is ended by its id.
 """
@@ -46,11 +46,6 @@
         return str(tomllib.load(file)["run"])
 
 
-def program(*arguments: str) -> str:
-    """The command of a sub-command of the program, as `run` begins it."""
-    return " ".join((run_command(), *arguments))
-
-
 def free_ports(count: int) -> list[int]:
     ports: list[int] = []
     while len(ports) < count:
@@ -133,11 +128,6 @@
         connection.close()
 
 
-def call_json(address: str, path: str, timeout_s: float = 2.0) -> Any:
-    status, body = call(address, "GET", path, timeout_s=timeout_s)
-    return json.loads(body) if status == 200 else None
-
-
 def wait_for(what: str, condition: Callable[[], Any], timeout_s: float) -> Any:
     """Poll until the condition is true; CannotRunError after the time."""
     end = time.monotonic() + timeout_s
@@ -184,79 +174,6 @@
         sys.exit(HELD if held else BROKEN)
 
 
-class Machines:
-    """The control machines of one region, `NAMES`, with one service and one bound listener."""
-
-    NAMES = ("east-a", "east-b", "east-c")
-
-    def __init__(self, case: Case, service: str, rows: list[Any]) -> None:
-        self.case = case
-        self.service = service
-        ports = free_ports(10)
-        backends = {"service": service, "targets": rows}
-        (case.folder / "backends.jsonl").write_text(json.dumps(backends) + "\n")
-        text = 'version = 1\nbackends_file = "backends.jsonl"\n[regions]\neast = ["east-1"]\n'
-        self.admin: dict[str, str] = {}
-        for number, name in enumerate(self.NAMES):
-            subscribers, peers, admin = ports[3 * number : 3 * number + 3]
-            self.admin[name] = f"127.0.0.1:{admin}"
-            text += (
-                f'[[machine]]\nname = "{name}"\nregion = "east"\nzone = "east-1"\n'
-                f'subscribers = "127.0.0.1:{subscribers}"\npeers = "127.0.0.1:{peers}"\n'
-                f'admin = "127.0.0.1:{admin}"\n'
-            )
-        for name in ("n1", "n2"):
-            text += f'[[node]]\nname = "{name}"\nregion = "east"\nzone = "east-1"\ncapacity = 8\n'
-        text += f'[[service]]\nname = "{service}"\nregion = "east"\nrate = 100.0\nbackends = 3\n'
-        self.bound = f"127.0.0.1:{ports[9]}"
-        text += f'[[bound]]\nmachine = "east-a"\nservice = "{service}"\nlisten = "{self.bound}"\n'
-        self.file = case.folder / "scale.toml"
-        self.file.write_text(text)
-        self.processes: dict[str, subprocess.Popen[bytes]] = {}
-
-    def start(self, name: str) -> None:
-        command = program("scale", str(self.file), "--machine", name)
-        self.processes[name] = self.case.start(name, command)
-
-    def signal(self, name: str, number: signal.Signals) -> None:
-        self.case.record.line(f"{number.name} to {name}")
-        self.processes[name].send_signal(number)
-
-    def end(self, name: str, number: signal.Signals) -> None:
-        self.signal(name, number)
-        self.processes[name].wait()
-
-    def statuses(self, names: tuple[str, ...] = NAMES) -> dict[str, Any]:
-        return {name: call_json(self.admin[name], "/status") for name in names}
-
-    def settled_leader(self) -> str:
-        """The leader, once all follow it with one log; "" before."""
-        statuses = self.statuses()
-        if not all(statuses.values()):
-            return ""
-        roles = {name: status["role"] for name, status in statuses.items()}
-        versions = {status["logs"]["east"]["version"] for status in statuses.values()}
-        leaders = [name for name, role in roles.items() if role == "leader"]
-        followers = [name for name, role in roles.items() if role == "follower"]
-        settled = len(leaders) == 1 and len(followers) == 2 and len(versions) == 1
-        return leaders[0] if settled and versions != {0} else ""
-
-    def submit(self, leader: str, **change: Any) -> list[Any] | None:
-        """Submit one change; its answer if it was accepted (200), else None."""
-        body = [{"service": self.service} | change]
-        status, answer = call(self.admin[leader], "POST", "/changes", body)
-        self.case.record.line(f"POST /changes at {leader}: {json.dumps(body)}")
-        self.case.record.line(f"  answered {status} {answer.decode(errors='replace')}")
-        return json.loads(answer) if status == 200 else None
-
-    def list_rows(self) -> dict[str, Any] | None:
-        """The service's rows by uid as the bound listener serves them to one who has none."""
-        raw = call_json(self.bound, "/registry/instances")
-        if raw is None or not raw["all"]:
-            return None
-        return {row["uid"]: row for row in raw["targets"]}
-
-
 class Loop:
     """An event loop in a thread of its own: the stand-in servers of a case run there."""
 
@@ -381,11 +298,6 @@
         self._environment = {"PROXY_CONFIG": str(path), "TMPDIR": str(folder)}
         self.process = case.start(name, run_command(), self._environment)
 
-    def start_again(self, admin: str) -> subprocess.Popen[bytes]:
-        """Start `run` a second time beside the running process, at another second address."""
-        environment = self._environment | {"PROXY_ADMIN": admin}
-        return self._case.start(f"{self._name}-second", run_command(), environment)
-
     def is_ready(self) -> bool:
         return call(self.address, "GET", "/health/ready", timeout_s=1.0)[0] == 200
 
@@ -456,44 +368,3 @@
         status, _ = call(self.address, method, path, body)
         if status != 200:
             raise CannotRunError(f"{method} {path}: status {status}")
-
-
-DEV_PYTHON = str(ROOT / ".venv-dev/bin/python")  # with gRPC: the control service and its proxies
-
-
-class ControlService:
-    """The control service of one pool, which it reads from a discovery, and Envoy-like proxies."""
-
-    def __init__(
-        self, case: Case, discovery: str, settings: Any, routes: str, rows: list[Any]
-    ) -> None:
-        self._case = case
-        self.address = f"127.0.0.1:{free_ports(1)[0]}"
-        config = {
-            "name": "c1", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1",
-            "known": {"rev": 1, "all": True, "targets": rows}, "settings": settings,
-        }  # fmt: skip
-        (case.folder / "config.json").write_text(json.dumps(config))
-        (case.folder / "routes.toml").write_text(routes)
-        file = case.folder / "control.toml"
-        file.write_text(
-            f'version = 1\nlisten = "{self.address}"\nconfig = "config.json"\n'
-            'routes = "routes.toml"\nenvoy_listener = "127.0.0.1:10000"\nreport_every = "0s"\n'
-        )
-        case.start("control", f"exec {DEV_PYTHON} -B -m loadbalancer control {file}")
-
-    def start_proxy(self, name: str, zone: str) -> str:
-        """Start an Envoy-like proxy; returns the address where clients reach it."""
-        listen = f"127.0.0.1:{free_ports(1)[0]}"
-        script = Path(__file__).resolve().parent / "stand_in_proxy.py"
-        self._case.start(
-            name,
-            f"exec {DEV_PYTHON} -B {script} --control {self.address} --listen {listen}"
-            f" --zone {zone} --id {name}",
-        )
-        wait_for(
-            f"{name} has its resources",
-            lambda: "listening on" in self._case.log_of(name),
-            15.0,
-        )
-        return listen
