--- a/review/10/case.py
+++ b/review/10/case.py
@@ -42,7 +42,7 @@
 def play(case: Case) -> bool:
     record = case.record
     loop = Loop()
-    servers = {name: TopupServer(name, 0.02) for name in ("s1", "s2", "s3")}
+    servers = {name: TopupServer(name, 0.02) for name in ("s1", "s2", "s3", "s4")}
     for server in servers.values():
         loop.run(server.open())
     rows = {name: target(name, server.address, "east-1") for name, server in servers.items()}
@@ -85,7 +85,7 @@
 
 def judge(case: Case, servers: dict[str, TopupServer], had: float, began: float) -> bool:
     late = [request for request in servers["s1"].received if request.at > began]
-    others = sum(r.at > began for name in ("s2", "s3") for r in servers[name].received)
+    others = sum(r.at > began for name in ("s2", "s3", "s4") for r in servers[name].received)
     case.record.line(
         f"from {began - had:.1f} s on, in {LOOK_S:g} s: {len(late)} requests to s1, which drains, "
         f"{others} to the others"
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -124,7 +124,7 @@
     answers: Counter[int] = Counter()
     for number in range(REQUESTS):
         headers = {"Host": "app.svc", "X-Request-ID": f"{number:016x}", "X-Timeout-Ms": "3000",
-                   "X-Priority-Class": "topup", "Idempotency-Key": f"k{number}"}  # fmt: skip
+                   "X-Priority-Class": "topup", "Idempotency-Key": f"{number:032x}"}  # fmt: skip
         connection = HTTPConnection(host, int(port), timeout=4.0)
         status = 0
         try:
@@ -136,7 +136,7 @@
             pass
         connection.close()
         answers[status] += 1
-        case.record.line(f"client sent {number:016x} key k{number}: {status or 'no answer'}")
+        case.record.line(f"client sent {number:016x} key {number:032x}: {status or 'no answer'}")
         time.sleep(0.05)
     return answers
 
--- a/review/lib3/rig.py
+++ b/review/lib3/rig.py
@@ -287,7 +287,8 @@
         self._case = case
         self._name = name
         config = {
-            "name": name, "listen": self.address, "discovery": discovery, "seed": "1f",
+            "name": name, "listen": self.address, "discovery": discovery,
+            "seed": f"{random.getrandbits(64):016x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": {"rev": 0, "all": True, "targets": []}, "settings": settings or SETTINGS,
         } | more  # fmt: skip
