--- a/loadbalancer/core/http_framing.py
+++ b/loadbalancer/core/http_framing.py
@@ -8,6 +8,9 @@
 # Statuses followed by another response. 101 is not one of them: what follows it is another
 # protocol.
 INTERIM_STATUSES = frozenset(range(100, 200)) - {101}
+# Statuses of a response that is the last one to its request. A connection is reused only after one
+# of these: after any other status it is unknown whether a response is still due.
+FINAL_STATUSES = range(200, 600)
 
 
 def ends_with_stream(has_length: bool, has_transfer_encoding: bool) -> bool:
--- a/loadbalancer/proxy/upstream/response_receiver.py
+++ b/loadbalancer/proxy/upstream/response_receiver.py
@@ -121,11 +121,18 @@
             self.reader.take_chunks()
 
     def _restart_timeout(self) -> None:
-        """Restart the timer that fails the attempt if no further bytes arrive."""
+        """Restart the timer that fails the attempt if no further bytes arrive.
+
+        After an interim response nothing of the next one may come for long, as the backend is
+        still working on the request: the attempt's own timeout applies, as before any bytes.
+        """
         if not self.request_written:
             return
         self._stop_timer()
-        is_content = self.reader.state is CONTENT
+        reader = self.reader
+        is_content = reader.state is CONTENT
+        if not is_content and not reader.head_begun:
+            return
         factor = CONTENT_TIMEOUT_FACTOR if is_content else HEAD_TIMEOUT_FACTOR
         limit_s = factor * self.host.config.settings.connect_timeout / SECOND
         self._timer = self.host.loop.call_later(limit_s, self._fail, Outcome.ERROR)
