What a chunked message has beside its content is limited, and so is one parse

Cause: bytes of a head were counted while the head was read, content by its size; the chunks' sizes and extensions and the trailer section were counted by nobody. The parser holds an incomplete trailer field and copies it with each read. Change: FramingExcess in core/http_framing, for requests and responses: each chunk has 16 bytes and twice its content free, the rest may be 16 KiB; more is answered 431, or counts as a spoilt response. At most 16 KiB are parsed before the limits are checked; one read was held whole before. HttpGet counts all that arrives, not only complete fields. Chunks of one byte still pass.

--- a/loadbalancer/proxy/downstream/request.py
+++ b/loadbalancer/proxy/downstream/request.py
@@ -6,6 +6,7 @@
 
 from loadbalancer.core.balancing.model import RequestClass
 from loadbalancer.core.balancing.records import ClassState
+from loadbalancer.core.http_framing import FramingExcess
 
 if TYPE_CHECKING:
     from loadbalancer.core.routes.table import Policy
@@ -23,9 +24,10 @@
     """
 
     __slots__ = (
-        "body", "chunked", "client_request_id", "cls", "fields", "flow", "has_idempotency_key",
-        "head", "hint", "http10", "is_readiness_check", "keep_alive", "key", "length", "lines",
-        "method", "path", "policy", "received_at", "retried", "size", "tenant", "timeout", "url",
+        "body", "chunked", "client_request_id", "cls", "fields", "flow", "framing_excess",
+        "has_idempotency_key", "head", "hint", "http10", "is_readiness_check", "keep_alive", "key",
+        "length", "lines", "method", "path", "pieces", "policy", "received_at", "retried", "size",
+        "tenant", "timeout", "url",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -37,6 +39,8 @@
         self.size = 0  # of the content read so far
         self.length = 0  # of the content, as declared by the head
         self.chunked = False
+        self.pieces = 0  # parts in which the content came, at least one for each chunk
+        self.framing_excess = FramingExcess()
         self.flow: Flow | None = None  # set once the content is forwarded while it is read
         self.http10 = False
         self.head = b""  # the start of each attempt's head, up to the value of its timeout
--- a/loadbalancer/proxy/downstream/request_parser.py
+++ b/loadbalancer/proxy/downstream/request_parser.py
@@ -23,6 +23,7 @@
 )
 from loadbalancer.proxy.flow_control import (
     MAX_MESSAGE_BYTES,
+    MAX_PARSED_BYTES,
     MIN_WINDOW_BYTES,
     STREAMING_THRESHOLD_BYTES,
 )
@@ -87,12 +88,32 @@
         """Respond with an error status and close the connection."""
 
     def data_received(self, data: bytes) -> None:
-        """Parse the next bytes from the client."""
+        """Parse the next bytes from the client, then start what they have completed."""
+        if len(data) <= MAX_PARSED_BYTES or self._reads_plain_content():
+            self._parse(data)
+        else:
+            for start in range(0, len(data), MAX_PARSED_BYTES):
+                self._parse(data[start : start + MAX_PARSED_BYTES])
+        if self._parser is None:
+            return
+        self._start_queued()
+        incoming = self._incoming
+        if incoming is not None and self._read_state is not HEAD:
+            self._limit_content(incoming)
+
+    def _reads_plain_content(self) -> bool:
+        """Whether content is read that is not in chunks, of which the parser holds nothing."""
+        incoming = self._incoming
+        return incoming is not None and self._read_state is not HEAD and not incoming.chunked
+
+    def _parse(self, data: bytes) -> None:
+        """Parse bytes, and reject the request if they are invalid or exceed a limit."""
         parser = self._parser
         if parser is None:
             self._discard(data)
             return
-        state = self._read_state
+        state, incoming = self._read_state, self._incoming
+        size, pieces = (incoming.size, incoming.pieces) if incoming is not None else (0, 0)
         if state is NO_REQUEST or state is HEAD:
             self._head_size += len(data)
         try:
@@ -103,16 +124,15 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._reject(400)
             return
-        self._start_queued()
-        incoming = self._incoming
-        if incoming is None:
-            return
-        if self._read_state is not HEAD:
-            self._limit_content(incoming)
-        elif self._head_size > MAX_HEAD_BYTES:
-            # A head that never ends does not reach the check of its size in on_headers_complete,
-            # and would exhaust memory.
-            self._reject(431)
+        if self._read_state is HEAD:
+            if self._head_size > MAX_HEAD_BYTES:
+                # A head that never ends does not reach the check of its size in
+                # on_headers_complete, and would exhaust memory.
+                self._reject(431)
+        elif incoming is not None and incoming is self._incoming and state is not HEAD:
+            content, new_pieces = incoming.size - size, incoming.pieces - pieces
+            if not incoming.framing_excess.add(len(data), content, new_pieces):
+                self._reject(431)  # a trailer section or a chunk extension without end
 
     def _discard(self, data: bytes) -> None:
         """Drop input that arrives while the connection is closing.
@@ -195,6 +215,7 @@
         incoming = self._incoming
         assert incoming is not None
         incoming.size += len(body)
+        incoming.pieces += 1
         if incoming.size > MAX_MESSAGE_BYTES:
             raise BadRequestError(413)
         if self._read_state is UPLOAD:
--- a/loadbalancer/proxy/flow_control.py
+++ b/loadbalancer/proxy/flow_control.py
@@ -12,6 +12,9 @@
 # Messages up to this size are buffered completely before they are forwarded.
 STREAMING_THRESHOLD_BYTES = 64 << 10
 MAX_MESSAGE_BYTES = 32 << 20  # largest content accepted, of a request or a response
+# The most that is parsed at a time of a head or of chunks. What the parser holds is checked only
+# afterwards, so this is how far it can exceed its limits.
+MAX_PARSED_BYTES = 16 << 10
 MIN_WINDOW_BYTES = 64 << 10  # smallest window while usage is within the soft limit
 WINDOW_FRACTION = 16  # a window is the free bytes below the soft limit, divided by this
 BASELINE_MB = 32  # memory of the process without message buffers, connections included
--- a/loadbalancer/proxy/upstream/response_reader.py
+++ b/loadbalancer/proxy/upstream/response_reader.py
@@ -6,8 +6,17 @@
 
 import httptools
 
-from loadbalancer.core.http_framing import FINAL_STATUSES, INTERIM_STATUSES, ends_with_stream
-from loadbalancer.proxy.flow_control import MAX_MESSAGE_BYTES, STREAMING_THRESHOLD_BYTES
+from loadbalancer.core.http_framing import (
+    FINAL_STATUSES,
+    INTERIM_STATUSES,
+    FramingExcess,
+    ends_with_stream,
+)
+from loadbalancer.proxy.flow_control import (
+    MAX_MESSAGE_BYTES,
+    MAX_PARSED_BYTES,
+    STREAMING_THRESHOLD_BYTES,
+)
 
 MAX_HEAD_BYTES = 16 << 10  # of a response's status line and header fields
 OK_STATUS = 200
@@ -41,9 +50,9 @@
     """
 
     __slots__ = (
-        "_closes", "_has_interim", "_has_transfer_encoding", "_head_size", "_parser", "chunks",
-        "content_type", "head_begun", "keep_alive", "length", "load_report", "not_processed",
-        "size", "state", "status",
+        "_closes", "_framing_excess", "_has_interim", "_has_transfer_encoding", "_head_size",
+        "_parser", "_pieces", "chunks", "content_type", "head_begun", "keep_alive", "length",
+        "load_report", "not_processed", "size", "state", "status",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -67,6 +76,8 @@
         self.not_processed = False
         self.keep_alive = False
         self.head_begun = False
+        self._pieces = 0  # parts in which the content came, at least one for each chunk
+        self._framing_excess = FramingExcess()
         self._has_transfer_encoding = False
         self._closes = False
 
@@ -81,10 +92,22 @@
 
     def feed(self, data: bytes) -> None:
         """Parse the next bytes and update `state` and the other attributes."""
+        if len(data) <= MAX_PARSED_BYTES or self._reads_plain_content():
+            self._parse(data)
+            return
+        for start in range(0, len(data), MAX_PARSED_BYTES):
+            self._parse(data[start : start + MAX_PARSED_BYTES])
+
+    def _reads_plain_content(self) -> bool:
+        """Whether content is read that is not in chunks, of which the parser holds nothing."""
+        return self.state is CONTENT and not self._has_transfer_encoding
+
+    def _parse(self, data: bytes) -> None:
         parser = self._parser
-        if parser is None:
+        if parser is None or self.state is MALFORMED:
             return
-        if self.state is HEAD:
+        state, size, pieces = self.state, self.size, self._pieces
+        if state is HEAD:
             self._head_size += len(data)
         try:
             parser.feed_data(data)
@@ -92,8 +115,13 @@
             self.keep_alive = False
             if self.state is not COMPLETE:
                 self.state = MALFORMED
-        if self.state is HEAD and self._head_size > self._max_head_bytes():
-            self.state = MALFORMED
+        if self.state is HEAD:
+            if self._head_size > self._max_head_bytes():
+                self.state = MALFORMED
+        elif self.state is CONTENT and state is CONTENT:
+            content, pieces = self.size - size, self._pieces - pieces
+            if not self._framing_excess.add(len(data), content, pieces):
+                self.state = MALFORMED
 
     def _max_head_bytes(self) -> int:
         return MAX_INTERIM_BYTES if self._has_interim else MAX_HEAD_BYTES
@@ -163,6 +191,7 @@
             self.keep_alive = False
             return
         self.size += len(body)
+        self._pieces += 1
         if self.status != OK_STATUS:
             # Clients get only the status, so the content is not needed.
             if self.size > STREAMING_THRESHOLD_BYTES:
--- a/loadbalancer/sources/http_get.py
+++ b/loadbalancer/sources/http_get.py
@@ -16,7 +16,7 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_RESPONSE_BYTES = 16 << 20  # header fields and body
+MAX_RESPONSE_BYTES = 16 << 20  # all that is received, interim responses included
 MAX_DIGITS = 18  # of a number in a header field or query; such a number fits in 64 bits
 
 
@@ -108,6 +108,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse the next part of the response."""
+        # Counted before they are parsed: the parser holds an incomplete header field.
+        self._size += len(data)
+        if self._size > MAX_RESPONSE_BYTES:
+            self._finish(None)
         if self._parser is None:
             return
         try:
@@ -162,7 +166,6 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header field."""
-        self._count(len(name) + len(value))
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
@@ -175,7 +178,6 @@
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
         self._body.append(body)
-        self._count(len(body))
 
     def on_message_complete(self) -> None:
         """Report the complete response; an interim one is followed by another, and dropped."""
@@ -192,11 +194,6 @@
             status = parser.get_status_code()
             self._finish(Response(status, self._headers, b"".join(self._body)))
 
-    def _count(self, size: int) -> None:
-        self._size += size
-        if self._size > MAX_RESPONSE_BYTES:
-            self._finish(None)
-
     def _finish(self, response: Response | None) -> None:
         """Close the connection and report the result, unless that was done before."""
         on_done = self._on_done
--- a/tests/core/test_http_framing.py
+++ b/tests/core/test_http_framing.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from loadbalancer.core.http_framing import INTERIM_STATUSES, ends_with_stream
+from loadbalancer.core.http_framing import (
+    CHUNK_ALLOWANCE_BYTES,
+    INTERIM_STATUSES,
+    MAX_FRAMING_EXCESS_BYTES,
+    FramingExcess,
+    ends_with_stream,
+)
 
 
 def test_a_switch_of_protocols_is_no_interim_response() -> None:
@@ -20,3 +26,18 @@
     has_length: bool, has_transfer_encoding: bool, ends: bool
 ) -> None:
     assert ends_with_stream(has_length, has_transfer_encoding) == ends
+
+
+def test_an_excess_is_allowed_up_to_the_limit() -> None:
+    excess = FramingExcess()
+    assert excess.add(MAX_FRAMING_EXCESS_BYTES, 0, 0)
+    assert not excess.add(1, 0, 0)
+
+
+def test_each_chunk_has_an_allowance_that_no_later_excess_uses_up() -> None:
+    """Otherwise a long body would leave room for a trailer section of twice its size."""
+    excess = FramingExcess()
+    for _ in range(MAX_FRAMING_EXCESS_BYTES):
+        assert excess.add(1 + CHUNK_ALLOWANCE_BYTES + 2, 1, 1)
+    assert excess.add(1 << 20, 1 << 20, 1)
+    assert not excess.add(MAX_FRAMING_EXCESS_BYTES + 1, 0, 0)
--- a/tests/proxy/upstream/test_response_reader.py
+++ b/tests/proxy/upstream/test_response_reader.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from loadbalancer.core.http_framing import MAX_FRAMING_EXCESS_BYTES
 from loadbalancer.proxy.flow_control import MAX_MESSAGE_BYTES, STREAMING_THRESHOLD_BYTES
 from loadbalancer.proxy.upstream.response_reader import (
     COMPLETE,
@@ -129,6 +130,31 @@
     assert not reader.keep_alive
 
 
+@pytest.mark.parametrize("status", [b"200 OK", b"500 Oops"])
+@pytest.mark.parametrize("endless", [b"0\r\nX-Note: ", b"0\r\nX-", b"0;", b"5;name="])
+def test_framing_without_end_is_malformed(status: bytes, endless: bytes) -> None:
+    """A trailer section without end took the process over its memory limit.
+
+    The parser held the incomplete field, and no limit counted it.
+    """
+    head = b"HTTP/1.1 %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n" % status
+    reader = read(head + endless)
+    for _ in range(MAX_FRAMING_EXCESS_BYTES // 1024 - 1):
+        reader.feed(b"a" * 1024)
+    assert reader.state is CONTENT
+    reader.feed(b"a" * 2048)
+    assert reader.state is MALFORMED
+    assert read(head + endless + b"a" * 10 * MAX_FRAMING_EXCESS_BYTES).state is MALFORMED
+
+
+def test_chunks_of_one_byte_are_no_excess() -> None:
+    reader = read(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    for _ in range(MAX_FRAMING_EXCESS_BYTES // 8):
+        reader.feed(b"1\r\nk\r\n" * 8)
+    reader.feed(b"0\r\nX-Sum: 1\r\n\r\n")
+    assert (reader.state, reader.size) == (COMPLETE, MAX_FRAMING_EXCESS_BYTES)
+
+
 def test_the_content_of_an_error_response_is_counted_and_dropped() -> None:
     size = STREAMING_THRESHOLD_BYTES
     head = b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: %d\r\n\r\n"
--- a/tests/sources/test_http_get.py
+++ b/tests/sources/test_http_get.py
@@ -9,6 +9,7 @@
 import pytest
 
 from loadbalancer.config.address import Address
+from loadbalancer.sources import http_get
 from loadbalancer.sources.http_get import HttpGet, Response
 
 TIMEOUT_S = 20.0
@@ -84,3 +85,19 @@
         assert len(asyncio.run(get_from(response, raises=True))) == 1
     assert "a fault of the response's handler" in caplog.text
     assert {record.name for record in caplog.records} == {"loadbalancer.sources.http_get"}
+
+
+def test_a_header_field_without_end_counts_as_received(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The parser holds an incomplete field: it was counted only at its end, which never came."""
+    monkeypatch.setattr(http_get, "MAX_RESPONSE_BYTES", 1 << 10)
+
+    async def exchange() -> list[Response | None]:
+        reported: list[Response | None] = []
+        request = HttpGet(Address("127.0.0.1", 1), "/", TIMEOUT_S, reported.append)
+        request.data_received(b"HTTP/1.1 200 OK\r\nX-Note: " + b"a" * 512)
+        assert reported == []
+        request.data_received(b"a" * 512)
+        request.drop()
+        return reported
+
+    assert asyncio.run(exchange()) == [None]
