A request id stays in use until its request can have no further effect

Cause: on_response_started gave the id free at the first part of a long response, and the end of that request then took away the id of the later one. The id of a client that left was free at once, although a backend went on executing its request. Change: RequestIdTable in core/request_ids, one rule: an id is in use until the client's connection holds nothing more of the response and each attempt has an outcome; where the client left and an attempt was sent, for the request's time limit from then on; for the longest deadline after the end of an upgrade's other process. Only its own request releases an id. A test of test_host.py asked that an id is free while a second attempt of its request is out: that is the fault, so it asks for the opposite now.

--- a/loadbalancer/proxy/attempts.py
+++ b/loadbalancer/proxy/attempts.py
@@ -179,7 +179,7 @@
         attempt would cut this response off.
         """
         request = attempt.request
-        self.open_request_ids.discard(request.client_request_id)
+        request.delivering = True
         duration = time.monotonic_ns() - attempt.sent_at
         event = self.balancer.on_response_started
         self.notify_balancer(event, request.id, attempt.number, duration)
--- a/loadbalancer/proxy/client_events.py
+++ b/loadbalancer/proxy/client_events.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from abc import ABC
 from typing import TYPE_CHECKING
 
@@ -46,7 +47,7 @@
         request = Request(number, client, incoming, now, remaining, max_attempts)
         self.requests[number] = request
         self.open_count += 1
-        self.open_request_ids.add(request.client_request_id)
+        self.request_ids.begin(request.client_request_id, number)
         self._timers.add(request.deadline + ANSWER_GRACE_NS, request)
         try:
             self.balancer.on_request(
@@ -76,7 +77,12 @@
         response that nobody reads, or a partial request that is never completed, would use a
         slot and a connection to the backend until the deadline. A streamed request body is
         discarded, together with what is buffered of it.
+
+        The request's id stays in use for a while, as a backend may have executed the request.
         """
+        if request.attempts or request.delivering:
+            request.id_in_use_until = time.monotonic_ns() + request.timeout
+        self.response_delivered(request)
         if request.ended:
             return
         self.begin_event()
--- a/loadbalancer/proxy/downstream/connection.py
+++ b/loadbalancer/proxy/downstream/connection.py
@@ -74,17 +74,12 @@
             ready = registry.lifecycle.answer_readiness_check(time.monotonic_ns())
             self._write_response(READY_HEAD if ready else EMPTY_HEADS[503])
             return
-        client_request_id = incoming.client_request_id
-        if (
-            client_request_id in host.open_request_ids
-            or client_request_id in host.other_process_request_ids
-        ):
-            # If two open requests had the same id, a backend that deduplicates by id would answer
-            # one of them with the other's response.
+        now = time.monotonic_ns()
+        if host.request_ids.in_use(incoming.client_request_id, now):
             self._release_content(incoming)
             self._reject(409)
             return
-        waited_ns = time.monotonic_ns() - incoming.received_at
+        waited_ns = now - incoming.received_at
         request = host.admit_request(self, incoming, waited_ns)
         if request is None:
             self._release_content(incoming)
--- a/loadbalancer/proxy/downstream/response_writer.py
+++ b/loadbalancer/proxy/downstream/response_writer.py
@@ -153,7 +153,9 @@
         self._flow = None
         if transport is None or transport.is_closing():
             return
-        self._request = None
+        request, self._request = self._request, None
+        if request is not None:
+            self._registry.host.response_delivered(request)
         self._state = AWAITING_REQUEST
         if self._framing is CHUNKED:
             transport.write(b"0\r\n\r\n")
@@ -162,7 +164,9 @@
 
     def abort_response(self) -> None:
         """Abort the connection, so that the client sees that the response is incomplete."""
-        self._request = None
+        request, self._request = self._request, None
+        if request is not None:
+            self._registry.host.response_delivered(request)
         self._drop_flow()
         if self._transport is not None:
             self._abort(self._transport)
--- a/loadbalancer/proxy/exchange.py
+++ b/loadbalancer/proxy/exchange.py
@@ -75,8 +75,8 @@
 
     __slots__ = (
         "arrived", "attempts", "body", "chunked", "client", "client_request_id", "deadline",
-        "ended", "flow", "half_closed", "head", "id", "max_attempts", "open_attempts", "size",
-        "started", "timeout", "unsafe",
+        "delivering", "ended", "flow", "half_closed", "head", "id", "id_in_use_until",
+        "max_attempts", "open_attempts", "size", "started", "timeout", "unsafe",
     )  # fmt: skip
 
     def __init__(
@@ -103,6 +103,9 @@
         self.flow: Flow | None = incoming.flow  # a long body, forwarded while it is received
         self.chunked = incoming.chunked  # whether that body's length is unknown
         self.started = False  # whether the client has been sent a part of a response
+        self.delivering = False  # whether its client's connection still sends a long response
+        # Until when its id stays in use once its client has left; 0 if it has not.
+        self.id_in_use_until = 0
         self.attempts: list[Attempt] = []
         self.open_attempts = 0
         self.ended = False
--- a/loadbalancer/proxy/host.py
+++ b/loadbalancer/proxy/host.py
@@ -168,7 +168,8 @@
 
     def end_sharing(self) -> None:
         """The other process of this node has ended: use its limits and descriptors again."""
-        self.other_process_request_ids = set()
+        longest_ns = max(cls.deadline for cls in self.config.settings.classes)
+        self.request_ids.end_other_process(time.monotonic_ns() + longest_ns)
         self.set_other_process_descriptors(0)
         if self.balancer.has_limit_share:
             self._set_limit_share(None)
@@ -200,5 +201,7 @@
         logger.info("%s", text)
 
     def sweep(self) -> None:
-        """Close the backend connections that have been idle for too long."""
-        self.upstream.close_expired(time.monotonic_ns())
+        """Close the backend connections that have been idle for too long; release request ids."""
+        now = time.monotonic_ns()
+        self.upstream.close_expired(now)
+        self.request_ids.expire(now)
--- a/loadbalancer/proxy/open_requests.py
+++ b/loadbalancer/proxy/open_requests.py
@@ -1,13 +1,15 @@
 """The requests of one host, from their admission to the outcome of their last attempt.
 
 A request *ends* when its client has its response, or needs none any more. Its attempts may
-run on after that; it is *forgotten* once it has ended and all its attempts have outcomes.
+run on after that; it is *forgotten* once it has ended and all its attempts have outcomes. A long
+response may still be on its way to the client then: `response_delivered` tells when it is not.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from loadbalancer.core.request_ids import RequestIdTable
 from loadbalancer.faults import run_logged
 
 if TYPE_CHECKING:
@@ -22,16 +24,14 @@
 class OpenRequests:
     """The requests that have not been forgotten, by their numbers in this process.
 
-    `open_request_ids`: the request ids, chosen by clients, of requests that have not ended.
-    `other_process_request_ids`: the same for the other process of this node during an upgrade.
+    `request_ids`: the ids, chosen by clients, that no further request may use.
     """
 
     def __init__(self, budget: BufferBudget) -> None:
         self.budget = budget
         self.requests: dict[int, Request] = {}
         self.open_count = 0  # requests that have not ended
-        self.open_request_ids: set[bytes] = set()
-        self.other_process_request_ids: set[bytes] = set()
+        self.request_ids = RequestIdTable()
 
     def finish(self, request: Request, status: int, retry_after_ns: int = 0) -> None:
         """Answer a request with an error status, unless it has ended.
@@ -63,14 +63,14 @@
         """End a request: its client has its response, or needs none any more."""
         request.ended = True
         request.client = None
-        # These come before the body is discarded, which may raise. Otherwise the request would
-        # count as open forever: a stop would wait for it up to its time limit, and other requests
-        # with the same id would be rejected as duplicates.
+        # This comes before the body is discarded, which may raise. Otherwise the request would
+        # count as open forever, and a stop would wait for it up to its time limit.
         self.open_count -= 1
-        self.open_request_ids.discard(request.client_request_id)
-        if request.flow is not None:
-            request.flow.discard()
-        self.forget(request)
+        try:
+            if request.flow is not None:
+                request.flow.discard()
+        finally:
+            self.forget(request)
 
     def forget(self, request: Request) -> None:
         """Remove a request that has ended and has no open attempt; otherwise do nothing."""
@@ -78,9 +78,21 @@
             return
         if self.requests.pop(request.id, None) is None:
             return
+        self._release_id(request)
         request.body = []
         # Attempts refer back to their request. Only the garbage collector frees such a cycle, and
         # it runs rarely in this process (see `process.GC_THRESHOLDS`), so memory use would grow.
         request.attempts = []
         if request.flow is None:
             self.budget.release(request.size)
+
+    def response_delivered(self, request: Request) -> None:
+        """The connection holds nothing more of a request's response, or has been closed."""
+        request.delivering = False
+        if request.id not in self.requests:
+            self._release_id(request)
+
+    def _release_id(self, request: Request) -> None:
+        if not request.delivering:
+            until = request.id_in_use_until
+            self.request_ids.release(request.client_request_id, request.id, until)
--- a/loadbalancer/proxy/ports.py
+++ b/loadbalancer/proxy/ports.py
@@ -14,6 +14,7 @@
     from loadbalancer.config.address import Address
     from loadbalancer.config.node import Config
     from loadbalancer.core import Balancer, Outcome
+    from loadbalancer.core.request_ids import RequestIdTable
     from loadbalancer.proxy.exchange import Attempt, Client, ReceivedRequest, Request
     from loadbalancer.proxy.flow_control import BufferBudget
     from loadbalancer.proxy.routing import Routing
@@ -67,13 +68,11 @@
     """What client connections and their listener use of the host.
 
     `clients`: the number of client descriptors, which the listener and the connections update.
-    `open_request_ids` and `other_process_request_ids`: the ids of the open requests of this
-    process, and of the other process of this node during an upgrade.
+    `request_ids`: the ids that no further request may use.
     """
 
     clients: int
-    open_request_ids: set[bytes]
-    other_process_request_ids: set[bytes]
+    request_ids: RequestIdTable
     balancer: Balancer
     routing: Routing | None
 
@@ -85,6 +84,9 @@
     def client_disconnected(self, request: Request) -> None:
         """A request's client has disconnected."""
 
+    def response_delivered(self, request: Request) -> None:
+        """A long response has been sent completely."""
+
     def client_half_closed(self, request: Request) -> None:
         """A request's client has shut down its sending side, but may wait for the response."""
 
--- a/loadbalancer/upgrade/drain.py
+++ b/loadbalancer/upgrade/drain.py
@@ -69,7 +69,7 @@
         return RetainedCapacity(
             slots,
             node.descriptors(),
-            tuple(node.open_request_ids),
+            tuple(node.request_ids.own()),
             drained=self.remaining_fraction == 0,
         )
 
--- a/loadbalancer/upgrade/successor.py
+++ b/loadbalancer/upgrade/successor.py
@@ -219,7 +219,7 @@
         node = self._process.node
         state.share.update(message.slots)
         node.use_limit_share(state.share)
-        node.other_process_request_ids = set(message.request_ids)
+        node.request_ids.replace_other_process(message.request_ids)
         node.set_other_process_descriptors(message.descriptors)
         if not state.first_report.done():
             state.first_report.set_result(None)
--- /dev/null
+++ b/tests/core/test_request_ids.py
@@ -0,0 +1,54 @@
+"""Which request ids are in use, and until when."""
+
+from __future__ import annotations
+
+from loadbalancer.core.request_ids import RequestIdTable
+
+NOW = 1_000
+
+
+def test_an_id_is_released_only_by_the_request_that_uses_it() -> None:
+    """The end of an earlier request took away the id of a later one, so a third could pass."""
+    table = RequestIdTable()
+    table.begin(b"a", 1)
+    table.begin(b"a", 2)
+    table.release(b"a", 2)
+    assert table.in_use(b"a", NOW)
+    table.release(b"a", 1)
+    assert not table.in_use(b"a", NOW)
+
+
+def test_a_retained_id_is_in_use_until_its_time() -> None:
+    table = RequestIdTable()
+    table.begin(b"a", 1)
+    table.release(b"a", 1, NOW + 5)
+    assert table.in_use(b"a", NOW + 4)
+    assert not table.in_use(b"a", NOW + 5)
+    table.expire(NOW + 4)
+    assert table.own() == [b"a"]
+    table.expire(NOW + 5)
+    assert table.own() == []
+
+
+def test_an_id_that_is_free_again_may_be_used_while_its_time_is_not_swept() -> None:
+    table = RequestIdTable()
+    table.begin(b"a", 1)
+    table.release(b"a", 1, NOW)
+    table.begin(b"a", 2)
+    table.expire(NOW)
+    assert table.in_use(b"a", NOW)
+    table.release(b"a", 2)
+    assert not table.in_use(b"a", NOW)
+
+
+def test_the_ids_of_another_process_are_in_use_for_a_time_after_its_end() -> None:
+    """It may have been killed while backends executed its requests."""
+    table = RequestIdTable()
+    table.replace_other_process([b"a", b"b"])
+    table.replace_other_process([b"b"])
+    assert not table.in_use(b"a", NOW)
+    assert table.in_use(b"b", NOW)
+    assert table.own() == []
+    table.end_other_process(NOW + 5)
+    assert table.in_use(b"b", NOW)
+    assert not table.in_use(b"b", NOW + 5)
--- a/tests/golden/bindings_node.py
+++ b/tests/golden/bindings_node.py
@@ -49,6 +49,7 @@
     ReaderRecord,
 )
 from loadbalancer.core.gossip.slot_leases import Grant, Lease
+from loadbalancer.core.request_ids import RequestIdTable
 from loadbalancer.gossip_transport import codec
 from loadbalancer.gossip_transport import transport as link
 from loadbalancer.gossip_transport.settings import FleetFile
@@ -303,7 +304,7 @@
         node: Any = SimpleNamespace(
             clients=1,
             upstream=SimpleNamespace(idle_count=lambda: 0),
-            open_request_ids=labels,
+            request_ids=SimpleNamespace(own=lambda: labels),
             descriptors=lambda: plain["descriptors"],
             releasable_descriptors=lambda: 0,
             set_other_process_descriptors=lambda _count: None,
@@ -368,6 +369,7 @@
     received: dict[str, Any] = {}
     host = _process(
         use_limit_share=lambda _part: None,
+        request_ids=RequestIdTable(),
         set_other_process_descriptors=lambda count: received.update(
             says="keeps", descriptors=count
         ),
@@ -397,7 +399,7 @@
     if received["says"] == "keeps":
         received["keeps"] = {str(server): slots for server, slots in sharing.share.retained.items()}
         received["labels"] = sorted(
-            label.decode("latin-1") for label in host.node.other_process_request_ids
+            label.decode("latin-1") for label in host.node.request_ids.other_process()
         )
     return received
 
--- a/tests/proxy/downstream/connection_fakes.py
+++ b/tests/proxy/downstream/connection_fakes.py
@@ -9,6 +9,7 @@
 from loadbalancer.core import Effect
 from loadbalancer.core.balancing.model import RequestClass
 from loadbalancer.core.balancing.records import ClassState
+from loadbalancer.core.request_ids import RequestIdTable
 from loadbalancer.proxy.downstream.connection import ClientConnection
 from loadbalancer.proxy.downstream.registry import ConnectionRegistry
 from loadbalancer.proxy.flow_control import BufferBudget
@@ -90,8 +91,7 @@
         self.routing = None
         self.balancer = SimpleNamespace(find_class=lambda _now, name, *_: CLASSES.get(name))
         self.budget = BufferBudget(128)
-        self.open_request_ids: set[bytes] = set()
-        self.other_process_request_ids: set[bytes] = set()
+        self.request_ids = RequestIdTable()
         self.clients = 1
         self.rejects = False
         self.admitted: list[Any] = []
@@ -109,6 +109,9 @@
     def client_disconnected(self, request: Any) -> None:
         self.events.append(("gone", request.client_request_id))
 
+    def response_delivered(self, request: Any) -> None:
+        self.events.append(("delivered", request.client_request_id))
+
     def client_half_closed(self, request: Any) -> None:
         self.events.append(("half-closed", request.client_request_id))
 
--- a/tests/proxy/downstream/test_connection.py
+++ b/tests/proxy/downstream/test_connection.py
@@ -266,13 +266,35 @@
 def test_a_request_with_the_id_of_an_open_one_is_rejected_and_its_buffer_released(
     conn: ClientConnection, transport: Transport, host: Host
 ) -> None:
-    host.open_request_ids.add(b"same")
+    host.request_ids.begin(b"same", 1)
     conn.data_received(request("/credit/1", b"body", rid="same"))
     assert transport.written.startswith(b"HTTP/1.1 409")
     assert not host.budget.buffered
     assert not host.admitted
 
 
+@pytest.mark.parametrize("end", ["written", "aborted", "lost"])
+def test_the_host_is_told_when_a_long_response_is_no_longer_held(
+    conn: ClientConnection, transport: Transport, host: Host, end: str
+) -> None:
+    """Until then the response's request is open, though its backend may have finished."""
+    conn.data_received(request(rid="long"))
+    flow = begin_stream(conn, host)
+    flow.block()
+    flow.push(b"part")
+    flow.finish()
+    assert host.events == []
+    if end == "written":
+        flow.unblock()
+        assert transport.written.endswith(b"0\r\n\r\n")
+    elif end == "aborted":
+        conn.abort_response()
+    else:
+        conn.connection_lost(None)
+    expected = "gone" if end == "lost" else "delivered"
+    assert host.events == [(expected, b"long")]
+
+
 def test_the_host_is_told_when_an_upload_is_complete(conn: ClientConnection, host: Host) -> None:
     """The request's timeout runs from then on; the time before that is up to the client."""
     message = request("/credit/1", b"x" * 2 * LONG, rid="upload")
--- a/tests/proxy/host_fakes.py
+++ b/tests/proxy/host_fakes.py
@@ -102,6 +102,7 @@
         self.count = 0
         self.written = False  # whether the next attempts send their requests completely
         self.settles_as: Outcome | None = None
+        self.expired_at = 0  # the time of the last `close_expired`
         self.attempts: list[Attempt] = []
 
     def send(self, attempt: Attempt) -> None:
@@ -112,6 +113,9 @@
         attempt.connected = True
         attempt.connection = cast(Any, Connection(self.written))
 
+    def close_expired(self, now: int) -> None:
+        self.expired_at = now
+
     def connecting_attempts(self, _backends: list[int]) -> list[Attempt]:
         return self.attempts
 
--- a/tests/proxy/test_host.py
+++ b/tests/proxy/test_host.py
@@ -76,7 +76,7 @@
     assert client.statuses == [502]
     assert request.ended
     assert not host.requests
-    assert not host.open_request_ids
+    assert not host.request_ids.own()
 
 
 def test_an_exception_in_an_outcome_event_fails_its_request_and_does_not_reject_it(
@@ -264,7 +264,7 @@
     host.end_event()
     assert not host.requests
     assert host.open_count == 0  # a stop waits for open requests
-    assert not host.open_request_ids
+    assert not host.request_ids.own()
 
 
 def test_an_ended_request_is_forgotten_after_the_outcome_of_its_last_attempt(
@@ -277,14 +277,66 @@
     host.record_outcome(first, Outcome.OK)
     assert request.ended
     assert host.open_count == 0
-    assert not host.open_request_ids
+    assert host.request_ids.own() == [b"r-1"]  # the second attempt may be in execution
     assert host.requests == {request.id: request}
     assert host.budget.buffered == 1
     host.record_outcome(second, Outcome.CANCELLED)
     assert not host.requests
+    assert not host.request_ids.own()
     assert host.budget.buffered == 0
 
 
+@pytest.mark.parametrize("delivered_first", [False, True])
+def test_an_id_is_in_use_until_its_client_has_the_last_byte(
+    host: Node, upstream: Upstream, client: Client, delivered_first: bool
+) -> None:
+    """An id was free again once the first part of a long response had been sent.
+
+    Another client's request with that id was executed while the first one was still open.
+    """
+    upstream.written = True
+    request = admit(host, client, attempts=1)
+    (attempt,) = request.attempts
+    host.on_response_started(attempt)
+    steps: list[Callable[[], None]] = [
+        lambda: host.record_outcome(attempt, Outcome.OK),
+        lambda: host.response_delivered(request),
+    ]
+    for step in reversed(steps) if delivered_first else steps:
+        assert host.request_ids.own() == [b"r-1"]
+        step()
+    assert not host.request_ids.own()
+
+
+@pytest.mark.parametrize("has_answer", [False, True], ids=["executing", "answered in part"])
+def test_the_id_of_a_client_that_left_stays_in_use_for_its_time(
+    host: Node, upstream: Upstream, client: Client, clock: Clock, has_answer: bool
+) -> None:
+    """The id came again after its client had left, and the backend executed it twice."""
+    upstream.written = True
+    request = admit(host, client, attempts=1)
+    (attempt,) = request.attempts
+    if has_answer:
+        host.on_response_started(attempt)
+        host.record_outcome(attempt, Outcome.OK)
+    host.client_disconnected(request)
+    host.record_outcome(attempt, Outcome.OK)
+    clock.now += TIMEOUT_NS - 1
+    host.sweep()
+    assert host.request_ids.in_use(b"r-1", clock.now)
+    clock.now += 1
+    assert not host.request_ids.in_use(b"r-1", clock.now)
+    host.sweep()
+    assert not host.request_ids.own()
+
+
+def test_an_id_that_was_never_sent_is_free_once_its_client_has_left(
+    host: Node, client: Client
+) -> None:
+    host.client_disconnected(admit(host, client))
+    assert not host.request_ids.own()
+
+
 def test_a_started_response_is_aborted_when_its_request_fails(host: Node, client: Client) -> None:
     request = admit(host, client)
     request.started = True
--- a/tests/upgrade/test_calls_while_handing_over.py
+++ b/tests/upgrade/test_calls_while_handing_over.py
@@ -15,6 +15,7 @@
 
 from loadbalancer.config.address import Address
 from loadbalancer.core import learned_state
+from loadbalancer.core.request_ids import RequestIdTable
 from loadbalancer.upgrade import handed_state
 from loadbalancer.upgrade.codec import FrameReader, encode
 from loadbalancer.upgrade.handed_state import Inheritance
@@ -73,7 +74,7 @@
     node.clients = 10
     node.balancer.endpoints = {}
     node.releasable_descriptors.return_value = 100
-    node.open_request_ids = set()
+    node.request_ids = RequestIdTable()
     process = mock.MagicMock(node=node, lifecycle=SimpleNamespace(standby=False))
     process.lifecycle.on_successor_accepting = mock.Mock()
     process.set_standby = lambda on: setattr(process.lifecycle, "standby", on)
--- a/tests/upgrade/test_local_faults.py
+++ b/tests/upgrade/test_local_faults.py
@@ -14,6 +14,7 @@
 import pytest
 
 from loadbalancer.config.address import Address
+from loadbalancer.core.request_ids import RequestIdTable
 from loadbalancer.upgrade.codec import encode
 from loadbalancer.upgrade.drain import Drain
 from loadbalancer.upgrade.link import Link
@@ -36,7 +37,7 @@
     node.upstream.idle_count.return_value = 4
     node.releasable_descriptors.return_value = 100
     node.descriptors.return_value = 60
-    node.open_request_ids = set()
+    node.request_ids = RequestIdTable()
     process = mock.MagicMock(node=node)
     process.lifecycle.stopping = False
     return process
--- a/tests/upgrade/test_states.py
+++ b/tests/upgrade/test_states.py
@@ -10,6 +10,7 @@
 import pytest
 
 from loadbalancer.config.address import Address
+from loadbalancer.core.request_ids import RequestIdTable
 from loadbalancer.upgrade import handed_state
 from loadbalancer.upgrade.drain import Drain
 from loadbalancer.upgrade.link import Link
@@ -52,7 +53,7 @@
     node.upstream.idle_count.return_value = 4
     node.releasable_descriptors.return_value = 100
     node.descriptors.return_value = 60
-    node.open_request_ids = set()
+    node.request_ids = RequestIdTable()
     loop = SimpleNamespace(call_later=mock.Mock(side_effect=lambda *_: mock.Mock()))
     return mock.MagicMock(node=node, loop=loop)
 
@@ -238,7 +239,8 @@
         assert sharing.share.cap_for(7, 10) == 7
 
     asyncio.run(receive())
-    assert process.node.other_process_request_ids == {b"r-1"}
+    assert process.node.request_ids.in_use(b"r-1", 0)
+    assert process.node.request_ids.own() == []
     process.node.set_other_process_descriptors.assert_called_once_with(60)
 
 
