Keyed requests are repeated only in a zone or cell that is known

Cause: Consul's rows tell no cell, and what is missing was read as cell 0. All servers seemed to be in one cell: "not known" was taken for "the same". Change: a listing says whether its zone and its cell are known; core/balancing/repeat_groups alone says where a repeat may go, and an unknown group is none, so a request that may have run there is answered 502. Related: rows without pod_group, zones that the settings don't have, the relay's rows (null in place of 0), sources that disagree, the state that an upgrade hands over, an endpoint that moves while the connection for a repeat is made, and proxies of the control service, which repeated such requests at any server.

--- a/loadbalancer/cli/check.py
+++ b/loadbalancer/cli/check.py
@@ -9,14 +9,16 @@
 import argparse
 import json
 import sys
+from collections.abc import Mapping
 from pathlib import Path
-from typing import TextIO
+from typing import Any, TextIO
 
 from loadbalancer.config.routes_file import check_file
 from loadbalancer.config.settings import SettingsError, settings_from_json
-from loadbalancer.config.toml_file import FileError, read
+from loadbalancer.config.toml_file import FileError, Key, read
 from loadbalancer.core import Settings
 from loadbalancer.core.errors import ConfigurationError
+from loadbalancer.core.routes.faults import Fault
 from loadbalancer.core.routes.file import Result, decode
 from loadbalancer.core.routes.services import Explained
 from loadbalancer.core.routes.specs import REPEAT_NAMES
@@ -37,9 +39,7 @@
     except FileError:
         return check_file(path, settings)
     if "agents" in raw:
-        from loadbalancer.sources.consul.file import decode as decode_consul
-
-        return Result(None, decode_consul(raw, lines)[1], [])
+        return _check_consul(raw, lines, settings)
     if not raw.keys().isdisjoint(("tier", "slots", "seats")):
         from loadbalancer.gossip_transport import fleet_file
 
@@ -55,6 +55,24 @@
     return decode(raw, lines, settings)
 
 
+def _check_consul(
+    raw: dict[str, Any], lines: Mapping[Key, int], settings: Settings | None
+) -> Result:
+    """Check a consul file; with settings, warn of classes that its servers can't repeat."""
+    from loadbalancer.sources.consul import repeat_check
+    from loadbalancer.sources.consul.file import decode as decode_consul
+
+    file, faults = decode_consul(raw, lines)
+    if file is None or settings is None:
+        return Result(None, faults, [])
+    names = repeat_check.classes_without_cells(file, settings)
+    if not names:
+        return Result(None, faults, [])
+    line = lines.get(("service",), 1)
+    warning = Fault(line, "no-cell", repeat_check.describe(names), repeat_check.REMEDY)
+    return Result(None, faults, [warning])
+
+
 def settings_of(path: str) -> Settings:
     """Read the settings from a node's JSON configuration.
 
--- a/loadbalancer/control/consul_relay.py
+++ b/loadbalancer/control/consul_relay.py
@@ -23,7 +23,7 @@
 from loadbalancer.config.address import Address
 from loadbalancer.control.long_polls import LongPolls
 from loadbalancer.core import State
-from loadbalancer.core.balancing.model import MS
+from loadbalancer.core.balancing.model import MS, UNKNOWN
 from loadbalancer.core.endpoints.merged_server import ListedServer
 from loadbalancer.core.endpoints.revisions import Revisions
 from loadbalancer.faults import run_logged
@@ -51,7 +51,7 @@
         "endpoint": str(Address(server.host, server.port)),
         "az": server.zone,
         "model": "",
-        "pod_group": server.cell,
+        "pod_group": None if server.cell == UNKNOWN else server.cell,
         "state": STATE_NAMES[server.state],
         "capacity_hint": server.weight,
         "boot_ms": (server.boot + wall_offset) // MS if server.boot else 0,
--- a/loadbalancer/core/balancing/endpoint_selection.py
+++ b/loadbalancer/core/balancing/endpoint_selection.py
@@ -11,8 +11,9 @@
 
 from __future__ import annotations
 
+from loadbalancer.core.balancing import repeat_groups
 from loadbalancer.core.balancing.endpoint_caps import FRESH_ANSWER_NS
-from loadbalancer.core.balancing.model import Effect, Scope, State
+from loadbalancer.core.balancing.model import State
 from loadbalancer.core.balancing.outlier_detection import mark_unresponsive, silence_limit
 from loadbalancer.core.balancing.records import Endpoint, Request
 from loadbalancer.core.balancing.state import BalancerState
@@ -20,7 +21,7 @@
 CANDIDATE_COUNT = 3  # endpoints sampled at random, of which the best is selected
 DEFAULT_LOAD_COST = 1.0  # load cost of an endpoint whose last response is too old to show it
 
-ALL, ZONE, TOKEN, READY = Scope.ALL, Scope.ZONE, Effect.TOKEN, State.READY
+READY = State.READY
 
 
 def pick(state: BalancerState, now: int) -> Endpoint | None:
@@ -63,8 +64,7 @@
     attempts = request.attempts
     if not attempts:
         return picked
-    executed = request.first_executed
-    if executed is not None and request.effect == TOKEN and request.scope != ALL:
+    if repeat_groups.is_bound(request):
         return _pick_in_group(state, request)
     for _ in range(CANDIDATE_COUNT):
         if all(attempt.endpoint is not picked for attempt in attempts):
@@ -76,19 +76,16 @@
 
 
 def _pick_in_group(state: BalancerState, request: Request) -> Endpoint | None:
-    """An endpoint that knows the request's key: one in the zone or cell that executed it.
+    """An endpoint that knows the request's key, as `repeat_groups` says.
 
     The endpoint that executed it is the last choice, and excluded once it is draining.
     """
     executed = request.first_executed
     assert executed is not None
-    by_zone = request.scope == ZONE
     group = [
         e
         for e in state.endpoints.values()
-        if e.state == READY
-        and not e.ejected_until
-        and (e.zone == executed.zone if by_zone else e.cell == executed.cell)
+        if e.state == READY and not e.ejected_until and repeat_groups.contains(request, e)
     ]
     first = executed.endpoint
     return min(group, key=lambda e: (e is first, e.in_flight, e.id)) if group else None
--- a/loadbalancer/core/balancing/list_updates.py
+++ b/loadbalancer/core/balancing/list_updates.py
@@ -86,7 +86,8 @@
     endpoint.state = row.state
     if listed:
         endpoint.rating = row.rating if row.rating > 0 else 1.0
-        endpoint.zone, endpoint.cell = row.zone, row.cell
+        endpoint.zone = row.zone
+        endpoint.repeat_zone, endpoint.repeat_cell = row.repeat_zone, row.repeat_cell
         endpoint.local = row.zone == settings.zone
 
 
--- a/loadbalancer/core/balancing/model.py
+++ b/loadbalancer/core/balancing/model.py
@@ -84,10 +84,14 @@
     SILENT = 4
 
 
+UNKNOWN = -1  # the number of a cell, or of a zone, that the list's source does not tell
+
+
 class Listing(NamedTuple):
     """One row of the endpoint list.
 
-    `backend` is the endpoint's id, `boot` the start time of its process (0: unknown).
+    `backend` is the endpoint's id, `boot` the start time of its process (0: unknown). Zone and cell
+    are 0 if the source doesn't tell them, or names a zone that the settings don't have.
     """
 
     backend: int
@@ -97,6 +101,18 @@
     kind: int = 0
     boot: int = 0
     rating: float = 1.0
+    zone_is_known: bool = True
+    cell_is_known: bool = True
+
+    @property
+    def repeat_zone(self) -> int:
+        """The zone in which repeats are dropped, or UNKNOWN."""
+        return self.zone if self.zone_is_known else UNKNOWN
+
+    @property
+    def repeat_cell(self) -> int:
+        """The cell in which repeats are dropped, or UNKNOWN."""
+        return self.cell if self.cell_is_known else UNKNOWN
 
 
 class ServerView(NamedTuple):
--- a/loadbalancer/core/balancing/records.py
+++ b/loadbalancer/core/balancing/records.py
@@ -43,18 +43,19 @@
     """One endpoint of the list, and this node's view of it."""
 
     __slots__ = (
-        "backoff_until", "boot", "bucket", "bucket_index", "cap", "cell", "cold_until",
-        "connect_failed", "consecutive_errors", "consecutive_failures", "consecutive_rejections",
-        "ejected_until", "id", "in_flight", "kind", "last_seen", "latency_ratio", "load_cost",
-        "local", "next_ejection_ns", "node_cap", "node_rank", "probing", "rating", "reported_ratio",
-        "rounding_offset", "sharers", "sharing_nodes", "silent_since", "state", "transferring",
-        "unresponsive", "zone",
+        "backoff_until", "boot", "bucket", "bucket_index", "cap", "cold_until", "connect_failed",
+        "consecutive_errors", "consecutive_failures", "consecutive_rejections", "ejected_until",
+        "id", "in_flight", "kind", "last_seen", "latency_ratio", "load_cost", "local",
+        "next_ejection_ns", "node_cap", "node_rank", "probing", "rating", "repeat_cell",
+        "repeat_zone", "reported_ratio", "rounding_offset", "sharers", "sharing_nodes",
+        "silent_since", "state", "transferring", "unresponsive", "zone",
     )  # fmt: skip
 
     def __init__(self, row: Listing, local: bool) -> None:
         self.id = row.backend
         self.zone = row.zone
-        self.cell = row.cell
+        # The zone and the cell in which repeats are dropped, or UNKNOWN.
+        self.repeat_zone, self.repeat_cell = row.repeat_zone, row.repeat_cell
         self.kind = row.kind
         self.boot = row.boot
         self.rating = row.rating if row.rating > 0 else 1.0
@@ -96,12 +97,12 @@
 class Attempt:
     """One send of a request to one endpoint."""
 
-    __slots__ = ("cell", "endpoint", "first_byte", "sent", "state", "zone")
+    __slots__ = ("endpoint", "first_byte", "repeat_cell", "repeat_zone", "sent", "state")
 
     def __init__(self, endpoint: Endpoint, sent: int) -> None:
         self.endpoint = endpoint
         # The endpoint may move to another zone or cell after the send.
-        self.zone, self.cell = endpoint.zone, endpoint.cell
+        self.repeat_zone, self.repeat_cell = endpoint.repeat_zone, endpoint.repeat_cell
         self.sent = sent
         self.state = AttemptState.OPEN
         self.first_byte = 0  # time to first byte of a long response; 0: unknown
--- a/loadbalancer/core/balancing/retries.py
+++ b/loadbalancer/core/balancing/retries.py
@@ -18,7 +18,7 @@
 
 from __future__ import annotations
 
-from loadbalancer.core.balancing import admission, final_answer
+from loadbalancer.core.balancing import admission, final_answer, repeat_groups
 from loadbalancer.core.balancing.model import MS, Effect, Outcome, State
 from loadbalancer.core.balancing.records import Request, RequestState
 from loadbalancer.core.balancing.state import MAX_RETRY_CREDIT, BalancerState
@@ -58,7 +58,7 @@
         return True
     if request.effect == SIDE_EFFECT:
         return False
-    return now < executed.sent + request.repeat_window
+    return now < executed.sent + request.repeat_window and repeat_groups.is_known(request)
 
 
 def earn_credit(state: BalancerState) -> None:
@@ -119,17 +119,16 @@
 def may_begin(now: int, request: Request, attempt: int) -> bool:
     """Whether an attempt whose connection is established may send its first byte.
 
-    Guards against changes during the connect: the endpoint may be draining or removed, the
-    client may have disconnected, the repeat window may have ended. An attempt that may not
-    begin has not executed, so its request is queued again or rejected.
+    Guards against changes during the connect: the endpoint may be draining, removed or listed
+    in another group, the client may have disconnected, the repeat window may have ended. An
+    attempt that may not begin has not executed, so its request is queued again or rejected.
     """
     if request.state is ENDED or attempt >= len(request.attempts) or not request.max_attempts:
         return False
     executed = request.first_executed
-    if (
-        executed is not None
-        and request.effect == TOKEN
-        and now >= executed.sent + request.repeat_window
-    ):
-        return False
-    return request.attempts[attempt].endpoint.state == State.READY
+    endpoint = request.attempts[attempt].endpoint
+    if executed is not None and request.effect == TOKEN:
+        is_late = now >= executed.sent + request.repeat_window
+        if is_late or not repeat_groups.contains(request, endpoint):
+            return False
+    return endpoint.state == State.READY
--- a/loadbalancer/core/endpoints/merged_server.py
+++ b/loadbalancer/core/endpoints/merged_server.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from loadbalancer.core.balancing.model import State
+from loadbalancer.core.balancing.model import UNKNOWN, State
 from loadbalancer.core.endpoints.flap_detector import FlapDetector
 from loadbalancer.core.endpoints.server_report import Address, Health, ServerReport, Source
 
@@ -28,7 +28,7 @@
         since: when it entered its state.
         reason: why it is in its state; shown to operators.
         reports: the health that each source reports, ordered by the sources' names.
-        cell: the number of its cell, 0 if not reported.
+        cell: the number of its cell, UNKNOWN if not reported.
         kind: the number of its kind, 0 if not reported.
     """
 
@@ -42,7 +42,7 @@
     since: int
     reason: str
     reports: tuple[SourceHealth, ...]
-    cell: int = 0
+    cell: int = UNKNOWN
     kind: int = 0
 
 
@@ -125,9 +125,11 @@
             SourceHealth(name, stored.report.health, stored.health_since)
             for name, stored in sorted(self.reports.items())
         )
-        # Not every source reports cell and kind: each is taken from any that does.
+        # Not every source reports cell and kind: each is taken from any that does. A cell on which
+        # sources disagree is not known.
         all_reports = [stored.report for stored in self.reports.values()]
-        cell = next((r.cell for r in all_reports if r.cell), 0)
+        cells = {r.cell for r in all_reports} - {UNKNOWN}
+        cell = cells.pop() if len(cells) == 1 else UNKNOWN
         kind = next((r.kind for r in all_reports if r.kind), 0)
         return ListedServer(
             self.uid, report.host, report.port, report.zone, self.state, self.weight, self.boot,
--- a/loadbalancer/core/endpoints/server_report.py
+++ b/loadbalancer/core/endpoints/server_report.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from loadbalancer.core.balancing.model import UNKNOWN
+
 Address = tuple[str, int]
 
 
@@ -52,7 +54,7 @@
         health: its reported health.
         weight: its present load balancing weight.
         boot: the start time of its process, ns; 0 if not reported.
-        cell: the number of its cell, 0 if not reported.
+        cell: the number of its cell, UNKNOWN if not reported.
         kind: the number of its kind, 0 if not reported.
     """
 
@@ -63,7 +65,7 @@
     health: Health = Health.PASSING
     weight: float = 1.0
     boot: int = 0
-    cell: int = 0
+    cell: int = UNKNOWN
     kind: int = 0
 
     @property
--- a/loadbalancer/core/gossip/balancer_bridge.py
+++ b/loadbalancer/core/gossip/balancer_bridge.py
@@ -11,7 +11,14 @@
 from typing import NamedTuple
 
 from loadbalancer.core.balancing.balancer import Balancer
-from loadbalancer.core.balancing.model import SECOND, Listing, ReportedState, State, Update
+from loadbalancer.core.balancing.model import (
+    SECOND,
+    UNKNOWN,
+    Listing,
+    ReportedState,
+    State,
+    Update,
+)
 from loadbalancer.core.gossip.gossip_node import GossipNode
 from loadbalancer.core.gossip.own_observations import publishable_results
 from loadbalancer.core.gossip.slot_allocation import LeasedSlots, SlotAllocation
@@ -162,8 +169,9 @@
             if state != State.READY:
                 rows.append(
                     Listing(
-                        server, state, endpoint.zone, endpoint.cell, endpoint.kind, 0,
-                        endpoint.rating,
+                        server, state, endpoint.zone, max(endpoint.repeat_cell, 0), endpoint.kind,
+                        0, endpoint.rating, endpoint.repeat_zone != UNKNOWN,
+                        endpoint.repeat_cell != UNKNOWN,
                     )
                 )  # fmt: skip
             elif local_list.has_pending_drain(server, boot):
--- a/loadbalancer/core/xds/route_plan.py
+++ b/loadbalancer/core/xds/route_plan.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
-from loadbalancer.core.balancing.model import Effect
-from loadbalancer.core.routes.table import Condition, Pattern, Policy, Route
+from loadbalancer.core.balancing.model import Effect, Scope
+from loadbalancer.core.routes.table import NEVER_RAN, Condition, Pattern, Policy, Route
 from loadbalancer.core.xds.target_proxies import ProxyKind
 
 
@@ -105,5 +105,10 @@
         return (), 0
     if kind.proxyless and policy.effect != Effect.PURE:
         return (), 0
-    retry_on = tuple(sorted(policy.retry_on))
+    conditions = policy.retry_on
+    if policy.effect == Effect.TOKEN and policy.scope != Scope.ALL:
+        # A proxy retries at any server, also at one of another zone or cell that does not know
+        # the key and would execute the request a second time.
+        conditions = conditions & NEVER_RAN
+    retry_on = tuple(sorted(conditions))
     return retry_on, max(policy.attempts - 1, 1) if retry_on else 0
--- a/loadbalancer/sources/consul/datacentre_reader.py
+++ b/loadbalancer/sources/consul/datacentre_reader.py
@@ -73,7 +73,7 @@
         self._on_reports = on_reports
         self._random = random
         self._logger = logger
-        self._row_format = RowFormat(file.api, file.shard_by, file.zone_meta)
+        self._row_format = RowFormat(file.api, file.shard_by, file.zone_meta, file.cell_meta)
         tags_selector = self._row_format.tags_selector
         self._tags_filter = "".join(f' and "{tag}" in {tags_selector}' for tag in file.tags)
         self._client = AgentClient(file, datacentre, self._row_format, credentials, random, logger)
--- a/loadbalancer/sources/consul/file.py
+++ b/loadbalancer/sources/consul/file.py
@@ -29,7 +29,8 @@
 
 KEYS = (
     "version", "agents", "service", "datacentres", "token_file", "ca_file", "lines", "readers",
-    "consistency", "fresh", "tags", "read", "shard_by", "zone_meta", "platform",
+    "consistency", "fresh", "tags", "read", "shard_by", "zone_meta", "cell_meta",
+    "platform",
 )  # fmt: skip
 SHARD_BY = ("id", "node", "address")
 META_PREFIX = "meta."  # before a key of a server's meta in `shard_by`
@@ -82,6 +83,7 @@
         shard_by: the field whose last characters tell servers apart: id, node, address or
             meta.NAME.
         zone_meta: of a server's meta, the key that names its zone; "" for none.
+        cell_meta: of a server's meta, the key that has the number of its cell; "" for none.
         merges_platform_list: whether the platform's list is one more source.
     """
 
@@ -97,6 +99,7 @@
     api: ServiceApi = ServiceApi.HEALTH
     shard_by: str = "id"
     zone_meta: str = ""
+    cell_meta: str = ""
     merges_platform_list: bool = False
 
 
@@ -132,6 +135,7 @@
         api=_choice(top, "read", ServiceApi.HEALTH),
         shard_by=_shard_by(top),
         zone_meta=top.text("zone_meta") if "zone_meta" in raw else "",
+        cell_meta=top.text("cell_meta") if "cell_meta" in raw else "",
         merges_platform_list=_flag(top, "platform"),
     )
     # Failure: a value that is no string is found only after the faults have been looked at, `check`
--- a/loadbalancer/sources/consul/rows.py
+++ b/loadbalancer/sources/consul/rows.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
+from loadbalancer.core.balancing.model import UNKNOWN
 from loadbalancer.core.endpoints.server_report import Health, ServerReport
 from loadbalancer.sources.consul.agent_response import ResponseError
 from loadbalancer.sources.consul.file import META_PREFIX, ServiceApi
@@ -20,6 +21,7 @@
 MAX_ROWS = 100_000
 MAX_PORT = 65_535
 MAX_WEIGHT = 65_535
+MAX_CELL = 65_535
 MAINTENANCE = ("_service_maintenance:", "_node_maintenance")  # how ids of such checks begin
 HEALTH = {
     "passing": Health.PASSING,
@@ -48,11 +50,13 @@
         api: where the rows come from.
         shard_by: as in the file: id, node, address or meta.NAME.
         zone_meta: the key of a server's meta that names its zone, "" for none.
+        cell_meta: the key of a server's meta that has the number of its cell, "" for none.
     """
 
     api: ServiceApi = ServiceApi.HEALTH
     shard_by: str = "id"
     zone_meta: str = ""
+    cell_meta: str = ""
 
     @property
     def is_catalog(self) -> bool:
@@ -113,7 +117,7 @@
 
 def _decode_row(row: Any, zone: str, row_format: RowFormat) -> DecodedRow:
     health_row = _as_health_row(row) if row_format.is_catalog else row
-    report = _decode_report(health_row, zone, row_format.zone_meta)
+    report = _decode_report(health_row, zone, row_format)
     return DecodedRow(report, _decode_key(health_row, row_format.shard_by))
 
 
@@ -140,7 +144,7 @@
     return str((service.get("Meta") or {}).get(shard_by.removeprefix(META_PREFIX), ""))
 
 
-def _decode_report(row: Any, zone: str, zone_meta: str) -> ServerReport:
+def _decode_report(row: Any, zone: str, row_format: RowFormat) -> ServerReport:
     service, node = row["Service"], row["Node"]
     host = service["Address"] or node["Address"]
     port = service["Port"]
@@ -155,8 +159,19 @@
         raise ValueError(f"weight {weight!r}")
     # An id is unique only at its agent: two nodes may use the same.
     uid = f"{node['Node']}/{service['ID']}"
-    own_zone = str((service.get("Meta") or {}).get(zone_meta) or zone)
-    return ServerReport(uid, host, port, own_zone, health, float(weight))
+    meta = service.get("Meta") or {}
+    own_zone = str(meta.get(row_format.zone_meta) or zone)
+    cell = _decode_cell(meta.get(row_format.cell_meta))
+    return ServerReport(uid, host, port, own_zone, health, float(weight), cell=cell)
+
+
+def _decode_cell(text: Any) -> int:
+    """A server's cell; one whose meta doesn't name it is in an unknown one."""
+    if text is None:
+        return UNKNOWN
+    if not str(text).isdecimal() or int(text) > MAX_CELL:
+        raise ValueError(f"cell {text!r} is no number from 0 to {MAX_CELL}")
+    return int(text)
 
 
 def _decode_health(check: Any) -> Health:
--- a/loadbalancer/sources/consul/source.py
+++ b/loadbalancer/sources/consul/source.py
@@ -11,10 +11,11 @@
 from loadbalancer.config.address import Address
 from loadbalancer.config.node import Config
 from loadbalancer.core import Listing, Settings, State, Update
-from loadbalancer.core.balancing.model import SECOND
+from loadbalancer.core.balancing.model import SECOND, UNKNOWN
 from loadbalancer.core.endpoints.attempt_evidence import AttemptEvidence, no_evidence
 from loadbalancer.core.endpoints.merged_server import ListedServer
 from loadbalancer.core.endpoints.server_report import Health, ServerReport
+from loadbalancer.sources.consul import repeat_check
 from loadbalancer.sources.consul.file import read_consul
 from loadbalancer.sources.consul.list_updater import PLATFORM, ListUpdater
 from loadbalancer.sources.discovery import Discovery, OnUpdate, SourceLogger
@@ -60,6 +61,9 @@
         evidence_of: Callable[[int], AttemptEvidence] = no_evidence,
     ) -> None:
         file = read_consul(str(path))
+        without_cells = repeat_check.classes_without_cells(file, config.settings)
+        if without_cells:
+            logger.info("consul file %s: %s", path, repeat_check.describe(without_cells))
         self._config = config
         self._zones = {name: number for number, name in enumerate(config.zones)}
         self._on_update = on_update
@@ -144,10 +148,11 @@
         reports = []
         for listing in listings:
             host, port = addresses.get(listing.backend, ("", 0))
-            zone = zones[listing.zone] if listing.zone < len(zones) else ""
+            is_known = listing.zone_is_known and listing.zone < len(zones)
+            zone = zones[listing.zone] if is_known else ""
             report = ServerReport(
                 str(listing.backend), host, port, zone, HEALTH[listing.state], listing.rating,
-                listing.boot, listing.cell, listing.kind,
+                listing.boot, listing.repeat_cell, listing.kind,
             )  # fmt: skip
             reports.append(report)
         return reports
@@ -176,8 +181,8 @@
     def _listing(self, server: ListedServer) -> Listing:
         zone = self._zones.get(server.zone, 0)
         return Listing(
-            self._backend(server), server.state, zone, server.cell, server.kind, server.boot,
-            server.weight,
+            self._backend(server), server.state, zone, max(server.cell, 0), server.kind,
+            server.boot, server.weight, server.zone in self._zones, server.cell != UNKNOWN,
         )  # fmt: skip
 
     # ---- the log -----------------------------------------------------------------
--- a/loadbalancer/sources/endpoint_list.py
+++ b/loadbalancer/sources/endpoint_list.py
@@ -88,14 +88,18 @@
         return DecodedList(Update.FULL if complete else Update.DELTA, listings, endpoints)
 
     def _decode_listing(self, backend: int, state: State, target: Any) -> Listing:
+        zone, cell = target.get("az"), target.get("pod_group")
+        cell_is_known = cell is not None and int(cell) >= 0
         return Listing(
             backend,
             state,
-            self._zones.get(target.get("az"), 0),
-            int(target.get("pod_group") or 0),
+            self._zones.get(zone, 0),
+            int(cell) if cell_is_known else 0,
             self._kinds.get(target.get("model"), 0),
             self._boot_ns(backend, int(target.get("boot_ms") or 0)),
             float(target.get("capacity_hint") or 1.0),
+            zone in self._zones,
+            cell_is_known,
         )
 
     def _boot_ns(self, backend: int, boot_ms: int) -> int:
--- a/loadbalancer/upgrade/handed_state.py
+++ b/loadbalancer/upgrade/handed_state.py
@@ -13,6 +13,7 @@
 
 from loadbalancer.config.address import Address
 from loadbalancer.core import Listing, State, learned_state
+from loadbalancer.core.balancing.model import UNKNOWN
 from loadbalancer.core.errors import ProtocolError
 
 if TYPE_CHECKING:
@@ -88,8 +89,8 @@
     return [
         endpoint.id,
         int(endpoint.state),
-        endpoint.zone,
-        endpoint.cell,
+        endpoint.repeat_zone,
+        endpoint.repeat_cell,
         endpoint.kind,
         age,
         endpoint.rating,
@@ -104,6 +105,7 @@
         raise HandedStateError(f"rating {rating!r} is not a finite number")
     boot = 0 if age < 0 else max(now - int(age), 1)  # 0: start time not known
     listing = Listing(
-        int(backend), State(state), int(zone), int(cell), int(kind), boot, float(rating)
-    )
+        int(backend), State(state), max(int(zone), 0), max(int(cell), 0), int(kind), boot,
+        float(rating), int(zone) != UNKNOWN, int(cell) != UNKNOWN,
+    )  # fmt: skip
     return InheritedEndpoint(listing, Address(str(host), int(port)), int(boot_ms))
--- a/tests/core/balancing/test_invariants.py
+++ b/tests/core/balancing/test_invariants.py
@@ -52,7 +52,10 @@
         self.ended: dict[int, int] = {}
         self.timers: list[tuple[int, int]] = []
         self.half_closed: set[int] = set()  # requests whose clients have half-closed
-        self.rows = {b: Listing(b, State.READY, zone=b % 2, cell=b % 4) for b in range(10, 22)}
+        self.rows = {
+            b: Listing(b, State.READY, zone=b % 2, cell=b % 4, cell_is_known=b % 5 > 0)
+            for b in range(10, 22)
+        }
 
     def set_timer(self, token: int, due: int) -> None:
         self.timers.append((due, token))
@@ -76,6 +79,8 @@
                 assert first.zone == row.zone, "sent to another zone"
             if spec.scope == Scope.CELL:
                 assert first.cell == row.cell, "sent to another cell"
+                assert first.cell_is_known, "sent again though the cell is not known"
+                assert row.cell_is_known, "sent to an unknown cell"
         attempts.append({"backend": backend, "sent": self.now, "code": 0, "by": self.now + timeout})
 
     def refuse(self, request: int, _retry_after: int) -> None:
--- a/tests/core/xds/test_plan.py
+++ b/tests/core/xds/test_plan.py
@@ -15,12 +15,13 @@
 from loadbalancer.config.toml_file import parse
 from loadbalancer.control.xds import encoder as encoder_module
 from loadbalancer.control.xds.encoder import Encoder
-from loadbalancer.core import Effect, RequestClass, Settings, State
+from loadbalancer.core import Effect, RequestClass, Scope, Settings, State
 from loadbalancer.core.balancing.model import SECOND, ServerView
 from loadbalancer.core.routes.file import decode
-from loadbalancer.core.routes.table import Condition, Table
+from loadbalancer.core.routes.table import NEVER_RAN, Condition, Pattern, Policy, Route, Table
 from loadbalancer.core.xds.endpoint_plan import endpoint_weight
 from loadbalancer.core.xds.plan import Plan, make_plan
+from loadbalancer.core.xds.route_plan import plan_routes
 from loadbalancer.core.xds.snapshot import ResourceType, Snapshot
 from loadbalancer.core.xds.target_proxies import ProxyKind, TargetProxies, proxy_kind_of
 from tests.routefiles import GOOD, with_changes
@@ -154,6 +155,19 @@
     assert conditions == (set() if kind.proxyless else safe)
 
 
+@pytest.mark.parametrize("scope", list(Scope))
+def test_a_proxy_repeats_a_key_only_where_every_server_knows_it(scope: Scope) -> None:
+    """A proxy can't be told to stay within a zone or a cell: its repeat ran in another one."""
+    keyed = Policy(
+        "topup/credit", "topup", 2, Effect.TOKEN, scope, attempts=3, retry_on=frozenset(Condition)
+    )
+    pattern = Pattern((b"topup",), prefix=True)
+    route = Route("credit", pattern, frozenset(), frozenset(), b"topup", False, {b"topup": keyed})
+    (plan,) = plan_routes([route], ProxyKind.ENVOY)
+    expected = frozenset(Condition) if scope is Scope.ALL else NEVER_RAN
+    assert frozenset(plan.retry_on) == expected
+
+
 def test_a_route_that_takes_its_class_from_the_path_is_a_path_for_each_class() -> None:
     text = with_changes(('prefix = "/"\ndeny = true', 'prefix = "/"'))
     plan = planned(server(1), text=text)
--- a/tests/sources/consul/test_file.py
+++ b/tests/sources/consul/test_file.py
@@ -7,6 +7,7 @@
 import pytest
 
 from loadbalancer.cli.check import check_any
+from loadbalancer.core import Effect, RequestClass, Scope, Settings
 from loadbalancer.core.balancing.model import SECOND
 from loadbalancer.sources.consul.credentials import read_token
 from loadbalancer.sources.consul.datacentre_reader import ROUND_INTERVAL_S
@@ -101,3 +102,30 @@
     with pytest.raises(ConsulError, match="no token") as caught:
         read_token(token_file)
     assert "Header" not in str(caught.value)
+
+
+KEYED_BY_CELL = Settings(
+    classes=(
+        RequestClass("balance", 1, 2),
+        RequestClass("topup", 1, 2, Effect.TOKEN, Scope.CELL, 1),
+        RequestClass("by-zone", 1, 2, Effect.TOKEN, Scope.ZONE, 1),
+    )
+)
+
+
+@pytest.mark.parametrize(
+    ("more", "is_warned"),
+    [("", True), ('cell_meta = "cell"\n', False), ("platform = true\n", False)],
+)
+def test_a_class_that_can_not_be_repeated_is_told_before_a_node_serves_it(
+    tmp_path: Path, more: str, is_warned: bool
+) -> None:
+    path = write_file(tmp_path, AGENT, more=more)
+    result = check_any(str(path), KEYED_BY_CELL)
+    assert not result.faults
+    assert [str(warning) for warning in result.warnings] == [
+        "3: [no-cell] no source tells a server's cell, so requests of topup are not repeated once "
+        'they may have been executed; write cell_meta = "cell", the key of a server\'s meta that '
+        "has its number"
+    ][: int(is_warned)]
+    assert not check_any(str(path), None).warnings
--- a/tests/sources/consul/test_node.py
+++ b/tests/sources/consul/test_node.py
@@ -9,10 +9,25 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
+
 from fakes.load import Clients, send_at_rate
 from fakes.node import SECOND, SETTINGS, running_node
 from fakes.processes import Process, running_backends, running_process
-from tests.harness import LIMIT, Running, node, request, roster, target, until
+from loadbalancer.core.balancing.model import MS
+from tests.harness import (
+    LIMIT,
+    LONG_MS,
+    Running,
+    accept_any,
+    answer,
+    listen,
+    node,
+    request,
+    roster,
+    target,
+    until,
+)
 from tests.sources.consul.support import service_row, set_status, write_file
 
 OK_ALONE = frozenset({200})
@@ -182,3 +197,46 @@
                 assert status_of(running, f"e{number}") == 200
             third = servers[2].call("GET", "/standin/state")
             assert third["received"] >= 20
+
+
+@pytest.mark.parametrize(
+    ("more", "cells", "repeated_at"),
+    [
+        ("", (1, 1), None),  # the file names no key: the servers' cells are not known
+        ('cell_meta = "cell"\n', (1, 1), "the other"),
+        ('cell_meta = "cell"\n', (1, 2), "the same"),
+    ],
+)
+def test_a_keyed_request_is_repeated_only_in_a_cell_that_is_known(
+    tmp_path: Path, agent: Process, more: str, cells: tuple[int, int], repeated_at: str | None
+) -> None:
+    """Consul's servers had no cell, and so all of them seemed to be in one.
+
+    A server executes a request, and its answer is lost. The node repeated the request at a server
+    of another cell, which did not know the key: the effect happened twice.
+    """
+    keyed = {
+        "name": "topup", "effect": "token", "dedup_scope": "cell", "credit": 1.0,
+        "repeat_window": LONG_MS * MS, "target": LONG_MS * MS, "deadline": LONG_MS * MS,
+    }  # fmt: skip
+    with contextlib.closing(listen()) as first, contextlib.closing(listen()) as second:
+        rows = [
+            service_row(number, Port=sock.getsockname()[1], Meta={"cell": str(cell)})
+            for number, (sock, cell) in enumerate(zip((first, second), cells, strict=True), 1)
+        ]
+        agent.call("PUT", "/standin/services", rows)
+        with node_on(tmp_path, agent.address, more, settings={"classes": [keyed]}) as running:
+            running.says("2 servers listed")
+            client = running.connect()
+            client.send(request("/topup/1", b"5", timeout=LONG_MS, Idempotency_Key="k" * 32))
+            peer, executed_at = accept_any(first, second)
+            peer.message()
+            peer.reset()
+            if repeated_at is None:
+                assert client.message()[0].split()[1] == "502"
+                return
+            peer, repeat = accept_any(first, second)
+            assert (repeat is executed_at) == (repeated_at == "the same")
+            assert peer.message()[1]["idempotency-key"] == "k" * 32
+            peer.send(answer(b"once"))
+            assert client.message()[2] == b"once"
--- a/tests/sources/consul/test_rows.py
+++ b/tests/sources/consul/test_rows.py
@@ -7,8 +7,11 @@
 
 import pytest
 
+from loadbalancer.core.balancing.model import UNKNOWN
 from loadbalancer.core.endpoints.server_report import Health
-from loadbalancer.sources.consul.rows import RowError, decode_rows
+from loadbalancer.sources.consul.rows import HEALTH_FORMAT, RowError, RowFormat, decode_rows
+
+WITH_CELLS = RowFormat(cell_meta="cell")
 
 
 def row(**fields: Any) -> dict[str, Any]:
@@ -28,11 +31,32 @@
         row(Service={"Port": True}), row(Checks=[{"CheckID": "c", "Status": "odd"}]),
         row(Checks=[5]), row(Node=None), row(Service={"Weights": {"Passing": -1}}),
         row(Service={"Weights": 5}), row(Service={"Address": 7}),
+        row(Service={"Meta": {"cell": "a"}}), row(Service={"Meta": {"cell": "-1"}}),
+        row(Service={"Meta": {"cell": "65536"}}),
     ],
 )  # fmt: skip
 def test_one_unusable_row_makes_the_answer_unusable(unusable: Any) -> None:
     with pytest.raises(RowError, match="row 1"):
-        decode_rows(json.dumps([row(), unusable]).encode(), "east")
+        decode_rows(json.dumps([row(), unusable]).encode(), "east", WITH_CELLS)
+
+
+@pytest.mark.parametrize(
+    ("row_format", "meta", "cell"),
+    [
+        (WITH_CELLS, {"cell": "7"}, 7),
+        (WITH_CELLS, {"cell": "0"}, 0),
+        (WITH_CELLS, {}, UNKNOWN),
+        (WITH_CELLS, None, UNKNOWN),
+        (HEALTH_FORMAT, {"cell": "7"}, UNKNOWN),
+    ],
+)
+def test_a_servers_cell_is_known_only_from_the_key_that_the_file_names(
+    row_format: RowFormat, meta: Any, cell: int
+) -> None:
+    """Servers without a cell were in cell 0, and so in one cell with all others."""
+    body = json.dumps([row(Service={"Meta": meta})]).encode()
+    ((report, _key),) = decode_rows(body, "east", row_format)
+    assert report.cell == cell
 
 
 @pytest.mark.parametrize(
