Long responses of unknown length are streamed before they would be given up

Reproduced: head at once and content 0.7 s later, and content from 0.6 s on in lumps 0.25 s apart, in chunks and until the close; 502 at 0.22 s with a connect timeout of 70 ms, at 0.73 s with an objective of 750 ms; safe requests 503. With a length: whole. Cause: such an answer was buffered, and whether it is streamed was looked at only when bytes came. In a pause it fell under two limits for spoilt answers: three times the connect timeout, and the end of its attempt's time. Change: core/response_buffering: a 200 of unknown length is streamed when it would be given up, 20 ms before its attempt's time ends, and after a pause of one second at the latest. Not while a hedge is in flight. Price: a spoilt answer of unknown length that falls silent is passed on and cut, and no longer retried.

--- a/loadbalancer/proxy/upstream/connection.py
+++ b/loadbalancer/proxy/upstream/connection.py
@@ -126,7 +126,7 @@
         """Send an attempt on this idle connection."""
         self.request_written = False
         self._delays_last_byte = False
-        self._content_began_s = 0.0
+        self._content_began = 0
         self.reader.reset()
         self.attempt = attempt
         self._write_request()
--- a/loadbalancer/proxy/upstream/response_receiver.py
+++ b/loadbalancer/proxy/upstream/response_receiver.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import socket
+import time
 from abc import abstractmethod
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
-from loadbalancer.core import Outcome
+from loadbalancer.core import Outcome, response_buffering
 from loadbalancer.core.balancing.model import SECOND
 from loadbalancer.proxy.flow_control import MIN_WINDOW_BYTES, STREAMING_THRESHOLD_BYTES, Flow
 from loadbalancer.proxy.upstream.load_report import parse_load_report
@@ -26,16 +27,7 @@
     from loadbalancer.proxy.exchange import Attempt, Client
     from loadbalancer.proxy.ports import BackendHost
 
-# How long a response that is being buffered may pause, in multiples of the connect timeout.
-# Within the content the limit is higher, because the sender of the content may be slow.
-HEAD_TIMEOUT_FACTOR = 1.0
-CONTENT_TIMEOUT_FACTOR = 3.0
 STREAM_TIMEOUT_S = 5.0  # how long a response may pause while it is streamed to the client
-# A response of unknown length is streamed if it is not complete this long after its first
-# content. It may be a long response with a slow sender, which would exceed its request's deadline
-# if it were buffered up to the threshold. It is not streamed sooner because a streamed response
-# that turns out to be malformed can't be retried.
-UNKNOWN_LENGTH_DELAY_S = 0.03
 
 # Together with X-Not-Processed: 1 these mean that the backend has not begun to execute the request.
 OVERLOAD_STATUSES = (503, 504)
@@ -54,7 +46,7 @@
     it breaks off, the response to the client is aborted.
     """
 
-    __slots__ = ("_client", "_content_began_s", "_download", "_sock", "reader")
+    __slots__ = ("_client", "_content_began", "_download", "_sock", "reader")
 
     def __init__(self, host: BackendHost, address: Address) -> None:
         super().__init__(host, address)
@@ -62,8 +54,8 @@
         self._sock: socket.socket | None = None
         self._client: Client | None = None  # while a response is streamed
         self._download: Flow | None = None  # the response being streamed
-        # When the first content of a response of unknown length arrived, by the loop's clock.
-        self._content_began_s = 0.0
+        # When the first content of a response of unknown length arrived; monotonic clock, ns.
+        self._content_began = 0
 
     @abstractmethod
     def _recycle(self, reusable: bool) -> None:
@@ -121,7 +113,7 @@
             self.reader.take_chunks()
 
     def _restart_timeout(self) -> None:
-        """Restart the timer that fails the attempt if no further bytes arrive.
+        """Restart the timer that runs out if no further bytes arrive, see `response_buffering`.
 
         After an interim response nothing of the next one may come for long, as the backend is
         still working on the request: the attempt's own timeout applies, as before any bytes.
@@ -130,12 +122,45 @@
             return
         self._stop_timer()
         reader = self.reader
-        is_content = reader.state is CONTENT
-        if not is_content and not reader.head_begun:
+        if reader.state is not CONTENT and not reader.head_begun:
             return
-        factor = CONTENT_TIMEOUT_FACTOR if is_content else HEAD_TIMEOUT_FACTOR
-        limit_s = factor * self.host.config.settings.connect_timeout / SECOND
-        self._timer = self.host.loop.call_later(limit_s, self._fail, Outcome.ERROR)
+        pause = self._allowed_pause()
+        self._timer = self.host.loop.call_later(pause / SECOND, self._pause_timed_out)
+
+    def _allowed_pause(self) -> int:
+        connect_timeout = self.host.config.settings.connect_timeout
+        if self._may_stream_unknown_length():
+            attempt = self.attempt
+            assert attempt is not None
+            remaining = attempt.sent_at + attempt.timeout - time.monotonic_ns()
+            return response_buffering.unknown_length_pause(connect_timeout, remaining)
+        if self.reader.state is CONTENT:
+            return response_buffering.content_pause(connect_timeout)
+        return response_buffering.head_pause(connect_timeout)
+
+    def _pause_timed_out(self) -> None:
+        """Give up a response that goes on too slowly, or stream it if it may be a long one."""
+        if self._may_stream_unknown_length():
+            self._begin_streaming()
+        else:
+            self._fail(Outcome.ERROR)
+
+    def _may_stream_unknown_length(self) -> bool:
+        """Whether this is a 200 response of unknown length that its request's client waits for.
+
+        While another attempt of the request is in flight, such as a hedge, that one may still
+        bring a complete response.
+        """
+        attempt, reader = self.attempt, self.reader
+        return (
+            reader.state is CONTENT
+            and reader.status == OK_STATUS
+            and reader.length < 0
+            and self.request_written
+            and attempt is not None
+            and attempt.request.client is not None
+            and attempt.request.open_attempts == 1
+        )
 
     def eof_received(self) -> bool:
         """Handle the end of the backend's stream, which either completes the response or fails it.
@@ -216,12 +241,12 @@
         )
 
     def _is_slow(self) -> bool:
-        """Whether a response of unknown length has taken UNKNOWN_LENGTH_DELAY_S or longer."""
+        """Whether a response of unknown length comes from a slow sender."""
         if self.reader.length >= 0 or not self.reader.size:
             return False
-        now = self.host.loop.time()
-        self._content_began_s = self._content_began_s or now
-        return now - self._content_began_s >= UNKNOWN_LENGTH_DELAY_S
+        now = time.monotonic_ns()
+        self._content_began = self._content_began or now
+        return response_buffering.is_slow(now, self._content_began)
 
     def _begin_streaming(self) -> None:
         """Start streaming the response; after this the client can get no other response."""
--- a/tests/proxy/upstream/backend_link.py
+++ b/tests/proxy/upstream/backend_link.py
@@ -41,6 +41,9 @@
 
         return SimpleNamespace(cancel=cancel)
 
+    def delays_s(self) -> list[float]:
+        return [delay_s for delay_s, _ in self.callbacks]
+
     def fire(self) -> None:
         """Fire the only timer, however long it still has to run."""
         ((_, callback),) = self.callbacks
@@ -114,12 +117,17 @@
 
     def __init__(self) -> None:
         self.responses: list[bytes] = []
+        self.streams: list[Flow] = []  # of the responses that have begun to be streamed
+        self.aborted = False
 
     def respond(self, _content_type: bytes, chunks: list[bytes], _size: int) -> None:
         self.responses.append(b"".join(chunks))
 
-    def begin_streaming(self, _content_type: bytes, _length: int, _flow: Flow) -> None:
-        pass
+    def begin_streaming(self, _content_type: bytes, _length: int, flow: Flow) -> None:
+        self.streams.append(flow)
+
+    def abort_response(self) -> None:
+        self.aborted = True
 
 
 class Link:
@@ -150,7 +158,7 @@
 def attempt(client: Client, unsafe: bool = False, flow: Flow | None = None) -> Attempt:
     request = SimpleNamespace(
         head=HEAD, body=[], flow=flow, chunked=False, unsafe=unsafe, ended=False, client=client,
-        client_request_id=b"r-1",
+        client_request_id=b"r-1", open_attempts=1,
     )  # fmt: skip
     sent = Attempt(cast(Any, request), 0, BACKEND, time.monotonic_ns())
     sent.timeout = TIMEOUT_NS
