An upload that no backend accepts is given up after its request's own time

Reproduced with 4 and 5 MB, memory_mb 32 and a server with a receive buffer of 16 KB: 503 after 5.26 and 5.27 s. Cause: while a server accepts no more, reading of the body is paused, and the request's time did not run before the body was read; only 5 s without reading on ended it. Change: an upload of which no backend has accepted anything for the request's time limit is given up. Progress is what the backend's kernel has acknowledged, so a server that reads slowly is not cut off. The time of a long body counts from the arrival of its last byte, not from when it was read. Tests: test_timeouts.py (the time limit of the request in place of 5 s, and a slow server that is not cut off), test_attempts.py; the first failed before, the others need the new interface.

--- a/loadbalancer/proxy/attempts.py
+++ b/loadbalancer/proxy/attempts.py
@@ -140,14 +140,18 @@
         """Tell the Balancer that a long body is about to be written, so it can't be sent again."""
         self.notify_balancer(self.balancer.on_body_started, attempt.request.id, attempt.number)
 
-    def on_body_received(self, request: Request) -> None:
+    def on_body_received(self, request: Request, received_at: int) -> None:
         """Start the timeouts of a request whose long body has been received completely.
 
         While the body is being received, neither the request's nor its attempts' timeouts
         apply, because that time depends on the client.
+
+        Args:
+            request: the request.
+            received_at: when its last byte arrived, in nanoseconds of the monotonic clock. It may
+                have lain in the kernel for long, while the backend accepted no more.
         """
-        now = time.monotonic_ns()
-        request.deadline = now + request.timeout
+        request.deadline = received_at + request.timeout
         self._timers.add(request.deadline + ANSWER_GRACE_NS, request)
         for attempt in request.attempts:
             if not attempt.settled:
--- a/loadbalancer/proxy/client_events.py
+++ b/loadbalancer/proxy/client_events.py
@@ -117,6 +117,11 @@
         finally:
             self.end_event()
 
+    def upload_backlog(self, request: Request) -> int:
+        """The bytes of a streamed body that were written, and that no backend has accepted yet."""
+        connections = (attempt.connection for attempt in request.attempts)
+        return sum(c.unaccepted_bytes() for c in connections if c is not None)
+
     def upload_timed_out(self, request: Request) -> None:
         """A backend has stopped accepting a streamed body: give up the attempts of its request.
 
--- a/loadbalancer/proxy/downstream/connection.py
+++ b/loadbalancer/proxy/downstream/connection.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 import time
-from typing import cast
+from typing import TYPE_CHECKING, cast
 
 import httptools
 
+from loadbalancer.core.balancing.model import SECOND
 from loadbalancer.proxy.downstream.registry import ConnectionRegistry, Lingering
 from loadbalancer.proxy.downstream.request import IncomingRequest
 from loadbalancer.proxy.downstream.response_writer import ResponseWriter
@@ -16,7 +18,6 @@
 from loadbalancer.proxy.downstream.socket_state import (
     has_unread_input,
     peer_has_half_closed,
-    unacknowledged_bytes,
 )
 from loadbalancer.proxy.downstream.states import (
     AWAITING_REQUEST,
@@ -27,7 +28,11 @@
     STREAMING,
     UPLOAD,
 )
-from loadbalancer.proxy.flow_control import MAX_MESSAGE_BYTES
+from loadbalancer.proxy.flow_control import MAX_MESSAGE_BYTES, Flow
+from loadbalancer.proxy.sockets import unacknowledged_bytes
+
+if TYPE_CHECKING:
+    from loadbalancer.proxy.exchange import Request
 
 SWEEP_S = 0.25  # seconds between two sweeps, each of which checks all connections for timeouts
 # Timeouts are counted in sweeps, not in seconds: if this process was suspended for a while, the
@@ -35,7 +40,6 @@
 FIRST_BYTE_TIMEOUT_SWEEPS = 9  # until the first byte of a new connection
 REQUEST_TIMEOUT_SWEEPS = 10  # from a request's first byte until it is complete
 BYTES_PER_EXTRA_SWEEP = 8 << 10  # per sweep by which a request's content extends its timeout
-UPLOAD_TIMEOUT_SWEEPS = 20  # without a backend accepting more of an upload
 WRITE_TIMEOUT_SWEEPS = 40  # without the client accepting more of a response
 LINGER_TIMEOUT_SWEEPS = 4  # for the client to close after this process has shut down its side
 
@@ -48,7 +52,7 @@
     (`ResponseWriter`). The module `states` documents the state transitions.
     """
 
-    __slots__ = ("_last_write_progress", "_write_backlog")
+    __slots__ = ("_last_write_progress", "_upload_backlog", "_write_backlog")
 
     def __init__(self, registry: ConnectionRegistry, sock: socket.socket) -> None:
         super().__init__(registry, sock)
@@ -56,6 +60,8 @@
         # and the sweep at which these two numbers last changed.
         self._write_backlog = (0, 0)
         self._last_write_progress = 0
+        # The bytes of an upload buffered in this process, and on their way to the backend.
+        self._upload_backlog = (0, 0)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called by the event loop once it has set up the connection."""
@@ -249,8 +255,8 @@
         flow = incoming.flow
         if flow is not None and flow.paused:
             # Reading is paused because the backend accepts no more: the client is not to blame.
-            if self.idle_sweeps() > UPLOAD_TIMEOUT_SWEEPS and self._request is not None:
-                self._registry.host.upload_timed_out(self._request)
+            if self._request is not None:
+                self._check_upload_progress(self._request, flow)
             return False
         if self.idle_sweeps() <= REQUEST_TIMEOUT_SWEEPS + incoming.size // BYTES_PER_EXTRA_SWEEP:
             return False
@@ -259,6 +265,20 @@
         self._reject(408)
         return True
 
+    def _check_upload_progress(self, request: Request, flow: Flow) -> None:
+        """Give up an upload once its backend has accepted nothing for the request's timeout.
+
+        The client may have written its last byte long ago: the rest is in the kernels' buffers. The
+        time that it waits for its answer counts from then.
+        """
+        host = self._registry.host
+        backlog = (flow.buffered, host.upload_backlog(request))
+        if backlog != self._upload_backlog:
+            self._upload_backlog = backlog
+            self._last_active_sweep = self._registry.sweeps
+        elif self.idle_sweeps() >= math.ceil(request.timeout / SECOND / SWEEP_S):
+            host.upload_timed_out(request)
+
     def _close_if_first_byte_timed_out(self) -> bool:
         late = self in self._registry.silent and self.idle_sweeps() > FIRST_BYTE_TIMEOUT_SWEEPS
         if not late or not self.can_close():
--- a/loadbalancer/proxy/downstream/request_queue.py
+++ b/loadbalancer/proxy/downstream/request_queue.py
@@ -83,7 +83,7 @@
         if incoming.flow is not None:
             request = self._request
             if request is not None and request.flow is incoming.flow:
-                host.on_body_received(request)
+                host.on_body_received(request, incoming.received_at)
             incoming.flow.finish()
             return
         incoming.chunked = False  # the request is complete, so its length is known
--- a/loadbalancer/proxy/downstream/socket_state.py
+++ b/loadbalancer/proxy/downstream/socket_state.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-import fcntl
 import select
 import socket
 import struct
-import termios
 
-_QUEUED_BYTES = struct.Struct("i")  # the result of TIOCOUTQ
 _END_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER enabled, with a timeout of 0 seconds
 
@@ -36,12 +33,6 @@
     return True
 
 
-def unacknowledged_bytes(sock: socket.socket) -> int:
-    """Return the number of bytes sent that the peer's kernel has not acknowledged."""
-    (count,) = _QUEUED_BYTES.unpack(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))
-    return int(count)
-
-
 def reset_on_close(sock: socket.socket) -> None:
     """Make closing the socket reset the connection."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
--- a/loadbalancer/proxy/exchange.py
+++ b/loadbalancer/proxy/exchange.py
@@ -47,6 +47,9 @@
         Returns False if the request's last byte certainly never left this process.
         """
 
+    def unaccepted_bytes(self) -> int:
+        """The bytes written to the connection that the backend's kernel has not accepted."""
+
 
 class ReceivedRequest(Protocol):
     """A request as read from its client connection; the host does not modify it."""
--- a/loadbalancer/proxy/ports.py
+++ b/loadbalancer/proxy/ports.py
@@ -90,8 +90,11 @@
     def client_half_closed(self, request: Request) -> None:
         """A request's client has shut down its sending side, but may wait for the response."""
 
-    def on_body_received(self, request: Request) -> None:
-        """A streamed request body has been received completely."""
+    def on_body_received(self, request: Request, received_at: int) -> None:
+        """A streamed request body has been received completely, at this time in ns."""
+
+    def upload_backlog(self, request: Request) -> int:
+        """The bytes of a streamed request body that no backend has accepted yet."""
 
     def upload_timed_out(self, request: Request) -> None:
         """A backend has stopped accepting a streamed request body."""
--- a/loadbalancer/proxy/sockets.py
+++ b/loadbalancer/proxy/sockets.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
 
 from loadbalancer.config.address import Address
 
+_QUEUED_BYTES = struct.Struct("i")  # the result of TIOCOUTQ
+
 
 def listening_socket(address: Address, backlog: int, shared: bool = False) -> socket.socket:
     """Open a socket that listens at `address`; raises OSError if it can't be bound.
@@ -37,3 +42,9 @@
     """
     if transport.is_closing():
         sock.detach()
+
+
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return the number of bytes sent that the peer's kernel has not acknowledged."""
+    (count,) = _QUEUED_BYTES.unpack(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))
+    return int(count)
--- a/loadbalancer/proxy/upstream/connection.py
+++ b/loadbalancer/proxy/upstream/connection.py
@@ -11,7 +11,7 @@
 from loadbalancer.config.address import Address
 from loadbalancer.core import Outcome
 from loadbalancer.core.balancing.model import SECOND
-from loadbalancer.proxy.sockets import release_socket
+from loadbalancer.proxy.sockets import release_socket, unacknowledged_bytes
 from loadbalancer.proxy.upstream.response_receiver import ResponseReceiver
 from loadbalancer.proxy.upstream.states import CLOSED, CLOSING, CONNECTING, IDLE
 
@@ -176,6 +176,12 @@
         else:
             self._close()
 
+    def unaccepted_bytes(self) -> int:
+        """The bytes written that the backend's kernel has not accepted."""
+        if self.transport is None or self._sock is None or self._state is CLOSED:
+            return 0
+        return self.transport.get_write_buffer_size() + unacknowledged_bytes(self._sock)
+
     def abandon(self) -> bool:
         """Close without settling the attempt, so that a late response is not delivered.
 
--- a/loadbalancer/proxy/upstream/request_writer.py
+++ b/loadbalancer/proxy/upstream/request_writer.py
@@ -67,6 +67,10 @@
         Returns False if the request's last byte was certainly never written.
         """
 
+    @abstractmethod
+    def unaccepted_bytes(self) -> int:
+        """The bytes written that the backend's kernel has not accepted."""
+
     @abstractmethod
     def is_usable(self) -> bool:
         """Whether the kernel has received neither a close nor any bytes that were not read."""
--- a/tests/proxy/downstream/connection_fakes.py
+++ b/tests/proxy/downstream/connection_fakes.py
@@ -94,13 +94,15 @@
         self.request_ids = RequestIdTable()
         self.clients = 1
         self.rejects = False
+        self.unaccepted = 0  # bytes of an upload that the backend has not accepted
         self.admitted: list[Any] = []
         self.events: list[tuple[str, bytes]] = []
 
     def admit_request(self, client: ClientConnection, incoming: Any, _waited: int) -> Any:
         request = SimpleNamespace(
-            client_request_id=incoming.client_request_id, flow=incoming.flow, ended=self.rejects
-        )
+            client_request_id=incoming.client_request_id, flow=incoming.flow, ended=self.rejects,
+            timeout=incoming.timeout,
+        )  # fmt: skip
         self.admitted.append(request)
         if self.rejects:
             client.respond_empty(503, 0)
@@ -115,10 +117,13 @@
     def client_half_closed(self, request: Any) -> None:
         self.events.append(("half-closed", request.client_request_id))
 
+    def upload_backlog(self, _request: Any) -> int:
+        return self.unaccepted
+
     def upload_timed_out(self, request: Any) -> None:
         self.events.append(("upload stalled", request.client_request_id))
 
-    def on_body_received(self, request: Any) -> None:
+    def on_body_received(self, request: Any, _received_at: int) -> None:
         self.events.append(("body received", request.client_request_id))
 
     def on_descriptor_freed(self) -> None:
--- a/tests/proxy/downstream/test_timeouts.py
+++ b/tests/proxy/downstream/test_timeouts.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from loadbalancer.proxy.downstream.connection import (
     FIRST_BYTE_TIMEOUT_SWEEPS,
     REQUEST_TIMEOUT_SWEEPS,
-    UPLOAD_TIMEOUT_SWEEPS,
+    SWEEP_S,
     ClientConnection,
 )
 from loadbalancer.proxy.downstream.registry import ConnectionRegistry
@@ -58,12 +60,36 @@
 def test_a_backend_that_accepts_no_more_of_an_upload_is_reported(
     conn: ClientConnection, transport: Transport, host: Host, registry: ConnectionRegistry
 ) -> None:
-    """No backend accepts the body, so reading is paused and the client can't send more."""
+    """No backend accepts the body, so reading is paused and the client can't send more.
+
+    It may have written its last byte long ago, as far as it can tell. It waited for its answer for
+    5 s, though its request was to be answered within 0.75 s.
+    """
     host.budget.reserve(host.budget.soft_limit + 1)  # windows shrink to one read
-    conn.data_received(request("/credit/1", b"x" * 2 * LONG, rid="upload")[:-LONG])
+    message = request("/credit/1", b"x" * 2 * LONG, rid="upload", timeout=750)
+    conn.data_received(message[:-LONG])
     assert not transport.reading
-    sweep(registry, UPLOAD_TIMEOUT_SWEEPS)
+    sweep(registry, sweeps_of(0.75))  # the first one notes the backlog
     assert not host.events
     sweep(registry, 1)
     assert host.events == [("upload stalled", b"upload")]
     assert not transport.written
+
+
+def test_an_upload_that_its_backend_accepts_slowly_is_not_given_up(
+    conn: ClientConnection, transport: Transport, host: Host, registry: ConnectionRegistry
+) -> None:
+    """It may take seconds until enough has been accepted to read on."""
+    host.budget.reserve(host.budget.soft_limit + 1)
+    host.unaccepted = 100
+    message = request("/credit/1", b"x" * 2 * LONG, rid="upload", timeout=750)
+    conn.data_received(message[:-LONG])
+    for _ in range(10):
+        sweep(registry, sweeps_of(0.75) - 1)
+        host.unaccepted -= 1
+    assert not transport.reading
+    assert not host.events
+
+
+def sweeps_of(seconds: float) -> int:
+    return math.ceil(seconds / SWEEP_S)
--- a/tests/proxy/test_attempts.py
+++ b/tests/proxy/test_attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from types import SimpleNamespace
 from typing import Any, cast
 
 import pytest
@@ -15,6 +16,7 @@
 from tests.proxy.host_fakes import (
     BACKEND,
     CONNECT_TIMEOUT_NS,
+    MS,
     TIMEOUT_NS,
     Balancer,
     Client,
@@ -150,3 +152,23 @@
     host.record_outcome(attempt, Outcome.OK)
     host.abort_attempt(attempt, Outcome.TIMEOUT)
     assert balancer.outcomes == [Outcome.RESET]
+
+
+def test_the_time_of_a_long_body_counts_from_the_arrival_of_its_last_byte(
+    host: Node, balancer: Balancer, client: Client, clock: Clock
+) -> None:
+    """The end of the body lay in the kernel for seconds, while the backend accepted no more.
+
+    The client's time counted from when this process read it, so its answer came seconds late.
+    """
+    request = admit(host, client, attempts=1)
+    flow = SimpleNamespace(complete=False, discard=lambda: None)
+    request.flow = cast(Any, flow)
+    received_at = clock.now
+    clock.now += TIMEOUT_NS - MS
+    flow.complete = True
+    host.on_body_received(request, received_at)
+    clock.now += MS
+    host._on_timers_due()
+    assert balancer.outcomes == [Outcome.CONNECT_FAILED]  # nothing had been written
+    assert client.statuses == []  # the Balancer answers
