Reads are bounded, and what many connections hold is counted and limited

One client with chunks of one byte: a probe takes up to 1.6 s. Causes: an object a field, counted by nobody; long requests buffered to 64 KiB each before they are forwarded; the exemption of the oldest body, which passed to the next once the body waited as a flow; all paused bodies resumed at each freed byte; bytes in transports not counted; reads of 256 KB, up to 32 in a row; an object and a write for each small chunk. Change: heads are one object, incomplete ones over 2 KiB limited in all (503); long requests are forwarded earlier; flows are counted apart, with what their sinks can't write yet; as many bodies resumed as can be read; proxy/bounded_reads: 2 to 64 KiB a read, and a full one ends the connection's turn; small pieces are joined. The test of the listener has a real budget in place of a stub.

--- a/loadbalancer/proxy/balancer_events.py
+++ b/loadbalancer/proxy/balancer_events.py
@@ -72,7 +72,7 @@
     balancer: Balancer
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(BufferBudget(config.memory_mb))
+        super().__init__(BufferBudget(config.memory_mb, config.sockets))
         self.config = config
         self.loop = loop
         self.now = time.monotonic_ns()
--- /dev/null
+++ b/loadbalancer/proxy/bounded_reads.py
@@ -0,0 +1,64 @@
+"""Reads from connections in bounded pieces, one full piece a turn of the event loop.
+
+The event loop by itself reads up to 256 KB at a time, and goes on reading a connection for up to 32
+times while more arrives. A peer that sends at full speed what is costly to parse, such as chunks
+of one byte, would keep all other connections waiting for seconds, and each connection could hold
+a whole read before any limit is checked.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from abc import abstractmethod
+
+MAX_READ_BYTES = 64 << 10  # of content that needs no parsing
+# Of what is parsed. The limits of what a parser may hold are checked after each read, so this is
+# how far it can exceed them.
+MAX_PARSED_BYTES = 16 << 10
+SHORT_READ_BYTES = 4 << 10  # while the buffer budget is exceeded
+COSTLY_READ_BYTES = 2 << 10  # of content in many small chunks, each of which takes time to parse
+
+# All connections are read by one thread, one after the other, and each read is copied at once.
+_buffer = memoryview(bytearray(MAX_READ_BYTES))
+
+
+class BoundedReader(asyncio.BufferedProtocol):
+    """A protocol whose `data_received` is called with bounded pieces."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def data_received(self, data: bytes) -> None:
+        """Process the next bytes."""
+
+    @abstractmethod
+    def read_size(self) -> int:
+        """How many bytes to read at a time at the moment, at most MAX_READ_BYTES."""
+
+    @abstractmethod
+    def end_turn(self) -> None:
+        """Pause reading until the next turn of the event loop, as more bytes may be waiting."""
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Called by the event loop: where to read to."""
+        del sizehint  # the event loop's own choice
+        return _buffer[: self.read_size()]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Called by the event loop after it has read."""
+        is_full = nbytes == self.read_size()
+        self.data_received(bytes(_buffer[:nbytes]))
+        if is_full:
+            self.end_turn()
+
+
+def read_size(is_plain_content: bool, is_budget_exceeded: bool) -> int:
+    """How many bytes of a connection to read at a time.
+
+    Args:
+        is_plain_content: whether content is read that is not in chunks.
+        is_budget_exceeded: whether more is buffered than the soft limit allows.
+    """
+    if is_budget_exceeded:
+        return SHORT_READ_BYTES
+    return MAX_READ_BYTES if is_plain_content else MAX_PARSED_BYTES
--- a/loadbalancer/proxy/downstream/connection.py
+++ b/loadbalancer/proxy/downstream/connection.py
@@ -120,6 +120,7 @@
         registry.lingering[self] = Lingering(registry.host.loop.time(), was_silent)
         self._last_active_sweep = registry.sweeps
         transport.write_eof()
+        self._is_paused = False
         transport.resume_reading()
 
     def close(self) -> None:
--- a/loadbalancer/proxy/downstream/registry.py
+++ b/loadbalancer/proxy/downstream/registry.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from loadbalancer.faults import run_logged
+from loadbalancer.proxy.bounded_reads import BoundedReader
 from loadbalancer.proxy.downstream.head_checker import HeadChecker
 
 if TYPE_CHECKING:
@@ -24,7 +25,7 @@
 MAX_IDLE_FRACTION = 0.2  # of all descriptors; with more idle, a response closes its connection
 
 
-class Connection(asyncio.Protocol, ABC):
+class Connection(BoundedReader, ABC):
     """The interface of a client's connection that the registry uses."""
 
     __slots__ = ()
--- a/loadbalancer/proxy/downstream/request.py
+++ b/loadbalancer/proxy/downstream/request.py
@@ -25,15 +25,17 @@
 
     __slots__ = (
         "body", "chunked", "client_request_id", "cls", "fields", "flow", "framing_excess",
-        "has_idempotency_key", "head", "hint", "http10", "is_readiness_check", "keep_alive", "key",
-        "length", "lines", "method", "path", "pieces", "policy", "received_at", "retried", "size",
-        "tenant", "timeout", "url",
+        "has_idempotency_key", "head", "hint", "http10", "is_readiness_check",
+        "keep_alive", "key", "length", "lines", "method", "path", "pieces", "policy",
+        "received_at", "retried", "size", "tenant", "timeout", "url",
     )  # fmt: skip
 
     def __init__(self) -> None:
         self.url = b""
         self.method = b""
-        self.lines: list[bytes] = []  # the header field lines to forward
+        # The header field lines to forward. One object, as thousands of short fields that are an
+        # object each take many times the memory of their bytes.
+        self.lines = bytearray()
         self.fields: dict[bytes, bytes] = {}  # the header fields in INTERPRETED_FIELDS
         self.body: list[bytes] = []  # content read so far, unless `flow` has it
         self.size = 0  # of the content read so far
--- a/loadbalancer/proxy/downstream/request_parser.py
+++ b/loadbalancer/proxy/downstream/request_parser.py
@@ -10,6 +10,7 @@
 import httptools
 
 from loadbalancer.errors import BadRequestError
+from loadbalancer.proxy.bounded_reads import COSTLY_READ_BYTES, MAX_PARSED_BYTES, read_size
 from loadbalancer.proxy.downstream.head_checker import INTERPRETED_FIELDS
 from loadbalancer.proxy.downstream.registry import Connection, ConnectionRegistry
 from loadbalancer.proxy.downstream.request import IncomingRequest
@@ -23,15 +24,16 @@
 )
 from loadbalancer.proxy.flow_control import (
     MAX_MESSAGE_BYTES,
-    MAX_PARSED_BYTES,
     MIN_WINDOW_BYTES,
     STREAMING_THRESHOLD_BYTES,
+    append_piece,
 )
 
 logger = logging.getLogger(__name__)
 
 MAX_HEAD_BYTES = 16 << 10  # of a request's target and header fields
-SMALL_BODY_BYTES = 16 << 10  # a body of up to this size never waits for the buffer budget
+SMALL_HEAD_BYTES = 2 << 10  # incomplete heads up to this size are not limited in number
+MAX_PIECES_A_READ = 200  # parts of content in one read, above which the next read is smaller
 HTTP_VERSIONS = ("1.0", "1.1")
 
 # Header fields that are hop-by-hop, or that the proxy sets itself for each attempt.
@@ -54,8 +56,8 @@
     """
 
     __slots__ = (
-        "_discarding", "_head_size", "_incoming", "_last_active_sweep", "_parser", "_read_state",
-        "_registry", "_sock", "_transport",
+        "_counted_head", "_discarding", "_head_size", "_incoming", "_is_costly", "_is_paused",
+        "_last_active_sweep", "_parser", "_read_state", "_registry", "_sock", "_transport",
     )  # fmt: skip
 
     def __init__(self, registry: ConnectionRegistry, sock: socket.socket) -> None:
@@ -65,6 +67,9 @@
         self._parser: httptools.HttpRequestParser | None = None
         self._incoming: IncomingRequest | None = None  # the request being read
         self._read_state: ReadState = NO_REQUEST
+        self._is_costly = False  # whether the last read had many small chunks
+        self._is_paused = False  # whether reading waits for `resume_flow`
+        self._counted_head = 0  # of these, those counted in the buffer budget
         self._head_size = 0  # bytes read of an incomplete head
         self._discarding = 0  # bytes still expected of an upload that is no longer forwarded
         # The sweep of the last activity: the accept, the start of a request, its response, reading
@@ -106,6 +111,24 @@
         incoming = self._incoming
         return incoming is not None and self._read_state is not HEAD and not incoming.chunked
 
+    def read_size(self) -> int:
+        """How many bytes to read at a time at the moment."""
+        if self._is_costly:
+            return COSTLY_READ_BYTES
+        return read_size(self._reads_plain_content(), self._registry.host.budget.is_exceeded())
+
+    def end_turn(self) -> None:
+        """Pause reading until the next turn of the event loop, so that others get theirs."""
+        transport = self._transport
+        if transport is not None and not self._is_paused and not transport.is_closing():
+            transport.pause_reading()
+            self._registry.host.loop.call_soon(self._continue_reading)
+
+    def _continue_reading(self) -> None:
+        transport = self._transport
+        if transport is not None and not self._is_paused and not transport.is_closing():
+            transport.resume_reading()
+
     def _parse(self, data: bytes) -> None:
         """Parse bytes, and reject the request if they are invalid or exceed a limit."""
         parser = self._parser
@@ -125,14 +148,31 @@
             self._reject(400)
             return
         if self._read_state is HEAD:
-            if self._head_size > MAX_HEAD_BYTES:
-                # A head that never ends does not reach the check of its size in
-                # on_headers_complete, and would exhaust memory.
-                self._reject(431)
+            self._limit_head()
         elif incoming is not None and incoming is self._incoming and state is not HEAD:
             content, new_pieces = incoming.size - size, incoming.pieces - pieces
+            self._is_costly = new_pieces > MAX_PIECES_A_READ
             if not incoming.framing_excess.add(len(data), content, new_pieces):
                 self._reject(431)  # a trailer section or a chunk extension without end
+            else:
+                self._forward_content(incoming)
+
+    def _limit_head(self) -> None:
+        """Reject a head that is too long while it is incomplete, or for which there is no memory.
+
+        One that never ends does not reach the check of its size in on_headers_complete.
+        """
+        if self._head_size > MAX_HEAD_BYTES:
+            self._reject(431)
+        elif self._head_size > SMALL_HEAD_BYTES:
+            self._count_head(self._head_size)
+            if self._registry.host.budget.has_too_many_heads():
+                self._reject(503)
+
+    def _count_head(self, size: int) -> None:
+        """Count an incomplete head of this size; 0 once there is none."""
+        self._registry.host.budget.heads += size - self._counted_head
+        self._counted_head = size
 
     def _discard(self, data: bytes) -> None:
         """Drop input that arrives while the connection is closing.
@@ -174,7 +214,7 @@
         elif lower == b"idempotency-key":
             incoming.has_idempotency_key = True
         if lower not in NOT_FORWARDED:
-            incoming.lines.append(b"%s: %s\r\n" % (name, value))
+            incoming.lines += b"%s: %s\r\n" % (name, value)
 
     def on_headers_complete(self) -> None:
         """Called at the end of the head: validate it."""
@@ -183,9 +223,10 @@
         assert parser is not None
         self._read_state = CONTENT
         self._head_size = 0
+        self._count_head(0)
         incoming.method = parser.get_method()
         incoming.keep_alive = parser.should_keep_alive()
-        if len(incoming.url) + sum(map(len, incoming.lines)) > MAX_HEAD_BYTES:
+        if len(incoming.url) + len(incoming.lines) > MAX_HEAD_BYTES:
             raise BadRequestError(431)
         version = parser.get_http_version()
         if version not in HTTP_VERSIONS:
@@ -198,11 +239,12 @@
             self._expect_content(incoming)
 
     def _expect_content(self, incoming: IncomingRequest) -> None:
+        budget = self._registry.host.budget
         if incoming.length > STREAMING_THRESHOLD_BYTES:
             # Limits one read to about a window, however much has arrived.
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MIN_WINDOW_BYTES)
-        elif incoming.length > SMALL_BODY_BYTES or incoming.chunked:
-            self._registry.host.budget.incomplete[self] = None
+        elif incoming.length > budget.small_body_bytes or incoming.chunked:
+            budget.incomplete[self] = None
         # While a response to an earlier request is due, the client would take the interim response
         # for a part of that one.
         expects = incoming.fields.get(b"expect", b"").lower() == b"100-continue"
@@ -218,12 +260,16 @@
         incoming.pieces += 1
         if incoming.size > MAX_MESSAGE_BYTES:
             raise BadRequestError(413)
-        if self._read_state is UPLOAD:
-            assert incoming.flow is not None
-            incoming.flow.push(body)
-            return
-        incoming.body.append(body)
-        self._registry.host.budget.reserve(len(body))
+        append_piece(incoming.body, body)
+        if self._read_state is not UPLOAD:
+            self._registry.host.budget.reserve(len(body))
+
+    def _forward_content(self, incoming: IncomingRequest) -> None:
+        """Pass the content that has been parsed to the flow of an upload, small pieces as one."""
+        if incoming.flow is not None and incoming.body:
+            pieces, incoming.body = incoming.body, []
+            for piece in pieces:
+                incoming.flow.push(piece)
 
     @abstractmethod
     def resume_body(self) -> None:
--- a/loadbalancer/proxy/downstream/request_queue.py
+++ b/loadbalancer/proxy/downstream/request_queue.py
@@ -81,6 +81,7 @@
         (unread_ms,) = LAST_DATA_RECEIVED.unpack(info)
         incoming.received_at = time.monotonic_ns() - unread_ms * MS
         if incoming.flow is not None:
+            self._forward_content(incoming)
             request = self._request
             if request is not None and request.flow is incoming.flow:
                 host.on_body_received(request, incoming.received_at)
@@ -99,10 +100,21 @@
             incoming is not None
             and self._state is AWAITING_REQUEST
             and self._read_state is CONTENT
-            and incoming.size > STREAMING_THRESHOLD_BYTES
+            and self._is_long(incoming)
         ):
             self._start_upload(incoming)
 
+    def _is_long(self, incoming: IncomingRequest) -> bool:
+        """Whether so much of a request's content has come that it is forwarded as it comes.
+
+        If its length says that it is long, it is so once it is no longer small. Otherwise hundreds
+        of clients that send long content slowly would have up to the threshold buffered each.
+        """
+        if incoming.size > STREAMING_THRESHOLD_BYTES:
+            return True
+        small = self._registry.host.budget.small_body_bytes
+        return incoming.length > STREAMING_THRESHOLD_BYTES and incoming.size > small
+
     def _start_next(self) -> None:
         """Start the next queued request after a response, or resume reading if there is none."""
         if self._state is not AWAITING_REQUEST:
@@ -130,15 +142,15 @@
         """Build the start of each attempt's head, up to the value of its timeout."""
         if not incoming.is_readiness_check:
             if incoming.chunked:
-                incoming.lines.append(b"Transfer-Encoding: chunked\r\n")
+                incoming.lines += b"Transfer-Encoding: chunked\r\n"
             elif incoming.method == b"POST" or incoming.length:
-                incoming.lines.append(b"Content-Length: %d\r\n" % incoming.length)
+                incoming.lines += b"Content-Length: %d\r\n" % incoming.length
             incoming.head = b"%s %s HTTP/1.1\r\n%sX-Timeout-Ms: " % (
                 incoming.method,
                 incoming.url,
-                b"".join(incoming.lines),
+                incoming.lines,
             )
-        incoming.lines = []
+        incoming.lines = bytearray()
 
     def _response_is_next(self) -> bool:
         return self._request is None and not self._queued
@@ -149,7 +161,7 @@
         if self._read_state is UPLOAD or not incoming.size:
             return
         if self._request is not None:
-            if incoming.size > STREAMING_THRESHOLD_BYTES:
+            if self._is_long(incoming):
                 self.pause_flow()  # until the open request has been answered
         elif self._registry.host.budget.pause_if_needed(self):
             self.pause_flow()
@@ -157,6 +169,7 @@
     def pause_flow(self) -> None:
         """Pause reading until `resume_flow`."""
         if self._transport is not None:
+            self._is_paused = True
             self._transport.pause_reading()
             self._registry.watch_paused(self)
 
@@ -164,6 +177,7 @@
         """Resume reading; the pause does not count against the client's timeouts."""
         self._last_active_sweep = self._registry.sweeps
         self._registry.paused.pop(self, None)
+        self._is_paused = False
         if self._transport is not None:
             self._transport.resume_reading()
 
@@ -180,6 +194,7 @@
     def _drop_pending(self) -> None:
         """Drop queued and incomplete requests, and release their share of the buffer budget."""
         self._registry.host.budget.body_finished(self)
+        self._count_head(0)
         if self._incoming is not None:
             self._release_content(self._incoming)
         for incoming in self._queued:
--- a/loadbalancer/proxy/flow_control.py
+++ b/loadbalancer/proxy/flow_control.py
@@ -6,19 +6,42 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import deque
+from collections.abc import MutableSequence
 from typing import Protocol
 
+from loadbalancer.proxy.bounded_reads import MAX_PARSED_BYTES
+
 # Messages up to this size are buffered completely before they are forwarded.
 STREAMING_THRESHOLD_BYTES = 64 << 10
 MAX_MESSAGE_BYTES = 32 << 20  # largest content accepted, of a request or a response
-# The most that is parsed at a time of a head or of chunks. What the parser holds is checked only
-# afterwards, so this is how far it can exceed its limits.
-MAX_PARSED_BYTES = 16 << 10
 MIN_WINDOW_BYTES = 64 << 10  # smallest window while usage is within the soft limit
 WINDOW_FRACTION = 16  # a window is the free bytes below the soft limit, divided by this
 BASELINE_MB = 32  # memory of the process without message buffers, connections included
-MIN_SOFT_LIMIT_BYTES = 4 << 20
+MIN_SOFT_LIMIT_BYTES = 2 << 20
+# All incomplete heads together may have the soft limit divided by this.
+HEADS_DIVISOR = 2
+MAX_SMALL_BODY_BYTES = 16 << 10  # largest body that never waits for the buffer budget
+
+
+SMALL_PIECE_BYTES = 1 << 10  # smaller pieces of content are joined
+JOINED_PIECE_BYTES = 16 << 10  # size from which a joined piece is not extended
+
+
+def append_piece(pieces: MutableSequence[bytes], data: bytes) -> None:
+    """Append content to its pieces; joins small ones.
+
+    Content in chunks of a few bytes would otherwise take many times its size: an object for each.
+    """
+    if len(data) >= SMALL_PIECE_BYTES:
+        pieces.append(data)
+        return
+    last = pieces[-1] if pieces else None
+    if isinstance(last, bytearray) and len(last) < JOINED_PIECE_BYTES:
+        last += data
+    else:
+        pieces.append(bytearray(data))
 
 
 class BodyReader(Protocol):
@@ -33,19 +56,44 @@
 
     While more than `soft_limit` bytes are buffered, a flow's window is zero, so that its source
     is paused after each read, and the reading of bodies that are buffered whole is paused too.
-    The oldest incomplete body is never paused: if every body waited for memory used by the
-    others, none would complete and all would time out.
+    Small bodies are never paused, and the oldest incomplete one only while flows alone exceed the
+    limit: if every body waited for memory used by the others, none would complete and all would
+    time out. Flows free their memory by themselves. Without that condition one body after the
+    other would become the oldest, be read and wait as a flow for a backend.
     """
 
-    __slots__ = ("buffered", "incomplete", "paused", "soft_limit")
+    __slots__ = (
+        "buffered",
+        "flows",
+        "heads",
+        "incomplete",
+        "paused",
+        "small_body_bytes",
+        "soft_limit",
+    )
 
-    def __init__(self, memory_mb: int) -> None:
+    def __init__(self, memory_mb: int, connections: int = 1) -> None:
         self.soft_limit = max((memory_mb - BASELINE_MB << 20) // 2, MIN_SOFT_LIMIT_BYTES)
+        # A body of up to this size never waits, even if each connection buffers one.
+        self.small_body_bytes = min(MAX_SMALL_BODY_BYTES, self.soft_limit // connections)
         self.buffered = 0
+        self.flows = 0  # of the buffered bytes, those of flows
+        self.heads = 0  # bytes of incomplete heads that are not small
         self.paused: dict[BodyReader, None] = {}
         # Incomplete bodies that are buffered whole, without small ones; oldest first.
         self.incomplete: dict[BodyReader, None] = {}
 
+    def has_too_many_heads(self) -> bool:
+        """Whether incomplete heads take more memory than they may.
+
+        Clients that send heads slowly can each have the largest one incomplete at a time.
+        """
+        return self.heads > self.soft_limit // HEADS_DIVISOR
+
+    def is_exceeded(self) -> bool:
+        """Whether more than the soft limit is buffered."""
+        return self.buffered > self.soft_limit
+
     def window(self) -> int:
         """Bytes that a flow may buffer before its source is paused.
 
@@ -64,7 +112,7 @@
         """
         if self.buffered <= self.soft_limit or reader not in self.incomplete:
             return False
-        if reader is next(iter(self.incomplete)):
+        if reader is next(iter(self.incomplete)) and self.flows <= self.soft_limit:
             return False
         self.paused[reader] = None
         return True
@@ -76,23 +124,44 @@
         """
         self.paused.pop(reader, None)
         if self.incomplete.pop(reader, self) is None:
-            oldest = next(iter(self.incomplete), None)
-            if oldest is not None and oldest in self.paused:
-                del self.paused[oldest]
-                oldest.resume_body()
+            self._resume_oldest()
+
+    def _resume_oldest(self) -> None:
+        """Resume the oldest incomplete body, unless flows alone exceed the limit."""
+        oldest = next(iter(self.incomplete), None)
+        if oldest is not None and oldest in self.paused and self.flows <= self.soft_limit:
+            del self.paused[oldest]
+            oldest.resume_body()
 
     def reserve(self, size: int) -> None:
         """Count `size` more bytes as buffered."""
         self.buffered += size
 
     def release(self, size: int) -> None:
-        """Subtract `size` bytes; resume paused bodies once usage is within the soft limit."""
+        """Subtract `size` bytes; resume paused bodies once usage is within the soft limit.
+
+        Only as many are resumed as can each be read once. If all were, hundreds of them would
+        exceed the limit by a read each.
+        """
         self.buffered -= size
         if self.paused and self.buffered <= self.soft_limit:
-            waiting, self.paused = self.paused, {}
-            for reader in waiting:
+            count = (self.soft_limit - self.buffered) // MAX_PARSED_BYTES + 1
+            for reader in list(itertools.islice(self.paused, count)):
+                del self.paused[reader]
                 reader.resume_body()
 
+    def reserve_flow(self, size: int) -> None:
+        """Count `size` more bytes as buffered by a flow."""
+        self.flows += size
+        self.reserve(size)
+
+    def release_flow(self, size: int) -> None:
+        """Subtract `size` bytes of a flow; resume paused bodies as `release` does."""
+        self.flows -= size
+        self.release(size)
+        if self.paused:
+            self._resume_oldest()
+
 
 class Source(Protocol):
     """The connection from which the bytes of a flow are read."""
@@ -117,6 +186,9 @@
 class Flow:
     """One long message on its way from its source to its sink.
 
+    Bytes that the sink has taken and can't write yet count as buffered in the budget, as they are
+    in this process's memory.
+
     While it has no sink, or one that accepts no more bytes, it buffers one window and then
     pauses its source. `forwarded` is set once bytes have been passed to a sink: they are no
     longer buffered, so the message cannot be sent a second time. `complete` is set once the
@@ -124,8 +196,8 @@
     """
 
     __slots__ = (
-        "_blocked", "_budget", "_chunks", "_sink", "_source", "buffered", "complete", "forwarded",
-        "paused",
+        "_blocked", "_budget", "_chunks", "_sink", "_source", "_unsent", "buffered", "complete",
+        "forwarded", "paused",
     )  # fmt: skip
 
     def __init__(self, budget: BufferBudget, source: Source) -> None:
@@ -134,6 +206,7 @@
         self._sink: Sink | None = None
         self._chunks: deque[bytes] = deque()
         self._blocked = False
+        self._unsent = 0  # bytes of the last write that its sink can't write yet
         self.paused = False  # whether the source is paused; changed only by this class
         self.buffered = 0
         self.forwarded = False
@@ -143,9 +216,9 @@
         """Accept the next bytes from the source; drops them after `discard`."""
         if self._source is None:
             return
-        self._chunks.append(data)
+        append_piece(self._chunks, data)
         self.buffered += len(data)
-        self._budget.reserve(len(data))
+        self._budget.reserve_flow(len(data))
         self._forward()
         if not self.paused and self.buffered > self._budget.window():
             self.paused = True
@@ -162,12 +235,14 @@
         """Set the sink and forward the buffered bytes to it."""
         self._sink = sink
         self._blocked = False
+        self._release_unsent()
         self._forward()
 
     def detach(self, sink: Sink) -> None:
         """Remove a closed sink. Another may be attached if nothing has been forwarded."""
         if self._sink is sink:
             self._sink = None
+            self._release_unsent()
 
     def block(self) -> None:
         """Stop writing to the sink until `unblock` is called."""
@@ -176,15 +251,22 @@
     def unblock(self) -> None:
         """Continue writing to the sink."""
         self._blocked = False
+        self._release_unsent()
         self._forward()
 
+    def _release_unsent(self) -> None:
+        unsent, self._unsent = self._unsent, 0
+        if unsent:
+            self._budget.release_flow(unsent)
+
     def discard(self) -> None:
         """Drop the message: free its buffer, forward nothing more and let the source read on."""
         self._sink = None
         self._chunks.clear()
         buffered, self.buffered = self.buffered, 0
         source, self._source = self._source, None
-        self._budget.release(buffered)
+        self._budget.release_flow(buffered)
+        self._release_unsent()
         self._resume(source)
 
     def _resume(self, source: Source | None) -> None:
@@ -199,7 +281,10 @@
             self.buffered -= len(data)
             self._sink.flow_write(data)
             self.forwarded = True
-            self._budget.release(len(data))
+            if self._blocked:
+                self._unsent += len(data)
+            else:
+                self._budget.release_flow(len(data))
         if self.complete and not chunks and self._sink is not None and not self._blocked:
             sink, self._sink = self._sink, None
             sink.flow_end()
--- a/loadbalancer/proxy/routing.py
+++ b/loadbalancer/proxy/routing.py
@@ -40,7 +40,7 @@
 
     url: bytes
     method: bytes
-    lines: list[bytes]
+    lines: bytearray
     fields: dict[bytes, bytes]
     path: bytes
 
@@ -141,5 +141,6 @@
 
 def _rewrite_host(head: Head, host: bytes) -> None:
     head.fields[b"host"] = host
-    head.lines = [line for line in head.lines if line[:5].lower() != b"host:"]
-    head.lines.insert(0, b"Host: %s\r\n" % host)
+    lines = head.lines.splitlines(keepends=True)
+    others = (line for line in lines if line[:5].lower() != b"host:")
+    head.lines = bytearray(b"Host: %s\r\n%s" % (host, b"".join(others)))
--- a/loadbalancer/proxy/upstream/request_writer.py
+++ b/loadbalancer/proxy/upstream/request_writer.py
@@ -11,6 +11,7 @@
 
 from loadbalancer.core.balancing.model import MS, SECOND
 from loadbalancer.core.connection_reuse import NEVER, last_byte_delay, settling_delay
+from loadbalancer.proxy.bounded_reads import BoundedReader
 from loadbalancer.proxy.upstream.states import (
     AWAITING_RESPONSE,
     CONNECTING,
@@ -28,7 +29,7 @@
 MIN_TIMER_S = 0.001
 
 
-class RequestWriter(asyncio.Protocol, ABC):
+class RequestWriter(BoundedReader, ABC):
     """The part of a connection that sends requests.
 
     `request_written` decides whether the request may be sent again. It is False while at least
--- a/loadbalancer/proxy/upstream/response_reader.py
+++ b/loadbalancer/proxy/upstream/response_reader.py
@@ -12,10 +12,11 @@
     FramingExcess,
     ends_with_stream,
 )
+from loadbalancer.proxy.bounded_reads import MAX_PARSED_BYTES
 from loadbalancer.proxy.flow_control import (
     MAX_MESSAGE_BYTES,
-    MAX_PARSED_BYTES,
     STREAMING_THRESHOLD_BYTES,
+    append_piece,
 )
 
 MAX_HEAD_BYTES = 16 << 10  # of a response's status line and header fields
@@ -92,13 +93,13 @@
 
     def feed(self, data: bytes) -> None:
         """Parse the next bytes and update `state` and the other attributes."""
-        if len(data) <= MAX_PARSED_BYTES or self._reads_plain_content():
+        if len(data) <= MAX_PARSED_BYTES or self.reads_plain_content():
             self._parse(data)
             return
         for start in range(0, len(data), MAX_PARSED_BYTES):
             self._parse(data[start : start + MAX_PARSED_BYTES])
 
-    def _reads_plain_content(self) -> bool:
+    def reads_plain_content(self) -> bool:
         """Whether content is read that is not in chunks, of which the parser holds nothing."""
         return self.state is CONTENT and not self._has_transfer_encoding
 
@@ -199,7 +200,7 @@
         elif self.size > MAX_MESSAGE_BYTES:
             self.state = MALFORMED
         else:
-            self.chunks.append(body)
+            append_piece(self.chunks, body)
 
     def on_message_complete(self) -> None:
         """Handle the end of a response; an interim response is followed by another one.
--- a/loadbalancer/proxy/upstream/response_receiver.py
+++ b/loadbalancer/proxy/upstream/response_receiver.py
@@ -10,6 +10,7 @@
 
 from loadbalancer.core import Outcome, response_buffering
 from loadbalancer.core.balancing.model import SECOND
+from loadbalancer.proxy.bounded_reads import read_size
 from loadbalancer.proxy.flow_control import MIN_WINDOW_BYTES, STREAMING_THRESHOLD_BYTES, Flow
 from loadbalancer.proxy.upstream.load_report import parse_load_report
 from loadbalancer.proxy.upstream.request_writer import RequestWriter
@@ -73,6 +74,29 @@
     def _fail(self, outcome: Outcome) -> None:
         """Close the connection and settle its attempt, if there is one."""
 
+    def read_size(self) -> int:
+        """How many bytes to read at a time at the moment."""
+        return read_size(self.reader.reads_plain_content(), self.host.budget.is_exceeded())
+
+    def end_turn(self) -> None:
+        """Pause reading until the next turn of the event loop, so that others get theirs."""
+        if self._may_read():
+            assert self.transport is not None
+            self.transport.pause_reading()
+            self.host.loop.call_soon(self._continue_reading)
+
+    def _continue_reading(self) -> None:
+        if self._may_read():
+            assert self.transport is not None
+            self.transport.resume_reading()
+
+    def _may_read(self) -> bool:
+        """Whether the connection is open and no slow client holds up its reading."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return False
+        return self._download is None or not self._download.paused
+
     def data_received(self, data: bytes) -> None:
         """Process the next bytes of the response."""
         if self.attempt is None:
--- a/tests/proxy/downstream/test_capacity.py
+++ b/tests/proxy/downstream/test_capacity.py
@@ -12,6 +12,7 @@
 
 from loadbalancer.proxy.downstream.connection import ClientConnection
 from loadbalancer.proxy.downstream.listener import SATURATED_LINGER_S, Listener
+from loadbalancer.proxy.flow_control import BufferBudget
 from loadbalancer.proxy.lifecycle import Lifecycle
 from tests.harness import LIMIT, Running, answer, request
 from tests.proxy.downstream.exchanges import READINESS_CHECK, assert_served, send_to_backend
@@ -153,7 +154,7 @@
         may_accept_client=lambda: False,
         close_surplus_upstream=lambda: None,
         on_descriptor_freed=None,
-        budget=SimpleNamespace(body_finished=lambda _conn: None),
+        budget=BufferBudget(128),
     )
 
 
--- a/tests/proxy/test_flow_control.py
+++ b/tests/proxy/test_flow_control.py
@@ -2,7 +2,17 @@
 
 from __future__ import annotations
 
-from loadbalancer.proxy.flow_control import MIN_WINDOW_BYTES, BufferBudget, Flow
+import sys
+from collections.abc import Callable
+
+from loadbalancer.proxy.bounded_reads import MAX_PARSED_BYTES
+from loadbalancer.proxy.flow_control import (
+    MIN_WINDOW_BYTES,
+    SMALL_PIECE_BYTES,
+    BufferBudget,
+    Flow,
+    append_piece,
+)
 
 
 class Recorder:
@@ -73,3 +83,80 @@
     assert budget.buffered == 0
     assert recorder.calls == ["pause", "resume"]
     assert recorder.written == b""
+
+
+def test_what_a_sink_has_taken_and_can_not_write_yet_is_buffered() -> None:
+    """Hundreds of slow peers had a read each in their transports, which nothing counted."""
+    budget, recorder = BufferBudget(0), Recorder()
+
+    class SlowSink(Recorder):
+        def flow_write(self, data: bytes) -> None:
+            super().flow_write(data)
+            flow.block()
+
+    sink = SlowSink()
+    flow = Flow(budget, recorder)
+    flow.attach(sink)
+    flow.push(b"x" * 1000)
+    assert budget.buffered == budget.flows == 1000
+    flow.unblock()
+    assert budget.buffered == budget.flows == 0
+    ends: list[Callable[[], None]] = [lambda: flow.detach(sink), flow.discard]
+    for end in ends:
+        flow.attach(sink)
+        flow.push(b"x" * 1000)
+        assert budget.buffered == 1000
+        end()
+        assert budget.buffered == budget.flows == 0
+
+
+class Body:
+    """An incomplete body that notes how often it is resumed."""
+
+    def __init__(self) -> None:
+        self.resumed = 0
+
+    def resume_body(self) -> None:
+        self.resumed += 1
+
+
+def test_only_as_many_paused_bodies_are_resumed_as_can_be_read() -> None:
+    """All of them were resumed with each byte that was freed, and each was read once more."""
+    budget = BufferBudget(0)
+    bodies = [Body() for _ in range(100)]
+    budget.incomplete = dict.fromkeys(bodies)
+    budget.reserve(budget.soft_limit + 1)
+    assert [budget.pause_if_needed(body) for body in bodies] == [False] + 99 * [True]
+    budget.release(1 + 2 * MAX_PARSED_BYTES)
+    assert [body.resumed for body in bodies] == [0] + 3 * [1] + 96 * [0]
+
+
+def test_one_body_after_the_other_can_not_pass_the_limit_as_a_flow() -> None:
+    """The oldest body is not paused; it became long, waited as a flow, and the next was oldest."""
+    budget = BufferBudget(0)
+    first, second = Body(), Body()
+    budget.incomplete = {first: None, second: None}
+    budget.reserve_flow(budget.soft_limit + 1)
+    assert budget.pause_if_needed(first)
+    assert budget.pause_if_needed(second)
+    budget.body_finished(first)
+    resumed_before = second.resumed
+    budget.reserve(budget.soft_limit)
+    budget.release_flow(1)  # flows are within the limit now, though all together are not
+    assert (resumed_before, second.resumed) == (0, 1)
+
+
+def test_a_small_body_is_one_that_each_connection_may_have() -> None:
+    budget = BufferBudget(0, 1024)
+    assert budget.small_body_bytes * 1024 <= budget.soft_limit
+    assert BufferBudget(192, 16).small_body_bytes == 16 << 10
+
+
+def test_small_pieces_take_no_more_memory_than_their_bytes() -> None:
+    pieces: list[bytes] = []
+    for _ in range(100_000):
+        append_piece(pieces, b"ab")
+    append_piece(pieces, b"x" * SMALL_PIECE_BYTES)
+    append_piece(pieces, b"c")
+    assert b"".join(pieces) == b"ab" * 100_000 + b"x" * SMALL_PIECE_BYTES + b"c"
+    assert sum(map(sys.getsizeof, pieces)) + sys.getsizeof(pieces) < 2 * 200_000
