The two processes of an upgrade tell each other at once which request ids they use

Reproduced: an id that is open at the new process is sent on a connection of the old one, and the other way round within 50 ms: both requests reach a server. Cause: the old process told its ids with its regular report, every 50 ms; the new one told none. Change: a message with the ids that begin and cease to be in use, sent at that moment by either process while both serve (upgrade/shared_ids). The report stays; a process of an earlier version ignores the message. The golden binding's process has a table of ids now.

--- a/loadbalancer/core/request_ids.py
+++ b/loadbalancer/core/request_ids.py
@@ -16,13 +16,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 
 class RequestIdTable:
-    """The ids in use in this process and, during an upgrade, in the other process of the node."""
+    """The ids in use in this process and, during an upgrade, in the other process of the node.
 
-    __slots__ = ("_other_process", "_owners", "_retained")
+    `on_begin` and `on_release` are called with each id that this process begins or ceases to use.
+    """
+
+    __slots__ = ("_other_process", "_owners", "_retained", "on_begin", "on_release")
 
     def __init__(self) -> None:
         self._owners: dict[bytes, int] = {}  # the requests that use the ids
@@ -30,6 +33,8 @@
         # nanoseconds of the monotonic clock.
         self._retained: dict[bytes, int] = {}
         self._other_process: set[bytes] = set()
+        self.on_begin: Callable[[bytes], None] | None = None
+        self.on_release: Callable[[bytes], None] | None = None
 
     def in_use(self, request_id: bytes, now: int) -> bool:
         """Whether a request with this id may not be admitted at `now`, in nanoseconds."""
@@ -50,6 +55,8 @@
     def begin(self, request_id: bytes, request: int) -> None:
         """Put an id into use; `request` is the number of its request."""
         self._owners.setdefault(request_id, request)
+        if self.on_begin is not None:
+            self.on_begin(request_id)
 
     def release(self, request_id: bytes, request: int, until: int = 0) -> None:
         """End the use of an id by a request; does nothing if another request uses it.
@@ -64,18 +71,28 @@
         del self._owners[request_id]
         if until:
             self._retained[request_id] = until
+        elif self.on_release is not None:
+            self.on_release(request_id)
 
     def expire(self, now: int) -> None:
         """Release the ids whose time is over at `now`, in nanoseconds."""
         for request_id in [key for key, until in self._retained.items() if until <= now]:
             del self._retained[request_id]
+            if self.on_release is not None:
+                self.on_release(request_id)
 
     def replace_other_process(self, request_ids: Iterable[bytes]) -> None:
         """Take over the complete list of the ids that the other process uses."""
         self._other_process = set(request_ids)
 
+    def update_other_process(self, begun: Iterable[bytes], released: Iterable[bytes]) -> None:
+        """Apply what has changed in the other process."""
+        self._other_process.update(begun)
+        self._other_process.difference_update(released)
+
     def end_other_process(self, until: int) -> None:
         """Keep the ids of the other process, which has ended, in use until this time in ns."""
         for request_id in self._other_process:
             self._retained[request_id] = until
         self._other_process = set()
+        self.on_begin = self.on_release = None
--- a/loadbalancer/upgrade/codec.py
+++ b/loadbalancer/upgrade/codec.py
@@ -18,6 +18,7 @@
     ListUpdate,
     Message,
     Reload,
+    RequestIdsChanged,
     RetainedCapacity,
     Serving,
     SetStandby,
@@ -30,6 +31,7 @@
 HANDED_STATE = "state"
 SERVING = "serving"
 RETAINED_SLOTS, DESCRIPTORS, REQUEST_IDS, DRAINED = "keeps", "descriptors", "labels", "empty"
+IDS_BEGUN, IDS_RELEASED = "ids_begun", "ids_released"
 LIST_UPDATE = "news"
 RELOAD = "reload"
 SET_STANDBY = "standby"
@@ -115,6 +117,8 @@
             return {SERVING: True}
         case RetainedCapacity():
             return _retained_fields(message)
+        case RequestIdsChanged(begun, released):
+            return {IDS_BEGUN: _id_texts(begun), IDS_RELEASED: _id_texts(released)}
         case ListUpdate(body):
             return {LIST_UPDATE: body.decode("utf-8", "replace")}
         case Reload():
@@ -127,11 +131,19 @@
     return {
         RETAINED_SLOTS: {str(backend): slots for backend, slots in message.slots.items()},
         DESCRIPTORS: message.descriptors,
-        REQUEST_IDS: [request_id.decode(REQUEST_ID_CHARSET) for request_id in message.request_ids],
+        REQUEST_IDS: _id_texts(message.request_ids),
         DRAINED: message.drained,
     }
 
 
+def _id_texts(request_ids: tuple[bytes, ...]) -> list[str]:
+    return [request_id.decode(REQUEST_ID_CHARSET) for request_id in request_ids]
+
+
+def _request_ids(texts: list[Any]) -> tuple[bytes, ...]:
+    return tuple(str(text).encode(REQUEST_ID_CHARSET) for text in texts)
+
+
 def _decode(fields: dict[str, Any]) -> Message | None:
     if HANDED_STATE in fields:
         return HandedState(fields[HANDED_STATE])
@@ -139,6 +151,10 @@
         return Serving()
     if RETAINED_SLOTS in fields:
         return _decode_retained(fields)
+    if IDS_BEGUN in fields:
+        return RequestIdsChanged(
+            _request_ids(fields[IDS_BEGUN]), _request_ids(fields[IDS_RELEASED])
+        )
     if LIST_UPDATE in fields:
         return ListUpdate(str(fields[LIST_UPDATE]).encode())
     if RELOAD in fields:
@@ -152,8 +168,6 @@
     return RetainedCapacity(
         slots={int(key): int(slots) for key, slots in fields[RETAINED_SLOTS].items()},
         descriptors=int(fields[DESCRIPTORS]),
-        request_ids=tuple(
-            str(request_id).encode(REQUEST_ID_CHARSET) for request_id in fields[REQUEST_IDS]
-        ),
+        request_ids=_request_ids(fields[REQUEST_IDS]),
         drained=bool(fields.get(DRAINED)),
     )
--- a/loadbalancer/upgrade/messages.py
+++ b/loadbalancer/upgrade/messages.py
@@ -26,10 +26,17 @@
 
     slots: Mapping[int, int]  # by endpoint id; only changed ones, 0 for released
     descriptors: int  # upper bound of the open descriptors
-    request_ids: tuple[bytes, ...]  # of its open requests
+    request_ids: tuple[bytes, ...]  # those in use
     drained: bool  # no client is connected any more
 
 
+class RequestIdsChanged(NamedTuple):
+    """Sent by either process while both serve, as soon as it begins or ceases to use ids."""
+
+    begun: tuple[bytes, ...]
+    released: tuple[bytes, ...]
+
+
 class ListUpdate(NamedTuple):
     """Sent by the successor: an answer of the discovery service, which only it polls."""
 
@@ -48,4 +55,6 @@
     on: bool
 
 
-Message = HandedState | Serving | RetainedCapacity | ListUpdate | Reload | SetStandby
+Message = (
+    HandedState | Serving | RetainedCapacity | RequestIdsChanged | ListUpdate | Reload | SetStandby
+)
--- a/loadbalancer/upgrade/predecessor.py
+++ b/loadbalancer/upgrade/predecessor.py
@@ -30,9 +30,11 @@
     ListUpdate,
     Message,
     Reload,
+    RequestIdsChanged,
     Serving,
     SetStandby,
 )
+from loadbalancer.upgrade.shared_ids import report_changes
 from loadbalancer.upgrade.upgrade_listener import UpgradeListener
 
 if TYPE_CHECKING:
@@ -165,6 +167,8 @@
         match message:
             case Serving():
                 self._start_draining()
+            case RequestIdsChanged(begun, released):
+                self._process.node.request_ids.update_other_process(begun, released)
             case ListUpdate(body):
                 self._process.node.discovery.on_forwarded(body)
             case Reload():
@@ -206,6 +210,7 @@
             # other nodes would see them contradict each other.
             node.peers.close(leaving=False)
         state.link.send(state.drain.begin())
+        report_changes(node.request_ids, state.link)
 
     def _send_missed(self, handing_over: HandingOver) -> None:
         """Send the calls and signals that arrived while the successor was starting up.
--- a/loadbalancer/upgrade/successor.py
+++ b/loadbalancer/upgrade/successor.py
@@ -32,10 +32,12 @@
     ListUpdate,
     Message,
     Reload,
+    RequestIdsChanged,
     RetainedCapacity,
     Serving,
     SetStandby,
 )
+from loadbalancer.upgrade.shared_ids import report_changes
 from loadbalancer.upgrade.socket_path import UpgradeSocket, socket_path
 
 if TYPE_CHECKING:
@@ -171,6 +173,7 @@
         first_report = self._process.loop.create_future()
         state = self._state = Sharing(self._state.link, first_report)
         self._process.node.discovery.forward = self._forward_list
+        report_changes(self._process.node.request_ids, state.link)
         state.link.send(Serving())
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(first_report, RETAINED_TIMEOUT_S)
@@ -191,6 +194,8 @@
                 self._accept_state(message)
             case RetainedCapacity():
                 self._apply_retained(message)
+            case RequestIdsChanged(begun, released):
+                self._process.node.request_ids.update_other_process(begun, released)
             case Reload():
                 self._process.reload(forwarded=True)
             case SetStandby(on):
--- a/tests/core/test_request_ids.py
+++ b/tests/core/test_request_ids.py
@@ -52,3 +52,18 @@
     table.end_other_process(NOW + 5)
     assert table.in_use(b"b", NOW)
     assert not table.in_use(b"b", NOW + 5)
+
+
+def test_changes_are_reported_as_they_happen_and_applied_by_the_other_process() -> None:
+    table, other = RequestIdTable(), RequestIdTable()
+    table.on_begin = lambda request_id: other.update_other_process([request_id], [])
+    table.on_release = lambda request_id: other.update_other_process([], [request_id])
+    table.begin(b"a", 1)
+    assert other.in_use(b"a", NOW)
+    table.release(b"a", 1, NOW + 5)
+    assert other.in_use(b"a", NOW)
+    table.expire(NOW + 5)
+    assert not other.in_use(b"a", NOW)
+    table.begin(b"b", 2)
+    table.release(b"b", 2)
+    assert not other.in_use(b"b", NOW)
--- a/tests/golden/bindings_node.py
+++ b/tests/golden/bindings_node.py
@@ -291,7 +291,8 @@
 
 def _process(**more: Any) -> Any:
     """A process with just what the two sides of an upgrade ask of it."""
-    node = SimpleNamespace(config=SimpleNamespace(listen=Address("127.0.0.1", 8080)), **more)
+    config = SimpleNamespace(listen=Address("127.0.0.1", 8080))
+    node = SimpleNamespace(config=config, request_ids=RequestIdTable(), **more)
     return SimpleNamespace(node=node, loop=None)
 
 
@@ -369,7 +370,6 @@
     received: dict[str, Any] = {}
     host = _process(
         use_limit_share=lambda _part: None,
-        request_ids=RequestIdTable(),
         set_other_process_descriptors=lambda count: received.update(
             says="keeps", descriptors=count
         ),
--- a/tests/upgrade/test_codec.py
+++ b/tests/upgrade/test_codec.py
@@ -23,12 +23,14 @@
     ListUpdate,
     Message,
     Reload,
+    RequestIdsChanged,
     RetainedCapacity,
     Serving,
     SetStandby,
 )
 
 MESSAGES: list[Message] = [
+    RequestIdsChanged((b"r-\xff",), (b"r-1", b"r-2")),
     HandedState({"rev": 41}),
     RetainedCapacity({7: 1, (1 << 64) - 3: 0}, 212, (b"r-1", b"\xff"), drained=False),
     ListUpdate(b'{"rev": 8}'),
