A server whose start time changes gets new connections

Reproduced in one form: a machine vanishes without closing its connections, the list names the same server with a new boot_ms, and the next credit goes out on the idle connection to the earlier process, where it is reset and fails as possibly executed. Cause: idle connections were closed when the address changed or the server drained, not when the list named another process at the address. Change: a changed start time makes a server's idle connections stale; one that is named for the first time does not.

--- a/loadbalancer/sources/endpoint_list.py
+++ b/loadbalancer/sources/endpoint_list.py
@@ -44,7 +44,7 @@
 class EndpointList:
     """A node's current list: its version, and the addresses and start times of the endpoints."""
 
-    __slots__ = ("_boots", "_kinds", "_zones", "endpoints", "rev")
+    __slots__ = ("_applied_boots", "_boots", "_kinds", "_zones", "endpoints", "rev")
 
     def __init__(self, config: Config) -> None:
         self._zones = {name: index for index, name in enumerate(config.zones)}
@@ -53,6 +53,7 @@
         # wall-clock time, and each value is converted only once: converting it again for every
         # list would give results that differ by nanoseconds and look like a restart of the backend.
         self._boots: dict[int, tuple[int, int]] = {}
+        self._applied_boots: dict[int, int] = {}  # start times in the current list, monotonic ns
         self.endpoints: dict[int, Address] = {}
         self.rev = 0
 
@@ -127,6 +128,9 @@
             for member in members
             if member.boot_ms > 0
         }
+        self._applied_boots = {
+            member.listing.backend: member.listing.boot for member in members if member.listing.boot
+        }
         self.rev = inherited.rev
         return [member.listing for member in members]
 
@@ -136,16 +140,22 @@
         """Apply a decoded list to the current one.
 
         Returns:
-            The backends whose idle connections are stale: those that were removed, are draining or
-            have a new address.
+            The backends whose idle connections are stale: those that were removed, are draining,
+            have a new address, or another process at the same one. A machine that vanishes closes
+            no connection: a request on one to the earlier process would be reset, and count as
+            possibly executed.
         """
         stale = []
         for listing in listings:
             backend = listing.backend
             old = self.endpoints.get(backend)
             new = endpoints.get(backend)
-            if old is not None and (old != new or listing.state != State.READY):
+            if old is not None and (
+                old != new or listing.state != State.READY or self._has_restarted(listing)
+            ):
                 stale.append(backend)
+            if listing.boot:
+                self._applied_boots[backend] = listing.boot
             if new is None:
                 self._remove(backend)
             else:
@@ -157,6 +167,12 @@
         self.rev = rev
         return stale
 
+    def _has_restarted(self, listing: Listing) -> bool:
+        """Whether a listing names another start time than the list so far; 0 is not known."""
+        known = self._applied_boots.get(listing.backend, 0)
+        return bool(known and listing.boot) and known != listing.boot
+
     def _remove(self, backend: int) -> None:
+        self._applied_boots.pop(backend, None)
         self.endpoints.pop(backend, None)
         self._boots.pop(backend, None)
