A pause for lack of memory gives a body no more time, and less is buffered on small nodes

Seen: in the test with 150 clients that stop in the middle of a chunked body, at memory_mb 32, the last ones got their error after 17 s: each pause and resume began their time anew, and they were read in turns. Change: resuming for free memory no longer restarts the time limit of a request. Tests: test_timeouts.py has the pause.

--- a/loadbalancer/proxy/downstream/request_queue.py
+++ b/loadbalancer/proxy/downstream/request_queue.py
@@ -191,15 +191,20 @@
     def resume_flow(self) -> None:
         """Resume reading; the pause does not count against the client's timeouts."""
         self._last_active_sweep = self._registry.sweeps
+        self.resume_body()
+
+    def resume_body(self) -> None:
+        """Resume reading, as the buffer budget has capacity again.
+
+        The pause counts against the client's timeouts. Otherwise hundreds of clients that stop in
+        the middle of a body would be read in turns, and each would be owed its error for as long
+        as the others before it took.
+        """
         self._registry.paused.pop(self, None)
         self._is_paused = False
         if self._transport is not None:
             self._transport.resume_reading()
 
-    def resume_body(self) -> None:
-        """Resume reading, as the buffer budget has capacity again."""
-        self.resume_flow()
-
     def _leave_waiting_lists(self) -> None:
         """Remove the connection from the registry's silent, idle and paused connections."""
         self._registry.silent.pop(self, None)
--- a/loadbalancer/proxy/flow_control.py
+++ b/loadbalancer/proxy/flow_control.py
@@ -19,7 +19,7 @@
 MIN_WINDOW_BYTES = 64 << 10  # smallest window while usage is within the soft limit
 WINDOW_FRACTION = 16  # a window is the free bytes below the soft limit, divided by this
 BASELINE_MB = 32  # memory of the process without message buffers, connections included
-MIN_SOFT_LIMIT_BYTES = 2 << 20
+MIN_SOFT_LIMIT_BYTES = 1 << 20
 # All incomplete heads together may have the soft limit divided by this.
 HEADS_DIVISOR = 2
 MAX_SMALL_BODY_BYTES = 16 << 10  # largest body that never waits for the buffer budget
--- a/tests/proxy/downstream/test_timeouts.py
+++ b/tests/proxy/downstream/test_timeouts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from unittest import mock
 
 import pytest
 
@@ -93,3 +94,21 @@
 
 def sweeps_of(seconds: float) -> int:
     return math.ceil(seconds / SWEEP_S)
+
+
+def test_a_pause_for_lack_of_memory_does_not_extend_a_bodys_time(
+    conn: ClientConnection, transport: Transport, host: Host, registry: ConnectionRegistry
+) -> None:
+    """Clients that stop in the middle of a body were read in turns, each with a new time limit."""
+    budget = host.budget
+    budget.incomplete[mock.Mock()] = None  # an older body
+    budget.reserve(budget.soft_limit)
+    message = request("/credit/1", b"", Content_Length="", Transfer_Encoding="chunked")
+    conn.data_received(message + b"400\r\n" + b"x" * 500)
+    assert not transport.reading
+    sweep(registry, REQUEST_TIMEOUT_SWEEPS)
+    budget.release(budget.soft_limit)
+    assert transport.reading
+    assert not transport.written
+    sweep(registry, 1)
+    assert transport.written.startswith(b"HTTP/1.1 408 ")
