Paused bodies are resumed regularly too, and a safe request's id is free once it is over

Only as many paused bodies are resumed as can each be read once; if their clients send nothing more, no byte is released and the others would have waited for their time limit. The id of a client that left stays in use for its time limit only if the request is unsafe: a safe one has no effect that could come twice, and a front that repeats a safe request under the same id would have got 409. Tests: test_flow_control.py, test_host.py.

--- a/loadbalancer/core/request_ids.py
+++ b/loadbalancer/core/request_ids.py
@@ -6,8 +6,8 @@
 
 1. from the request's admission until its client has the last byte of its response and each of
    its attempts has an outcome;
-2. if its client left without the whole response, for the request's time limit from then on: the
-   backend has executed the request, or may yet, and nobody was told so;
+2. if it is unsafe and its client left without the whole response, for the request's time limit
+   from then on: the backend has executed the request, or may yet, and nobody was told so;
 3. in either process of the node during an upgrade. If the other process ends, what it still
    executed is in use for a time limit more.
 
--- a/loadbalancer/proxy/client_events.py
+++ b/loadbalancer/proxy/client_events.py
@@ -78,9 +78,9 @@
         slot and a connection to the backend until the deadline. A streamed request body is
         discarded, together with what is buffered of it.
 
-        The request's id stays in use for a while, as a backend may have executed the request.
+        The id of an unsafe request stays in use for a while, as a backend may have executed it.
         """
-        if request.attempts or request.delivering:
+        if request.unsafe and (request.attempts or request.delivering):
             request.id_in_use_until = time.monotonic_ns() + request.timeout
         self.response_delivered(request)
         if request.ended:
--- a/loadbalancer/proxy/downstream/registry.py
+++ b/loadbalancer/proxy/downstream/registry.py
@@ -94,6 +94,7 @@
         self.sweeps += 1
         for conn in list(self.connections):
             run_logged(conn.sweep, self.sweeps)  # a fault here must not disable others' timeouts
+        run_logged(self.host.budget.resume_paused)
         self._close_surplus()
 
     def all_drained(self) -> bool:
--- a/loadbalancer/proxy/flow_control.py
+++ b/loadbalancer/proxy/flow_control.py
@@ -63,14 +63,8 @@
     """
 
     __slots__ = (
-        "buffered",
-        "flows",
-        "heads",
-        "incomplete",
-        "paused",
-        "small_body_bytes",
-        "soft_limit",
-    )
+        "buffered", "flows", "heads", "incomplete", "paused", "small_body_bytes", "soft_limit",
+    )  # fmt: skip
 
     def __init__(self, memory_mb: int, connections: int = 1) -> None:
         self.soft_limit = max((memory_mb - BASELINE_MB << 20) // 2, MIN_SOFT_LIMIT_BYTES)
@@ -138,13 +132,19 @@
         self.buffered += size
 
     def release(self, size: int) -> None:
-        """Subtract `size` bytes; resume paused bodies once usage is within the soft limit.
+        """Subtract `size` bytes; resume paused bodies once usage is within the soft limit."""
+        self.buffered -= size
+        if self.paused:
+            self.resume_paused()
+
+    def resume_paused(self) -> None:
+        """Resume paused bodies if usage is within the soft limit.
 
         Only as many are resumed as can each be read once. If all were, hundreds of them would
-        exceed the limit by a read each.
+        exceed the limit by a read each. This is called regularly too: the clients of those
+        resumed may send nothing more, and no byte would be released for the others.
         """
-        self.buffered -= size
-        if self.paused and self.buffered <= self.soft_limit:
+        if self.buffered <= self.soft_limit:
             count = (self.soft_limit - self.buffered) // MAX_PARSED_BYTES + 1
             for reader in list(itertools.islice(self.paused, count)):
                 del self.paused[reader]
--- a/tests/proxy/test_flow_control.py
+++ b/tests/proxy/test_flow_control.py
@@ -129,6 +129,8 @@
     assert [budget.pause_if_needed(body) for body in bodies] == [False] + 99 * [True]
     budget.release(1 + 2 * MAX_PARSED_BYTES)
     assert [body.resumed for body in bodies] == [0] + 3 * [1] + 96 * [0]
+    budget.resume_paused()  # those resumed had nothing more to send
+    assert [body.resumed for body in bodies] == [0] + 6 * [1] + 93 * [0]
 
 
 def test_one_body_after_the_other_can_not_pass_the_limit_as_a_flow() -> None:
--- a/tests/proxy/test_host.py
+++ b/tests/proxy/test_host.py
@@ -343,6 +343,18 @@
     assert not host.request_ids.own()
 
 
+def test_the_id_of_a_safe_request_is_free_once_its_attempts_are_over(
+    host: Node, upstream: Upstream, client: Client
+) -> None:
+    upstream.written = True
+    request = admit(host, client, attempts=1)
+    request.unsafe = False
+    host.client_disconnected(request)
+    assert host.request_ids.own() == [b"r-1"]
+    host.record_outcome(request.attempts[0], Outcome.OK)
+    assert not host.request_ids.own()
+
+
 def test_an_id_that_was_never_sent_is_free_once_its_client_has_left(
     host: Node, client: Client
 ) -> None:
--- a/tests/proxy/test_periodic_work.py
+++ b/tests/proxy/test_periodic_work.py
@@ -12,6 +12,7 @@
 import pytest
 
 from loadbalancer.proxy.downstream.registry import Connection, ConnectionRegistry
+from loadbalancer.proxy.flow_control import BufferBudget
 from loadbalancer.proxy.host import Node
 from loadbalancer.proxy.lifecycle import Lifecycle
 from loadbalancer.proxy.process import Process
@@ -114,6 +115,7 @@
     host = SimpleNamespace(
         loop=loop, clients=0, max_clients=lambda: 32, routing=None,
         config=SimpleNamespace(sockets=64, settings=SimpleNamespace(tenants=())),
+        budget=BufferBudget(128),
     )  # fmt: skip
     return ConnectionRegistry(cast(Any, host), Lifecycle())
 
