--- a/loadbalancer/core/request_ids.py
+++ b/loadbalancer/core/request_ids.py
@@ -55,6 +55,8 @@
     def begin(self, request_id: bytes, request: int) -> None:
         """Put an id into use; `request` is the number of its request."""
         self._owners.setdefault(request_id, request)
+        # Its time is over. Left here, its expiry would report the id as free while it is in use.
+        self._retained.pop(request_id, None)
         if self.on_begin is not None:
             self.on_begin(request_id)
 
--- a/loadbalancer/sources/endpoint_list.py
+++ b/loadbalancer/sources/endpoint_list.py
@@ -90,7 +90,7 @@
 
     def _decode_listing(self, backend: int, state: State, target: Any) -> Listing:
         zone, cell = target.get("az"), target.get("pod_group")
-        cell_is_known = cell is not None and int(cell) >= 0
+        cell_is_known = cell not in (None, "") and int(cell) >= 0
         return Listing(
             backend,
             state,
--- a/tests/core/test_request_ids.py
+++ b/tests/core/test_request_ids.py
@@ -67,3 +67,17 @@
     table.begin(b"b", 2)
     table.release(b"b", 2)
     assert not other.in_use(b"b", NOW)
+
+
+def test_an_id_that_is_used_again_is_not_reported_as_free_by_its_earlier_time() -> None:
+    """The other process of an upgrade would admit a request with an id that is in use here."""
+    table = RequestIdTable()
+    released: list[bytes] = []
+    table.on_release = released.append
+    table.begin(b"a", 1)
+    table.release(b"a", 1, NOW)
+    table.begin(b"a", 2)
+    table.expire(NOW)
+    assert released == []
+    table.release(b"a", 2)
+    assert released == [b"a"]
--- a/tests/sources/test_unknown_groups.py
+++ b/tests/sources/test_unknown_groups.py
@@ -40,7 +40,8 @@
 
 
 @pytest.mark.parametrize(
-    ("pod_group", "cell"), [(3, 3), (0, 0), (None, UNKNOWN), (..., UNKNOWN), (-1, UNKNOWN)]
+    ("pod_group", "cell"),
+    [(3, 3), (0, 0), (None, UNKNOWN), (..., UNKNOWN), (-1, UNKNOWN), ("", UNKNOWN)],
 )
 def test_a_row_without_a_cell_is_in_an_unknown_one(
     node_config: Config, pod_group: Any, cell: int
