Dividing what is parsed, and ending a connection's turn, stand once for both directions

Need: the request parser and the response reader divided bytes into parsed parts, and ended a connection's turn after a full read, each for itself. The response side had no test of either. Change: both stand in proxy/bounded_reads; a connection says which transport may be read. Two tests of the response side are new.

--- a/loadbalancer/proxy/bounded_reads.py
+++ b/loadbalancer/proxy/bounded_reads.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from abc import abstractmethod
+from collections.abc import Callable, Iterator
 
 MAX_READ_BYTES = 64 << 10  # of content that needs no parsing
 # Of what is parsed. The limits of what a parser may hold are checked after each read, so this is
@@ -37,8 +38,12 @@
         """How many bytes to read at a time at the moment, at most MAX_READ_BYTES."""
 
     @abstractmethod
-    def end_turn(self) -> None:
-        """Pause reading until the next turn of the event loop, as more bytes may be waiting."""
+    def transport_to_read(self) -> asyncio.Transport | None:
+        """The transport; None if it is closing, or if reading waits for something else."""
+
+    @abstractmethod
+    def call_next_turn(self, callback: Callable[[], None]) -> None:
+        """Call `callback` in the next turn of the event loop."""
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Called by the event loop: where to read to."""
@@ -51,7 +56,28 @@
         is_full = nbytes >= COSTLY_READ_BYTES and nbytes == self.read_size()
         self.data_received(bytes(_buffer[:nbytes]))
         if is_full:
-            self.end_turn()
+            self._end_turn()
+
+    def _end_turn(self) -> None:
+        """Pause reading until the next turn, as more bytes may be waiting; others go first."""
+        transport = self.transport_to_read()
+        if transport is not None:
+            transport.pause_reading()
+            self.call_next_turn(self._continue_reading)
+
+    def _continue_reading(self) -> None:
+        transport = self.transport_to_read()
+        if transport is not None:
+            transport.resume_reading()
+
+
+def parts_to_parse(data: bytes, is_plain_content: bool) -> Iterator[bytes]:
+    """Divide bytes into parts of at most MAX_PARSED_BYTES, unless they are plain content."""
+    if is_plain_content or len(data) <= MAX_PARSED_BYTES:
+        yield data
+        return
+    for start in range(0, len(data), MAX_PARSED_BYTES):
+        yield data[start : start + MAX_PARSED_BYTES]
 
 
 def read_size(is_plain_content: bool, is_budget_exceeded: bool) -> int:
--- a/loadbalancer/proxy/downstream/request_parser.py
+++ b/loadbalancer/proxy/downstream/request_parser.py
@@ -6,12 +6,13 @@
 import logging
 import socket
 from abc import abstractmethod
+from collections.abc import Callable
 
 import httptools
 
 from loadbalancer.core.http_framing import FramingExcess
 from loadbalancer.errors import BadRequestError
-from loadbalancer.proxy.bounded_reads import COSTLY_READ_BYTES, MAX_PARSED_BYTES, read_size
+from loadbalancer.proxy.bounded_reads import COSTLY_READ_BYTES, parts_to_parse, read_size
 from loadbalancer.proxy.downstream.head_checker import INTERPRETED_FIELDS
 from loadbalancer.proxy.downstream.registry import Connection, ConnectionRegistry
 from loadbalancer.proxy.downstream.request import IncomingRequest
@@ -95,11 +96,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse the next bytes from the client, then start what they have completed."""
-        if len(data) <= MAX_PARSED_BYTES or self._reads_plain_content():
-            self._parse(data)
-        else:
-            for start in range(0, len(data), MAX_PARSED_BYTES):
-                self._parse(data[start : start + MAX_PARSED_BYTES])
+        for part in parts_to_parse(data, self._reads_plain_content()):
+            self._parse(part)
         if self._parser is None:
             return
         self._start_queued()
@@ -118,17 +116,16 @@
             return COSTLY_READ_BYTES
         return read_size(self._reads_plain_content(), self._registry.host.budget.is_exceeded())
 
-    def end_turn(self) -> None:
-        """Pause reading until the next turn of the event loop, so that others get theirs."""
+    def transport_to_read(self) -> asyncio.Transport | None:
+        """The transport; None if it is closing, or if reading waits for `resume_flow`."""
         transport = self._transport
-        if transport is not None and not self._is_paused and not transport.is_closing():
-            transport.pause_reading()
-            self._registry.host.loop.call_soon(self._continue_reading)
+        if transport is None or self._is_paused or transport.is_closing():
+            return None
+        return transport
 
-    def _continue_reading(self) -> None:
-        transport = self._transport
-        if transport is not None and not self._is_paused and not transport.is_closing():
-            transport.resume_reading()
+    def call_next_turn(self, callback: Callable[[], None]) -> None:
+        """Call `callback` in the next turn of the event loop."""
+        self._registry.host.loop.call_soon(callback)
 
     def _parse(self, data: bytes) -> None:
         """Parse bytes, and reject the request if they are invalid or exceed a limit."""
--- a/loadbalancer/proxy/upstream/response_reader.py
+++ b/loadbalancer/proxy/upstream/response_reader.py
@@ -12,7 +12,7 @@
     FramingExcess,
     ends_with_stream,
 )
-from loadbalancer.proxy.bounded_reads import MAX_PARSED_BYTES
+from loadbalancer.proxy.bounded_reads import parts_to_parse
 from loadbalancer.proxy.flow_control import (
     MAX_MESSAGE_BYTES,
     STREAMING_THRESHOLD_BYTES,
@@ -93,11 +93,8 @@
 
     def feed(self, data: bytes) -> None:
         """Parse the next bytes and update `state` and the other attributes."""
-        if len(data) <= MAX_PARSED_BYTES or self.reads_plain_content():
-            self._parse(data)
-            return
-        for start in range(0, len(data), MAX_PARSED_BYTES):
-            self._parse(data[start : start + MAX_PARSED_BYTES])
+        for part in parts_to_parse(data, self.reads_plain_content()):
+            self._parse(part)
 
     def reads_plain_content(self) -> bool:
         """Whether content is read that is not in chunks, of which the parser holds nothing."""
--- a/loadbalancer/proxy/upstream/response_receiver.py
+++ b/loadbalancer/proxy/upstream/response_receiver.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 import time
 from abc import abstractmethod
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING
 
 from loadbalancer.core import Outcome, response_buffering
@@ -78,24 +79,16 @@
         """How many bytes to read at a time at the moment."""
         return read_size(self.reader.reads_plain_content(), self.host.budget.is_exceeded())
 
-    def end_turn(self) -> None:
-        """Pause reading until the next turn of the event loop, so that others get theirs."""
-        if self._may_read():
-            assert self.transport is not None
-            self.transport.pause_reading()
-            self.host.loop.call_soon(self._continue_reading)
-
-    def _continue_reading(self) -> None:
-        if self._may_read():
-            assert self.transport is not None
-            self.transport.resume_reading()
-
-    def _may_read(self) -> bool:
-        """Whether the connection is open and no slow client holds up its reading."""
-        transport = self.transport
+    def transport_to_read(self) -> asyncio.Transport | None:
+        """The transport; None if it is closing, or if a slow client holds up the reading."""
+        transport, download = self.transport, self._download
         if transport is None or transport.is_closing():
-            return False
-        return self._download is None or not self._download.paused
+            return None
+        return None if download is not None and download.paused else transport
+
+    def call_next_turn(self, callback: Callable[[], None]) -> None:
+        """Call `callback` in the next turn of the event loop."""
+        self.host.loop.call_soon(callback)
 
     def data_received(self, data: bytes) -> None:
         """Process the next bytes of the response."""
--- a/tests/proxy/upstream/backend_link.py
+++ b/tests/proxy/upstream/backend_link.py
@@ -30,6 +30,7 @@
 
     def __init__(self) -> None:
         self.callbacks: list[tuple[float, Callable[[], None]]] = []
+        self.next_turn: list[Callable[[], None]] = []
 
     def call_later(self, delay_s: float, callback: Callable[..., None], *args: Any) -> Any:
         entry = (delay_s, lambda: callback(*args))
@@ -44,6 +45,14 @@
     def delays_s(self) -> list[float]:
         return [delay_s for delay_s, _ in self.callbacks]
 
+    def call_soon(self, callback: Callable[[], None]) -> None:
+        self.next_turn.append(callback)
+
+    def run_next_turn(self) -> None:
+        callbacks, self.next_turn = self.next_turn, []
+        for callback in callbacks:
+            callback()
+
     def fire(self) -> None:
         """Fire the only timer, however long it still has to run."""
         ((_, callback),) = self.callbacks
@@ -92,6 +101,7 @@
     def __init__(self) -> None:
         self.written = b""
         self.aborted = False
+        self.reading = True
 
     def set_write_buffer_limits(self, high: int) -> None:
         assert high == 0
@@ -109,7 +119,10 @@
         return self.aborted
 
     def pause_reading(self) -> None:
-        pass
+        self.reading = False
+
+    def resume_reading(self) -> None:
+        self.reading = True
 
 
 class Client:
--- a/tests/proxy/upstream/test_slow_responses.py
+++ b/tests/proxy/upstream/test_slow_responses.py
@@ -14,6 +14,9 @@
 
 from loadbalancer.core import Outcome
 from loadbalancer.core.balancing.model import MS
+from loadbalancer.proxy.bounded_reads import MAX_PARSED_BYTES
+from loadbalancer.proxy.flow_control import STREAMING_THRESHOLD_BYTES
+from loadbalancer.proxy.upstream.connection import BackendConnection
 from loadbalancer.proxy.upstream.pool import ConnectionPool
 from tests.harness import (
     LONG_MS,
@@ -110,6 +113,35 @@
     assert waiting.host.outcomes == [Outcome.ERROR]
 
 
+def test_a_full_read_ends_a_backends_turn(waiting: Waiting) -> None:
+    """A backend that sends at full speed would keep all other connections waiting."""
+    connection, transport = waiting.link.connection, waiting.link.transport
+    fill(connection, CHUNKED + b"ffff\r\n" + bytes(MAX_PARSED_BYTES))
+    assert not transport.reading
+    waiting.host.loop.run_next_turn()
+    assert transport.reading
+
+
+def test_the_next_turn_does_not_resume_a_backend_whose_client_is_slow(waiting: Waiting) -> None:
+    connection, transport = waiting.link.connection, waiting.link.transport
+    connection.data_received(CHUNKED + b"ffffff\r\n" + bytes(2 * STREAMING_THRESHOLD_BYTES))
+    (flow,) = waiting.client.streams
+    connection.data_received(bytes(waiting.host.budget.window()))
+    assert flow.paused
+    waiting.host.loop.run_next_turn()
+    assert not transport.reading
+    flow.discard()
+    assert transport.reading
+
+
+def fill(connection: BackendConnection, data: bytes) -> None:
+    """Deliver bytes as the event loop does: as many as the connection asks for, at most."""
+    buffer = connection.get_buffer(-1)
+    size = min(len(buffer), len(data))
+    buffer[:size] = data[:size]
+    connection.buffer_updated(size)
+
+
 @pytest.mark.parametrize(
     ("dial_timeout_ms", "target_ms", "path", "head"),
     [
