An upload no longer keeps its first read for as long as it lasts

What callers saw: hundreds of clients that stop half way through a long request take a node with many servers over memory_mb; it is killed, and the requests that it held get no answer. Cause: Request.body was the list into which the request was read. When an upload begins, that list is empty; the next read puts its content into it, hands the pieces to the flow and goes on with a new list. The old list stays with the request, with up to 64 KB that no budget counts, one for each upload under way. The number of uploads under way grows with the servers: with six the fault stayed near the limit. Evidence: 300 uploads to 56 servers, nothing buffered by the budget's count, 300 lists of one byte string each, 34 KB in the mean, owned by Request.body; malloc's in-use memory grew by 11 MB. Change: the body of a request with a flow is in the flow alone. It was never read from Request.body.

--- a/loadbalancer/proxy/exchange.py
+++ b/loadbalancer/proxy/exchange.py
@@ -98,7 +98,8 @@
         self.client_request_id = incoming.client_request_id
         # Not a safe method (RFC 9110, section 9.2.1): executing it twice may have two effects.
         self.unsafe = incoming.method != b"GET"
-        self.body = incoming.body
+        # A long body is in its flow alone. The list that it is read into would keep its first read.
+        self.body = incoming.body if incoming.flow is None else []
         self.size = incoming.size
         self.received_at = now - waited_ns  # when its last byte arrived in the kernel
         self.deadline = now + remaining
