A request that is over no longer stays in the timers for its client's time

What callers saw: a node passes memory_mb under clients that send requests with heads of 15 KB, one after the other. Cause: an entry of the timer heap stays until it is due. It holds the attempt and the request with its head, also when both are over: up to 16 KB for up to the longest deadline, for each request of the last seconds. No budget counts it. Evidence (arm64, memory_mb 32, 56 servers): 100 clients with heads of 15 KB took 92.8 MB after 5 s, still growing; 300 that ask for responses of 60 KB and read none 225 MB, partly by this. Change: once there are twice as many entries as the last compaction left, and more than 512, those that are over are removed. That is a constant time for each entry.

--- a/loadbalancer/proxy/balancer_events.py
+++ b/loadbalancer/proxy/balancer_events.py
@@ -25,6 +25,7 @@
     from loadbalancer.config.node import Config
     from loadbalancer.core import Balancer
     from loadbalancer.proxy.exchange import Attempt, Request
+    from loadbalancer.proxy.timers import TimerItem
 
 logger = logging.getLogger(__name__)
 
@@ -79,12 +80,16 @@
         self.in_event = False  # whether an event is in progress
         # Outcomes still to be reported: attempt, outcome, duration in ns, the backend's load.
         self._outcomes: deque[tuple[Attempt, Outcome, int, Sequence[float]]] = deque()
-        self._timers = TimerHeap(loop, self._on_timers_due)
+        self._timers = TimerHeap(loop, self._on_timers_due, self._is_over)
 
     @abstractmethod
     def _on_timers_due(self) -> None:
         """Handle all timers that are due; called when the earliest one is."""
 
+    @abstractmethod
+    def _is_over(self, item: TimerItem) -> bool:
+        """Whether a timer for this item would find nothing to do."""
+
     def begin_event(self) -> int:
         """Begin an event and return its time."""
         self.in_event = True
--- a/loadbalancer/proxy/timer_events.py
+++ b/loadbalancer/proxy/timer_events.py
@@ -4,6 +4,7 @@
 
 import logging
 from abc import ABC
+from typing import TYPE_CHECKING
 
 from loadbalancer.core import Outcome
 from loadbalancer.core.balancing.model import MS
@@ -11,6 +12,9 @@
 from loadbalancer.proxy.exchange import Attempt, Request
 from loadbalancer.proxy.open_requests import GATEWAY_TIMEOUT
 
+if TYPE_CHECKING:
+    from loadbalancer.proxy.timers import TimerItem
+
 logger = logging.getLogger(__name__)
 
 # Delay before a timer of the Balancer fires again if its handler raised an exception.
@@ -44,6 +48,11 @@
         finally:
             self.end_event()
 
+    def _is_over(self, item: TimerItem) -> bool:
+        if isinstance(item, Attempt):
+            return item.settled
+        return isinstance(item, Request) and item.ended
+
     def _on_balancer_timer(self, token: int, now: int) -> None:
         """Call the Balancer for one of its timers; if it raises, set the timer again.
 
--- a/loadbalancer/proxy/timers.py
+++ b/loadbalancer/proxy/timers.py
@@ -2,7 +2,8 @@
 
 An attempt or a request nearly always ends before its timer is due. Its entry stays in the heap
 and is ignored once it is due. That costs less than one event-loop timer for each, which would
-have to be cancelled.
+have to be cancelled. Once half of many entries are over, they are removed: clients choose how long
+after its end a request would otherwise stay in memory.
 """
 
 from __future__ import annotations
@@ -10,7 +11,7 @@
 import asyncio
 import time
 from collections.abc import Callable
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from typing import TYPE_CHECKING
 
 from loadbalancer.core.balancing.model import SECOND
@@ -24,19 +25,28 @@
 # Added to each delay. The event loop rounds delays to whole milliseconds: without it the timer
 # could fire just before the item is due, and would have to be set a second time.
 ROUNDING_S = 0.0005
+MIN_COMPACTED_ENTRIES = 512
 
 
 class TimerHeap:
     """Items ordered by their due times, in nanoseconds of the monotonic clock.
 
     The event loop calls `on_due` when the earliest item is due. `on_due` removes the due items
-    with `pop_due` and finally calls `arm`.
+    with `pop_due` and finally calls `arm`. `is_over` tells whether an item needs no timer any more.
     """
 
-    __slots__ = ("_armed_at", "_count", "_handle", "_heap", "_loop", "_on_due")
+    __slots__ = ("_armed_at", "_compact_at", "_count", "_handle", "_heap", "_is_over", "_loop",
+                 "_on_due")  # fmt: skip
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, on_due: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        on_due: Callable[[], None],
+        is_over: Callable[[TimerItem], bool],
+    ) -> None:
         self._loop = loop
+        self._is_over = is_over
+        self._compact_at = MIN_COMPACTED_ENTRIES  # entries
         self._on_due = on_due
         self._heap: list[tuple[int, int, TimerItem]] = []
         self._count = 0  # keeps items with equal due times in the order they were added
@@ -47,6 +57,15 @@
         """Add an item; `on_due` is not scheduled for it until the next call of `arm`."""
         self._count += 1
         heappush(self._heap, (due, self._count, item))
+        if len(self._heap) > self._compact_at:
+            self._compact()
+
+    def _compact(self) -> None:
+        """Remove the items that are over; again once there are twice as many as are left."""
+        is_over = self._is_over
+        self._heap = [entry for entry in self._heap if not is_over(entry[2])]
+        heapify(self._heap)
+        self._compact_at = max(2 * len(self._heap), MIN_COMPACTED_ENTRIES)
 
     def arm(self) -> None:
         """Schedule the call of `on_due` for the time at which the earliest item is due."""
--- a/tests/proxy/test_timers.py
+++ b/tests/proxy/test_timers.py
@@ -7,9 +7,10 @@
 
 import pytest
 
-from loadbalancer.proxy.timers import TimerHeap
+from loadbalancer.proxy.timers import MIN_COMPACTED_ENTRIES, TimerHeap
 
 SECOND_NS = 1_000_000_000
+OVER = 7  # an item that needs no timer any more
 
 
 class Handle:
@@ -53,7 +54,16 @@
 def heap(loop: Loop, fired: list[str], monkeypatch: pytest.MonkeyPatch) -> TimerHeap:
     """An empty heap. The monotonic clock is patched to return 100 s."""
     monkeypatch.setattr("time.monotonic_ns", lambda: 100 * SECOND_NS)
-    return TimerHeap(cast(Any, loop), lambda: fired.append("due"))
+    return TimerHeap(cast(Any, loop), lambda: fired.append("due"), lambda item: item == OVER)
+
+
+def test_items_that_are_over_do_not_stay_until_they_are_due(heap: TimerHeap) -> None:
+    """Each request stayed with its head for the time that its client had named."""
+    for number in range(4 * MIN_COMPACTED_ENTRIES):
+        heap.add(200 * SECOND_NS, OVER if number % 100 else 1)
+    assert len(heap._heap) <= MIN_COMPACTED_ENTRIES
+    due = iter(lambda: heap.pop_due(200 * SECOND_NS), None)
+    assert sum(item == 1 for item in due) == 4 * MIN_COMPACTED_ENTRIES / 100 // 1 + 1
 
 
 def test_an_empty_heap_sets_no_timer(heap: TimerHeap, loop: Loop) -> None:
