--- a/benchmarks/memory_soak.py
+++ b/benchmarks/memory_soak.py
@@ -16,6 +16,7 @@
 import os
 import re
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -28,9 +29,10 @@
 
 from fakes.bulk_servers import Served, ServerKind, start_server
 from fakes.misbehaving_clients import ClientKind, connect, head, run_client
-from tests.harness import ROOT, SETTINGS, config, launch, listen, roster, target
+from tests.harness import ROOT, SETTINGS, config, launch, roster, target
 
 SAMPLE_S = 0.02  # between two looks at the resident memory
+COMPARE_S = 0.25  # between two comparisons with the account
 ANSWER_SLACK_S = 0.5  # after a request's time, within which its final answer has to come
 USUAL_TIMEOUT_MS = 1500
 USUAL_PAUSE_S = 0.1
@@ -120,6 +122,7 @@
 
     peak_mb: float = 0.0
     idle_mb: float = 0.0
+    unexplained_mb: float = 0.0  # most growth of the resident memory that no holder explains
     answers: Counter[int] = field(default_factory=Counter)  # usual requests by status
     faults: list[str] = field(default_factory=list)
 
@@ -127,19 +130,31 @@
         answers = ", ".join(
             f"{count} of {status}" for status, count in sorted(self.answers.items())
         )
-        text = f"idle {self.idle_mb:.1f}, peak {self.peak_mb:.1f} MB; usual answers: {answers}"
+        text = (
+            f"idle {self.idle_mb:.1f}, peak {self.peak_mb:.1f} MB, {self.unexplained_mb:.1f} "
+            f"unexplained; usual answers: {answers}"
+        )
         return f"{text}; FAILED: {'; '.join(self.faults[:3])}" if self.faults else text
 
 
+def free_port(host: str) -> int:
+    """A port at a loopback address on which nothing listens."""
+    with socket.create_server((host, 0)) as free:
+        return int(free.getsockname()[1])
+
+
 class NodeProcesses:
     """The processes of one node, all started with the same file."""
 
     def __init__(self, folder: Path, environ: dict[str, str]) -> None:
         self._folder = folder
         self._environ = environ
-        self.port = int(environ["PROXY_LISTEN"].rsplit(":", 1)[1])
+        host, _, port = environ["PROXY_LISTEN"].rpartition(":")
+        self.address = (host, int(port))
         self.running: list[subprocess.Popen[str]] = []
         self.ending: set[int] = set()  # those that were told to end
+        self._copies: list[asyncio.Task[None]] = []  # of their logs
+        self._admin = 0  # the admin port of the last one
 
     async def start(self) -> subprocess.Popen[str]:
         """Start a process, and wait until it listens.
@@ -147,9 +162,8 @@
         Raises:
             TimeoutError: it does not listen within START_S.
         """
-        with listen() as free:
-            admin = free.getsockname()[1]
-        process = launch(self._environ | {"PROXY_ADMIN": f"127.0.0.1:{admin}"})
+        admin = free_port(self.address[0])
+        process = launch(self._environ | {"PROXY_ADMIN": f"{self.address[0]}:{admin}"})
         assert process.stderr is not None
         self.running.append(process)
         log = asyncio.StreamReader()
@@ -161,7 +175,8 @@
             while b"listening on" not in (line := await log.readline()):
                 if not line:
                     raise TimeoutError("it ended before it listened")
-        self._drain = asyncio.create_task(self._copy(log, lines))
+        self._copies.append(asyncio.create_task(self._copy(log, lines)))
+        self._admin = admin
         return process
 
     async def _copy(self, log: asyncio.StreamReader, to: Path) -> None:
@@ -180,6 +195,22 @@
                 total_kb += int(found[1]) if found else 0
         return total_kb / 1024
 
+    async def unexplained_mb(self, explained_mb: float) -> tuple[float, float]:
+        """What the last process holds by its account, and what else it has grown by.
+
+        Args:
+            explained_mb: the most that its account has held so far. Memory that was freed may stay
+                with the process.
+        """
+        reader, writer = await asyncio.open_connection(self.address[0], self._admin)
+        writer.write(b"GET /memory HTTP/1.1\r\nHost: x\r\n\r\n")
+        text = (await reader.read()).decode()
+        writer.close()
+        figures = {name: int(kb) / 1024 for name, kb in re.findall(r"([a-z ]+) (\d+)", text)}
+        held = figures["total"]
+        most = max(held, explained_mb)
+        return most, figures["resident"] - figures["base at the start"] - most
+
     def signal(self, process: subprocess.Popen[str], number: signal.Signals) -> None:
         """Send a signal; one that ends the process is remembered."""
         if number is not signal.SIGHUP:
@@ -252,7 +283,7 @@
 
     async def _connect(self) -> bool:
         try:
-            sock = await connect(self._nodes.port)
+            sock = await connect(self._nodes.address)
         except OSError:
             await asyncio.sleep(USUAL_PAUSE_S)
             return False
@@ -312,8 +343,10 @@
         ports = [server.sockets[0].getsockname()[1] for server in servers]
         known = roster(*(target(f"s-{i}", port) for i, port in enumerate(ports)))
         limits = {"memory_mb": scenario.memory_mb, "sockets": scenario.sockets}
-        with listen() as free:
-            address = f"127.0.0.1:{free.getsockname()[1]}"
+        # An address of this process's own: other runs beside it can't take the port.
+        pid = os.getpid()
+        host = f"127.{1 + (pid >> 16 & 63)}.{pid >> 8 & 255}.{1 + pid % 254}"
+        address = f"{host}:{free_port(host)}"
         environ = config(self._folder, known, 1, limits=limits, listen=address)
         environ |= {"PROXY_LISTEN": address, "PROXY_DISCOVERY": "127.0.0.1:1"}
         nodes = NodeProcesses(self._folder, environ)
@@ -333,13 +366,14 @@
         scenario, random = self._scenario, Random(self._scenario.seed)
         self.outcome.idle_mb = nodes.resident_mb()
         watch = asyncio.create_task(self._watch(nodes))
+        compare = asyncio.create_task(self._compare(nodes))
         usual = [
             UsualClient(nodes, self.outcome, i, scenario.is_crowd) for i in range(scenario.usual)
         ]
         usual_tasks = [asyncio.create_task(client.run()) for client in usual]
         odd_tasks = [
             asyncio.create_task(
-                run_client(kind, nodes.port, Random(random.random()), scenario.come_again)
+                run_client(kind, nodes.address, Random(random.random()), scenario.come_again)
             )
             for kind in scenario.clients
         ]
@@ -347,9 +381,9 @@
         await self._disturb(nodes, usual)
         await asyncio.sleep(scenario.duration_s / 2)
         await self._finish(usual, usual_tasks)
-        for task in (*odd_tasks, watch):
+        for task in (*odd_tasks, watch, compare):
             task.cancel()
-        await asyncio.gather(*odd_tasks, watch, return_exceptions=True)
+        await asyncio.gather(*odd_tasks, watch, compare, return_exceptions=True)
         if statuses := nodes.ended_by_themselves():
             self.outcome.faults.append(f"a process ended by itself: {statuses}")
 
@@ -374,6 +408,15 @@
                     self.outcome.faults.append(text)
             await asyncio.sleep(SAMPLE_S)
 
+    async def _compare(self, nodes: NodeProcesses) -> None:
+        """Compare what the account explains with the growth of the resident memory."""
+        explained_mb = 0.0
+        while self._scenario.disturbance is Disturbance.NONE:
+            with contextlib.suppress(OSError):
+                explained_mb, rest_mb = await nodes.unexplained_mb(explained_mb)
+                self.outcome.unexplained_mb = max(self.outcome.unexplained_mb, rest_mb)
+            await asyncio.sleep(COMPARE_S)
+
     async def _disturb(self, nodes: NodeProcesses, usual: list[UsualClient]) -> None:
         kind, first = self._scenario.disturbance, nodes.running[0]
         if kind is Disturbance.RELOADS:
--- a/fakes/misbehaving_clients.py
+++ b/fakes/misbehaving_clients.py
@@ -23,6 +23,9 @@
 PIPELINED_BYTES = 15_000  # of each request's content
 READ_BYTES = 4_000
 READ_PAUSE_S = 0.05  # after each read: 80 kB a second
+UNREAD_BYTES = 60_000  # of a response that a node buffers whole
+UNREAD_REQUESTS = 100  # sent on one connection
+UNREAD_S = 60.0  # for which such a client stays
 
 _numbers: Iterator[int] = itertools.count(1)
 
@@ -35,8 +38,10 @@
     SMALL_CHUNKS = "content in chunks of two bytes, then silence"
     SHORT_FIELDS = "a head of very many short fields, without its end"
     COMPLETE_HEADS = "a complete head of the largest size, then no content"
+    LARGE_HEADS = "requests with heads of the largest size, one after the other"
     SLOW_WRITER = "a long request, written slowly"
     SLOW_READER = "a long response, read slowly"
+    UNREAD_RESPONSES = "requests for responses of 60 KB, one after the other, that are never read"
     PIPELINE = "eight requests with content in one write, again and again"
     SILENT = "nothing at all"
 
@@ -96,6 +101,14 @@
     await _read_to_end(sock)
 
 
+async def _large_heads(sock: socket.socket, _random: Random) -> None:
+    loop = asyncio.get_running_loop()
+    while True:
+        await _send(sock, head("/balance/1", X_Pad="p" * FIELDS_BYTES))
+        if not await loop.sock_recv(sock, READ_BYTES):
+            return
+
+
 async def _slow_writer(sock: socket.socket, _random: Random) -> None:
     await _send(sock, upload_head(SLOW_REQUEST_BYTES))
     for _ in range(SLOW_REQUEST_BYTES // SLOW_PIECE_BYTES):
@@ -111,6 +124,14 @@
         await asyncio.sleep(READ_PAUSE_S)
 
 
+async def _unread_responses(sock: socket.socket, _random: Random) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BYTES)
+    for _ in range(UNREAD_REQUESTS):
+        await _send(sock, head(f"/balance/long-{UNREAD_BYTES}"))
+        await asyncio.sleep(SLOW_PAUSE_S)
+    await asyncio.sleep(UNREAD_S)
+
+
 async def _pipeline(sock: socket.socket, _random: Random) -> None:
     one = bytes(PIPELINED_BYTES)
     requests = (upload_head(PIPELINED_BYTES) + one for _ in range(PIPELINED))
@@ -128,15 +149,17 @@
     ClientKind.SMALL_CHUNKS: _small_chunks,
     ClientKind.SHORT_FIELDS: _short_fields,
     ClientKind.COMPLETE_HEADS: _complete_heads,
+    ClientKind.LARGE_HEADS: _large_heads,
     ClientKind.SLOW_WRITER: _slow_writer,
     ClientKind.SLOW_READER: _slow_reader,
+    ClientKind.UNREAD_RESPONSES: _unread_responses,
     ClientKind.PIPELINE: _pipeline,
     ClientKind.SILENT: _silent,
 }
 
 
-async def connect(port: int) -> socket.socket:
-    """A connection to a port of this machine; the caller closes it.
+async def connect(address: tuple[str, int]) -> socket.socket:
+    """A connection to an address; the caller closes it.
 
     Raises:
         OSError: it is not accepted.
@@ -145,18 +168,20 @@
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     try:
-        await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", port))
+        await asyncio.get_running_loop().sock_connect(sock, address)
     except BaseException:
         sock.close()
         raise
     return sock
 
 
-async def run_client(kind: ClientKind, port: int, random: Random, comes_again: bool) -> None:
+async def run_client(
+    kind: ClientKind, address: tuple[str, int], random: Random, comes_again: bool
+) -> None:
     """Play one client; with `comes_again`, a further one each time it ends, until cancelled."""
     while True:
         try:
-            sock = await connect(port)
+            sock = await connect(address)
         except OSError:
             await asyncio.sleep(SLOW_PAUSE_S)
             continue
--- a/loadbalancer/proxy/admin.py
+++ b/loadbalancer/proxy/admin.py
@@ -60,10 +60,14 @@
 
 
 class Route(NamedTuple):
-    """The only method that a path supports, and the handler of its requests."""
+    """The only method that a path supports, and the handler of its requests.
+
+    `is_named`: whether the answer to an unknown path names this one.
+    """
 
     method: str
     handler: Callable[[], Reply]
+    is_named: bool = True
 
 
 class AdminListener:
@@ -122,7 +126,8 @@
         path = url.partition(b"?")[0].decode("latin-1")
         route = self.routes.get(path)
         if route is None:
-            return Reply(NOT_FOUND, f"no such call; there are {', '.join(self.routes)}")
+            named = (known for known, other in self.routes.items() if other.is_named)
+            return Reply(NOT_FOUND, f"no such call; there are {', '.join(named)}")
         if route.method != method:
             return Reply(METHOD_NOT_ALLOWED, f"{path} takes {route.method}", route.method)
         try:
--- a/loadbalancer/proxy/admin_calls.py
+++ b/loadbalancer/proxy/admin_calls.py
@@ -57,6 +57,7 @@
             "/standby": Route("POST", self.begin_standby),
             "/active": Route("POST", self.end_standby),
             "/peers": Route("GET", self.peers),
+            "/memory": Route("GET", self.memory, is_named=False),
         }
         port = AdminListener(self._process.loop, routes).listen(address)
         logger.info("calls at %s:%d", address.host, port)
@@ -77,6 +78,10 @@
             return Reply(NOT_FOUND, "no gossip between nodes")
         return Reply(OK, peers.status())
 
+    def memory(self) -> Reply:
+        """The account of memory: what holds how much, against which limits, in KB."""
+        return Reply(OK, self._process.node.memory_watch.report())
+
     def begin_standby(self) -> Reply:
         """Begin a drain; a process that is stopping drains anyway, and the response is the same."""
         self._process.forward(SetStandby(on=True))
--- a/loadbalancer/proxy/downstream/connection.py
+++ b/loadbalancer/proxy/downstream/connection.py
@@ -11,6 +11,7 @@
 import httptools
 
 from loadbalancer.core.balancing.model import SECOND
+from loadbalancer.core.memory_account import CLIENT_CONNECTION_BYTES
 from loadbalancer.proxy.downstream.registry import ConnectionRegistry, Lingering
 from loadbalancer.proxy.downstream.request import IncomingRequest
 from loadbalancer.proxy.downstream.response_writer import ResponseWriter
@@ -24,6 +25,7 @@
     AWAITING_RESPONSE,
     CLOSED,
     CLOSING,
+    HEAD,
     LINGERING,
     STREAMING,
     UPLOAD,
@@ -67,6 +69,8 @@
         """Called by the event loop once it has set up the connection."""
         self._transport = cast(asyncio.Transport, transport)
         self._parser = httptools.HttpRequestParser(self)
+        # With a limit of 0 the event loop reports at once what the client's kernel doesn't accept.
+        self._transport.set_write_buffer_limits(high=0)
         self._state = AWAITING_REQUEST
         self._registry.connections.add(self)
         self._registry.silent[self] = None
@@ -78,6 +82,7 @@
         host = registry.host
         if incoming.is_readiness_check:
             ready = registry.lifecycle.answer_readiness_check(time.monotonic_ns())
+            self._release_content(incoming)
             self._write_response(READY_HEAD if ready else EMPTY_HEADS[503])
             return
         now = time.monotonic_ns()
@@ -90,7 +95,9 @@
         if request is None:
             self._release_content(incoming)
             self.respond_empty(503, 0)
-        elif not request.ended:
+            return
+        incoming.head_size = 0  # released with its request from here on
+        if not request.ended:
             # A request that has already ended was answered within admit_request.
             self._request = request
             self._state = AWAITING_RESPONSE
@@ -108,8 +115,9 @@
         was_silent = self in registry.silent
         self._leave_waiting_lists()
         incoming = self._incoming
-        if incoming is not None and incoming.flow is not None:
-            self._discarding = (incoming.length or MAX_MESSAGE_BYTES) - incoming.size
+        if incoming is not None and self._read_state is not HEAD:
+            expected = min(incoming.length or MAX_MESSAGE_BYTES, MAX_MESSAGE_BYTES)
+            self._discarding = expected - incoming.size
         self._drop_pending()
         self._parser = None
         if self._half_closed:
@@ -177,6 +185,8 @@
             registry.host.client_disconnected(request)
         self._drop_flow()
         self._drop_pending()
+        self._count_unsent(0)
+        registry.host.budget.add_connections(-CLIENT_CONNECTION_BYTES)
         registry.host.clients -= 1
         registry.host.on_descriptor_freed()
 
--- a/loadbalancer/proxy/downstream/listener.py
+++ b/loadbalancer/proxy/downstream/listener.py
@@ -9,6 +9,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from loadbalancer.core.memory_account import CLIENT_CONNECTION_BYTES
 from loadbalancer.proxy.downstream.connection import ClientConnection
 from loadbalancer.proxy.downstream.registry import ConnectionRegistry
 from loadbalancer.proxy.sockets import listening_socket, release_socket
@@ -151,6 +152,7 @@
                 return
             sock.setblocking(False)
             self.host.clients += 1
+            self.host.budget.add_connections(CLIENT_CONNECTION_BYTES)
             task = self.host.loop.create_task(self._establish(sock))
             self._establishing.add(task)
             task.add_done_callback(self._establishing.discard)
@@ -164,6 +166,7 @@
             sock.detach()
             if conn not in self.registry.connections:
                 self.host.clients -= 1
+                self.host.budget.add_connections(-CLIENT_CONNECTION_BYTES)
                 self.on_descriptor_freed()
 
     def on_descriptor_freed(self) -> None:
--- a/loadbalancer/proxy/downstream/request.py
+++ b/loadbalancer/proxy/downstream/request.py
@@ -25,7 +25,7 @@
 
     __slots__ = (
         "body", "chunked", "client_request_id", "cls", "fields", "flow", "framing_excess",
-        "has_idempotency_key", "head", "hint", "http10", "is_readiness_check",
+        "has_idempotency_key", "head", "head_size", "hint", "http10", "is_readiness_check",
         "keep_alive", "key", "length", "lines", "method", "path", "pieces", "policy",
         "received_at", "retried", "size", "tenant", "timeout", "url",
     )  # fmt: skip
@@ -46,6 +46,7 @@
         self.flow: Flow | None = None  # set once the content is forwarded while it is read
         self.http10 = False
         self.head = b""  # the start of each attempt's head, up to the value of its timeout
+        self.head_size = 0  # of the target and the field lines, counted in the memory account
         self.path = b""  # without the query
         self.policy: Policy | None = None  # the route's policy, if a routes file is in use
         self.client_request_id = b""  # the X-Request-ID
--- a/loadbalancer/proxy/downstream/request_parser.py
+++ b/loadbalancer/proxy/downstream/request_parser.py
@@ -11,6 +11,7 @@
 import httptools
 
 from loadbalancer.core.http_framing import FramingExcess
+from loadbalancer.core.memory_account import SMALL_HEAD_BYTES, Holder
 from loadbalancer.errors import BadRequestError
 from loadbalancer.proxy.bounded_reads import COSTLY_READ_BYTES, parts_to_parse, read_size
 from loadbalancer.proxy.downstream.head_checker import INTERPRETED_FIELDS
@@ -34,7 +35,6 @@
 logger = logging.getLogger(__name__)
 
 MAX_HEAD_BYTES = 16 << 10  # of a request's target and header fields
-SMALL_HEAD_BYTES = 2 << 10  # incomplete heads up to this size are not limited in number
 MAX_PIECES_A_READ = 200  # parts of content in one read, above which the next read is smaller
 HTTP_VERSIONS = ("1.0", "1.1")
 
@@ -83,8 +83,8 @@
         """Start queued requests until one is open."""
 
     @abstractmethod
-    def _limit_content(self, incoming: IncomingRequest) -> None:
-        """Pause reading if an incomplete request's content has to wait."""
+    def _limit_reading(self) -> None:
+        """Pause reading if what follows has to wait."""
 
     @abstractmethod
     def _response_is_next(self) -> bool:
@@ -101,9 +101,7 @@
         if self._parser is None:
             return
         self._start_queued()
-        incoming = self._incoming
-        if incoming is not None and self._read_state is not HEAD:
-            self._limit_content(incoming)
+        self._limit_reading()
 
     def _reads_plain_content(self) -> bool:
         """Whether content is read that is not in chunks, of which the parser holds nothing."""
@@ -165,12 +163,14 @@
             self._reject(431)
         elif self._head_size > SMALL_HEAD_BYTES:
             self._count_head(self._head_size)
-            if self._registry.host.budget.has_too_many_heads():
+            budget = self._registry.host.budget
+            if budget.has_too_many_heads():
+                budget.rejected += 1
                 self._reject(503)
 
     def _count_head(self, size: int) -> None:
         """Count an incomplete head of this size; 0 once there is none."""
-        self._registry.host.budget.heads += size - self._counted_head
+        self._registry.host.budget.reserve(Holder.INCOMPLETE_HEADS, size - self._counted_head)
         self._counted_head = size
 
     def _discard(self, data: bytes) -> None:
@@ -235,9 +235,24 @@
         self._registry.head_checker.check(incoming)
         if incoming.length > MAX_MESSAGE_BYTES:
             raise BadRequestError(413)
+        self._count_complete_head(incoming)
         if incoming.length or incoming.chunked:
             self._expect_content(incoming)
 
+    def _count_complete_head(self, incoming: IncomingRequest) -> None:
+        """Count a complete head until its request is forgotten; reject it if memory is short.
+
+        Behind another request of the connection nothing is rejected, as that would end the
+        connection with the other one's response due.
+        """
+        budget = self._registry.host.budget
+        size = incoming.head_size = len(incoming.url) + len(incoming.lines)
+        budget.reserve(Holder.REQUEST_HEADS, size)
+        has_content = incoming.chunked or incoming.length > budget.small_content_bytes
+        if not budget.may_begin(size, has_content) and self._response_is_next():
+            budget.rejected += 1
+            raise BadRequestError(503)
+
     def _expect_content(self, incoming: IncomingRequest) -> None:
         budget = self._registry.host.budget
         if incoming.chunked:
@@ -245,7 +260,7 @@
         if incoming.length > STREAMING_THRESHOLD_BYTES:
             # Limits one read to about a window, however much has arrived.
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MIN_WINDOW_BYTES)
-        elif incoming.length > budget.small_body_bytes or incoming.chunked:
+        elif incoming.length > budget.small_content_bytes or incoming.chunked:
             budget.incomplete[self] = None
         # While a response to an earlier request is due, the client would take the interim response
         # for a part of that one.
@@ -264,7 +279,7 @@
             raise BadRequestError(413)
         append_piece(incoming.body, body)
         if self._read_state is not UPLOAD:
-            self._registry.host.budget.reserve(len(body))
+            self._registry.host.budget.reserve(Holder.CONTENT, len(body))
 
     def _forward_content(self, incoming: IncomingRequest) -> None:
         """Pass the content that has been parsed to the flow of an upload, small pieces as one."""
--- a/loadbalancer/proxy/downstream/request_queue.py
+++ b/loadbalancer/proxy/downstream/request_queue.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from loadbalancer.core.balancing.model import MS
+from loadbalancer.core.memory_account import Holder
 from loadbalancer.errors import BadRequestError
 from loadbalancer.proxy.downstream.registry import ConnectionRegistry
 from loadbalancer.proxy.downstream.request import IncomingRequest
@@ -29,6 +30,7 @@
     from loadbalancer.proxy.exchange import Request
 
 MAX_QUEUED = 8  # requests queued on one connection behind the open one
+MAX_WAITING_BYTES = 16 << 10  # read behind an open request, above which reading is paused
 TCP_INFO_BYTES = 56  # of struct tcp_info, up to and including tcpi_last_data_recv
 LAST_DATA_RECEIVED = struct.Struct("=52xI")  # tcpi_last_data_recv, in milliseconds
 
@@ -45,13 +47,15 @@
     earlier, and its content is forwarded while it is read.
     """
 
-    __slots__ = ("_queued", "_request", "_state")
+    __slots__ = ("_queued", "_request", "_state", "_write_paused")
 
     def __init__(self, registry: ConnectionRegistry, sock: socket.socket) -> None:
         super().__init__(registry, sock)
         self._state: ConnectionState = OPENING
         self._queued: deque[IncomingRequest] = deque()
         self._request: Request | None = None  # the open one
+        # Whether the client's kernel accepts no more of what was written; no request begins then.
+        self._write_paused = False
 
     @abstractmethod
     def has_half_closed(self) -> bool:
@@ -101,12 +105,15 @@
         self._queued.append(incoming)
 
     def _start_queued(self) -> None:
-        while self._state is AWAITING_REQUEST and self._queued:
+        if self._write_paused:
+            return
+        while self._state is AWAITING_REQUEST and self._queued and not self._write_paused:
             self._start_request(self._queued.popleft())
         incoming = self._incoming
         if (
             incoming is not None
             and self._state is AWAITING_REQUEST
+            and not self._write_paused
             and self._read_state is CONTENT
             and self._is_long(incoming)
         ):
@@ -120,7 +127,7 @@
         """
         if incoming.size > STREAMING_THRESHOLD_BYTES:
             return True
-        small = self._registry.host.budget.small_body_bytes
+        small = self._registry.host.budget.small_content_bytes
         return incoming.length > STREAMING_THRESHOLD_BYTES and incoming.size > small
 
     def _start_next(self) -> None:
@@ -129,20 +136,22 @@
         The client may have left while the request waited behind the open one. The event loop does
         not report that while reading is paused, so the socket is asked.
         """
-        if self._state is not AWAITING_REQUEST:
+        if self._state is not AWAITING_REQUEST or self._write_paused:
             return
         if (self._queued or self._incoming is not None) and self.has_half_closed():
             self._close_half_closed()
             return
         self._start_queued()
-        if self._state is AWAITING_REQUEST:
+        if self._state is AWAITING_REQUEST and not self._write_paused:
             self.resume_flow()
+            if not self._queued and self._incoming is None:
+                self._registry.idle[self] = None
 
     def _start_upload(self, incoming: IncomingRequest) -> None:
         """Start a request whose content is too long to be buffered, and forward the content."""
         budget = self._registry.host.budget
         budget.body_finished(self)
-        budget.release(incoming.size)
+        budget.release(Holder.CONTENT, incoming.size)
         flow = incoming.flow = Flow(budget, self)
         self._read_state = UPLOAD
         chunks, incoming.body = incoming.body, []
@@ -172,15 +181,32 @@
 
     # For uploads, the connection is the source of their flow.
 
-    def _limit_content(self, incoming: IncomingRequest) -> None:
-        if self._read_state is UPLOAD or not incoming.size:
+    def _limit_reading(self) -> None:
+        if self._read_state is UPLOAD:
             return
-        if self._request is not None:
-            if self._is_long(incoming):
-                self.pause_flow()  # until the open request has been answered
-        elif self._registry.host.budget.pause_if_needed(self):
+        if self._request is not None or self._write_paused:
+            if self._has_read_ahead():
+                self.pause_flow()  # until the open request's response has been taken
+        elif self._read_state is CONTENT and self._registry.host.budget.pause_if_needed(self):
             self.pause_flow()
 
+    def _has_read_ahead(self) -> bool:
+        """Whether enough has been read of the requests behind the open one.
+
+        Without this, each client could have as many requests buffered as may be queued, however
+        little memory is free.
+        """
+        if self._write_paused and self._queued:
+            return True  # before more are read than may be queued
+        incoming = self._incoming
+        waiting = sum(queued.size + queued.head_size for queued in self._queued)
+        if incoming is not None and self._read_state is CONTENT:
+            if self._is_long(incoming):
+                return True
+            waiting += incoming.size
+        is_exceeded = self._registry.host.budget.is_exceeded()
+        return waiting > (0 if is_exceeded else MAX_WAITING_BYTES)
+
     def pause_flow(self) -> None:
         """Pause reading until `resume_flow`."""
         if self._transport is not None:
@@ -224,7 +250,10 @@
         self._queued.clear()
 
     def _release_content(self, incoming: IncomingRequest) -> None:
+        budget = self._registry.host.budget
+        head_size, incoming.head_size = incoming.head_size, 0
+        budget.release(Holder.REQUEST_HEADS, head_size)
         if incoming.flow is not None:
             incoming.flow.discard()
         else:
-            self._registry.host.budget.release(incoming.size)
+            budget.release(Holder.CONTENT, incoming.size)
--- a/loadbalancer/proxy/downstream/response_writer.py
+++ b/loadbalancer/proxy/downstream/response_writer.py
@@ -6,6 +6,7 @@
 import socket
 from abc import abstractmethod
 
+from loadbalancer.core.memory_account import Holder
 from loadbalancer.proxy.downstream.registry import ConnectionRegistry
 from loadbalancer.proxy.downstream.request_queue import RequestQueue
 from loadbalancer.proxy.downstream.responses import (
@@ -37,13 +38,14 @@
     order of their requests. Each response tells the client whether the connection closes after it.
     """
 
-    __slots__ = ("_flow", "_framing", "_half_closed", "_http10", "_keep_alive")
+    __slots__ = ("_flow", "_framing", "_half_closed", "_http10", "_keep_alive", "_unsent")
 
     def __init__(self, registry: ConnectionRegistry, sock: socket.socket) -> None:
         super().__init__(registry, sock)
         self._flow: Flow | None = None  # of the response being streamed
         self._framing: ResponseFraming = LENGTH  # of the last response streamed
         self._half_closed = False  # by the event loop's report
+        self._unsent = 0  # bytes of a complete response that the client's kernel does not accept
         # Of the open or last request:
         self._http10 = False
         # What the client asked for; for a streamed response, what its head has announced.
@@ -80,7 +82,10 @@
         self._state = AWAITING_REQUEST
         closes = self._closes_after_response()
         end = CLOSE_END if closes else KEEP_ALIVE_END
-        transport.write(b"".join((head, end, *chunks)) if chunks else head + end)
+        message = b"".join((head, end, *chunks)) if chunks else head + end
+        transport.write(message)
+        if self._write_paused:
+            self._count_unsent(len(message))  # the transport keeps all of it until it is sent
         self._after_response(closes)
 
     def _after_response(self, closes: bool) -> None:
@@ -89,10 +94,10 @@
             return
         registry = self._registry
         self._last_active_sweep = registry.sweeps
-        if self._queued or self._incoming is not None:
+        if self._queued or self._incoming is not None or self._is_paused:
             # Deferred, as the caller that responded is still processing the old request.
             registry.host.loop.call_soon(self._start_next)
-        else:
+        elif not self._write_paused:
             registry.idle[self] = None
 
     def _closes_after_response(self) -> bool:
@@ -132,11 +137,11 @@
             head += b"Content-Type: %s\r\n" % content_type
         # Decided once, so that the end of the response does what its head has announced.
         self._keep_alive = not self._closes_after_response()
-        transport.set_write_buffer_limits(high=0)
         transport.write(head + (KEEP_ALIVE_END if self._keep_alive else CLOSE_END))
         self._state = STREAMING
         self._flow = flow
-        flow.attach(self)
+        self._count_unsent(0)  # from here on the flow counts what is not sent
+        flow.attach(self, self._write_paused)
 
     def flow_write(self, data: bytes) -> None:
         """Write the next bytes of the content."""
@@ -159,7 +164,6 @@
         self._state = AWAITING_REQUEST
         if self._framing is CHUNKED:
             transport.write(b"0\r\n\r\n")
-        transport.set_write_buffer_limits()
         self._after_response(not self._keep_alive)
 
     def abort_response(self) -> None:
@@ -188,14 +192,27 @@
             reset_on_close(self._sock)
 
     def pause_writing(self) -> None:
-        """Called by the event loop when its write buffer exceeds its limit."""
+        """Called by the event loop when the client's kernel accepts no more bytes."""
+        self._write_paused = True
         if self._flow is not None:
             self._flow.block()
+        elif self._transport is not None:
+            self._count_unsent(self._transport.get_write_buffer_size())
+
+    def _count_unsent(self, size: int) -> None:
+        """Count the bytes of complete responses in the transport's buffer; 0 for none."""
+        self._registry.host.budget.reserve(Holder.UNSENT, size - self._unsent)
+        self._unsent = size
 
     def resume_writing(self) -> None:
         """Called by the event loop when its write buffer has drained."""
+        self._write_paused = False
+        self._count_unsent(0)
         if self._flow is not None:
             self._flow.unblock()
+        elif self._state is AWAITING_REQUEST:
+            # Deferred, as a write may have called this.
+            self._registry.host.loop.call_soon(self._start_next)
 
     def _drop_flow(self) -> None:
         flow, self._flow = self._flow, None
--- a/loadbalancer/proxy/exchange.py
+++ b/loadbalancer/proxy/exchange.py
@@ -55,6 +55,7 @@
     """A request as read from its client connection; the host does not modify it."""
 
     head: bytes
+    head_size: int  # as counted in the memory account
     client_request_id: bytes
     method: bytes
     body: list[bytes]
@@ -78,7 +79,7 @@
 
     __slots__ = (
         "attempts", "body", "chunked", "client", "client_request_id", "deadline",
-        "delivering", "ended", "flow", "half_closed", "head", "id", "id_in_use_until",
+        "delivering", "ended", "flow", "half_closed", "head", "head_size", "id", "id_in_use_until",
         "max_attempts", "open_attempts", "received_at", "size", "started", "timeout", "unsafe",
     )  # fmt: skip
 
@@ -95,6 +96,7 @@
         self.id = number  # unique in this process; `client_request_id` is the client's
         self.client: Client | None = client  # None once the request has ended
         self.head = incoming.head
+        self.head_size = incoming.head_size
         self.client_request_id = incoming.client_request_id
         # Not a safe method (RFC 9110, section 9.2.1): executing it twice may have two effects.
         self.unsafe = incoming.method != b"GET"
--- a/loadbalancer/proxy/flow_control.py
+++ b/loadbalancer/proxy/flow_control.py
@@ -11,6 +11,7 @@
 from collections.abc import MutableSequence
 from typing import Protocol
 
+from loadbalancer.core.memory_account import Holder, MemoryAccount
 from loadbalancer.proxy.bounded_reads import MAX_PARSED_BYTES
 
 # Messages up to this size are buffered completely before they are forwarded.
@@ -18,11 +19,6 @@
 MAX_MESSAGE_BYTES = 32 << 20  # largest content accepted, of a request or a response
 MIN_WINDOW_BYTES = 64 << 10  # smallest window while usage is within the soft limit
 WINDOW_FRACTION = 16  # a window is the free bytes below the soft limit, divided by this
-BASELINE_MB = 32  # memory of the process without message buffers, connections included
-MIN_SOFT_LIMIT_BYTES = 1 << 20
-# All incomplete heads together may have the soft limit divided by this.
-HEADS_DIVISOR = 2
-MAX_SMALL_BODY_BYTES = 16 << 10  # largest body that never waits for the buffer budget
 
 
 SMALL_PIECE_BYTES = 1 << 10  # smaller pieces of content are joined
@@ -54,8 +50,8 @@
         """Continue reading the body."""
 
 
-class BufferBudget:
-    """Counts the buffered bytes of request bodies and responses over all connections.
+class BufferBudget(MemoryAccount):
+    """The account of memory, with the request bodies that wait for it.
 
     While more than `soft_limit` bytes are buffered, a flow's window is zero, so that its source
     is paused after each read, and the reading of bodies that are buffered whole is paused too.
@@ -65,31 +61,18 @@
     other would become the oldest, be read and wait as a flow for a backend.
     """
 
-    __slots__ = (
-        "buffered", "flows", "heads", "incomplete", "paused", "small_body_bytes", "soft_limit",
-    )  # fmt: skip
+    __slots__ = ("incomplete", "paused")
 
-    def __init__(self, memory_mb: int, connections: int = 1) -> None:
-        self.soft_limit = max((memory_mb - BASELINE_MB << 20) // 2, MIN_SOFT_LIMIT_BYTES)
-        # A body of up to this size never waits, even if each connection buffers one.
-        self.small_body_bytes = min(MAX_SMALL_BODY_BYTES, self.soft_limit // connections)
-        self.buffered = 0
-        self.flows = 0  # of the buffered bytes, those of flows
-        self.heads = 0  # bytes of incomplete heads that are not small
+    def __init__(self, memory_mb: int, descriptors: int = 1) -> None:
+        super().__init__(memory_mb, descriptors)
         self.paused: dict[BodyReader, None] = {}
         # Incomplete bodies that are buffered whole, without small ones; oldest first.
         self.incomplete: dict[BodyReader, None] = {}
 
-    def has_too_many_heads(self) -> bool:
-        """Whether incomplete heads take more memory than they may.
-
-        Clients that send heads slowly can each have the largest one incomplete at a time.
-        """
-        return self.heads > self.soft_limit // HEADS_DIVISOR
-
-    def is_exceeded(self) -> bool:
-        """Whether more than the soft limit is buffered."""
-        return self.buffered > self.soft_limit
+    @property
+    def flows(self) -> int:
+        """The bytes of flows."""
+        return self.held[Holder.FLOWS]
 
     def window(self) -> int:
         """Bytes that a flow may buffer before its source is paused.
@@ -130,12 +113,9 @@
             del self.paused[oldest]
             oldest.resume_body()
 
-    def reserve(self, size: int) -> None:
-        """Count `size` more bytes as buffered."""
-        self.buffered += size
-
-    def release(self, size: int) -> None:
+    def release(self, holder: Holder, size: int) -> None:
         """Subtract `size` bytes; resume paused bodies once usage is within the soft limit."""
+        self.held[holder] -= size
         self.buffered -= size
         if self.paused:
             self.resume_paused()
@@ -155,13 +135,11 @@
 
     def reserve_flow(self, size: int) -> None:
         """Count `size` more bytes as buffered by a flow."""
-        self.flows += size
-        self.reserve(size)
+        self.reserve(Holder.FLOWS, size)
 
     def release_flow(self, size: int) -> None:
         """Subtract `size` bytes of a flow; resume paused bodies as `release` does."""
-        self.flows -= size
-        self.release(size)
+        self.release(Holder.FLOWS, size)
         if self.paused:
             self._resume_oldest()
 
@@ -234,10 +212,10 @@
         self._resume(source)
         self._forward()
 
-    def attach(self, sink: Sink) -> None:
-        """Set the sink and forward the buffered bytes to it."""
+    def attach(self, sink: Sink, is_blocked: bool = False) -> None:
+        """Set the sink and forward the buffered bytes to it, once it is not blocked."""
         self._sink = sink
-        self._blocked = False
+        self._blocked = is_blocked
         self._release_unsent()
         self._forward()
 
--- a/loadbalancer/proxy/host.py
+++ b/loadbalancer/proxy/host.py
@@ -24,6 +24,7 @@
 from loadbalancer.proxy.client_events import ClientEvents
 from loadbalancer.proxy.descriptors import DescriptorBudget
 from loadbalancer.proxy.open_requests import BAD_GATEWAY, SERVICE_UNAVAILABLE
+from loadbalancer.proxy.resident_memory import MemoryWatch
 from loadbalancer.proxy.timer_events import TimerEvents
 from loadbalancer.proxy.upstream.pool import ConnectionPool
 from loadbalancer.sources.discovery import Discovery
@@ -64,6 +65,7 @@
     ) -> None:
         super().__init__(config, loop)
         DescriptorBudget.__init__(self, config)
+        self.memory_watch = MemoryWatch(self.budget)
         self.on_descriptor_freed: Callable[[], None] = lambda: None  # set by the clients' listener
         self._on_list_usable = on_list_usable
         self.upstream = ConnectionPool(self)
@@ -163,7 +165,8 @@
     # For an upgrade, during which two processes are one node:
 
     def use_limit_share(self, part: LimitShare) -> None:
-        """Use only this share of the endpoints' concurrency limits from now on."""
+        """Use only this share of the endpoints' concurrency limits, and half of the memory."""
+        self.share_memory(2)
         self._set_limit_share(part)
 
     def end_sharing(self) -> None:
@@ -171,13 +174,28 @@
         longest_ns = max(cls.deadline for cls in self.config.settings.classes)
         self.request_ids.end_other_process(time.monotonic_ns() + longest_ns)
         self.set_other_process_descriptors(0)
+        self.share_memory(1)
         if self.balancer.has_limit_share:
             self._set_limit_share(None)
 
+    def share_memory(self, processes: int) -> None:
+        """Use only a part of the memory limit, as this many processes of the node share it."""
+        self.budget.share_limit(processes)
+
     def _set_limit_share(self, part: LimitShare | None) -> None:
         with self.event() as now:
             self.balancer.set_limit_share(now, part)
 
+    def may_accept_client(self) -> bool:
+        """Whether there are a descriptor and memory for one more client connection."""
+        return self.budget.may_accept_client() and super().may_accept_client()
+
+    def may_open_upstream(self) -> bool:
+        """Whether one more backend connection may be opened; closes an idle one if need be."""
+        if self.budget.must_replace_idle():
+            self.upstream.close_oldest()
+        return super().may_open_upstream()
+
     # Actions of the Balancer that `AttemptHost` doesn't implement:
 
     def refuse(self, request: int, retry_after_ns: int) -> None:
@@ -201,7 +219,8 @@
         logger.info("%s", text)
 
     def sweep(self) -> None:
-        """Close the backend connections that have been idle for too long; release request ids."""
+        """Close backend connections that are idle for too long, release ids, measure memory."""
         now = time.monotonic_ns()
         self.upstream.close_expired(now)
         self.request_ids.expire(now)
+        self.memory_watch.sweep()
--- a/loadbalancer/proxy/open_requests.py
+++ b/loadbalancer/proxy/open_requests.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+from loadbalancer.core.memory_account import Holder
 from loadbalancer.core.request_ids import RequestIdTable
 from loadbalancer.faults import run_logged
 
@@ -80,11 +81,13 @@
             return
         self._release_id(request)
         request.body = []
+        request.head = b""
         # Attempts refer back to their request. Only the garbage collector frees such a cycle, and
         # it runs rarely in this process (see `process.GC_THRESHOLDS`), so memory use would grow.
         request.attempts = []
+        self.budget.release(Holder.REQUEST_HEADS, request.head_size)
         if request.flow is None:
-            self.budget.release(request.size)
+            self.budget.release(Holder.CONTENT, request.size)
 
     def response_delivered(self, request: Request) -> None:
         """The connection holds nothing more of a request's response, or has been closed."""
--- a/loadbalancer/proxy/process.py
+++ b/loadbalancer/proxy/process.py
@@ -93,6 +93,7 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
+        self.node.memory_watch.begin()
         self.loop.call_later(SWEEP_S, self._sweep)
         if early_signals.RELOAD_SIGNAL in early_signals.received:
             self.reload()
--- a/loadbalancer/proxy/upstream/connection.py
+++ b/loadbalancer/proxy/upstream/connection.py
@@ -11,6 +11,7 @@
 from loadbalancer.config.address import Address
 from loadbalancer.core import Outcome
 from loadbalancer.core.balancing.model import SECOND
+from loadbalancer.core.memory_account import UPSTREAM_CONNECTION_BYTES
 from loadbalancer.proxy.sockets import release_socket, unacknowledged_bytes
 from loadbalancer.proxy.upstream.response_receiver import ResponseReceiver
 from loadbalancer.proxy.upstream.states import CLOSED, CLOSING, CONNECTING, IDLE
@@ -65,6 +66,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self._sock = sock
         self.pool.count += 1
+        host.budget.add_connections(UPSTREAM_CONNECTION_BYTES)
         timeout = host.config.settings.connect_timeout / SECOND
         self._timer = host.loop.call_later(timeout, self._connect_timed_out)
         self.pool.pending[self] = None
@@ -238,6 +240,8 @@
             upload.detach(self)
         self.pool.remove(self)
         self.reader.close()
+        self._count_response(0)
+        self._count_unsent(0)
         self._pieces = ()
         self._stop_timer()
         if self.transport is not None:
@@ -265,4 +269,5 @@
         if self._state is not CLOSED:
             self._state = CLOSED
             self.pool.count -= 1
+            self.host.budget.add_connections(-UPSTREAM_CONNECTION_BYTES)
             self.host.on_descriptor_freed()
--- a/loadbalancer/proxy/upstream/request_writer.py
+++ b/loadbalancer/proxy/upstream/request_writer.py
@@ -11,6 +11,7 @@
 
 from loadbalancer.core.balancing.model import MS, SECOND
 from loadbalancer.core.connection_reuse import NEVER, last_byte_delay, settling_delay
+from loadbalancer.core.memory_account import Holder
 from loadbalancer.proxy.bounded_reads import BoundedReader
 from loadbalancer.proxy.upstream.states import (
     AWAITING_RESPONSE,
@@ -38,7 +39,7 @@
     """
 
     __slots__ = (
-        "_delays_last_byte", "_next_piece", "_pieces", "_state", "_timer", "_upload",
+        "_delays_last_byte", "_next_piece", "_pieces", "_state", "_timer", "_unsent", "_upload",
         "_write_paused", "address", "attempt", "host", "idle_since", "request_written",
         "transport",
     )  # fmt: skip
@@ -59,6 +60,7 @@
         self._next_piece = 0
         self._delays_last_byte = False
         self._write_paused = False
+        self._unsent = 0  # bytes of a request buffered whole that the kernel does not accept
         self._upload: Flow | None = None  # a long request body, forwarded while it is received
 
     @abstractmethod
@@ -152,7 +154,10 @@
         while self._next_piece <= last and not self._write_paused:
             if self._delays_last_byte and self._next_piece == last:
                 return
-            transport.write(pieces[self._next_piece])
+            piece = pieces[self._next_piece]
+            transport.write(piece)
+            if self._write_paused:
+                self._count_unsent(len(piece))  # the transport keeps all of it until it is sent
             if transport.is_closing():
                 # The write failed and the kernel accepted nothing of this piece, so the last byte
                 # never left this process. connection_lost settles the attempt.
@@ -170,10 +175,18 @@
         self._write_paused = True
         if self._upload is not None:
             self._upload.block()
+        elif self.transport is not None:
+            self._count_unsent(self.transport.get_write_buffer_size())
+
+    def _count_unsent(self, size: int) -> None:
+        """Count the bytes in the transport's buffer that no flow counts; 0 for none."""
+        self.host.budget.reserve(Holder.UNSENT, size - self._unsent)
+        self._unsent = size
 
     def resume_writing(self) -> None:
         """Continue writing: the kernel accepts bytes again."""
         self._write_paused = False
+        self._count_unsent(0)
         if self._upload is not None:
             self._upload.unblock()
         elif self._pieces:
@@ -197,9 +210,8 @@
         assert self.attempt is not None
         self.transport.write(self._head(self.attempt, time.monotonic_ns()))
         self._upload = flow
-        if self._write_paused:
-            flow.block()
-        flow.attach(self)
+        self._count_unsent(0)  # from here on the flow counts what is not sent
+        flow.attach(self, self._write_paused)
 
     def flow_write(self, data: bytes) -> None:
         """Write the next bytes of the body, as a chunk if its length is unknown."""
--- a/loadbalancer/proxy/upstream/response_reader.py
+++ b/loadbalancer/proxy/upstream/response_reader.py
@@ -96,6 +96,10 @@
         for part in parts_to_parse(data, self.reads_plain_content()):
             self._parse(part)
 
+    def held_bytes(self) -> int:
+        """The bytes of the response that are in memory."""
+        return self._head_size + (self.size if self.chunks else 0)
+
     def reads_plain_content(self) -> bool:
         """Whether content is read that is not in chunks, of which the parser holds nothing."""
         return self.state is CONTENT and not self._has_transfer_encoding
--- a/loadbalancer/proxy/upstream/response_receiver.py
+++ b/loadbalancer/proxy/upstream/response_receiver.py
@@ -11,6 +11,7 @@
 
 from loadbalancer.core import Outcome, response_buffering
 from loadbalancer.core.balancing.model import SECOND
+from loadbalancer.core.memory_account import Holder
 from loadbalancer.proxy.bounded_reads import read_size
 from loadbalancer.proxy.flow_control import MIN_WINDOW_BYTES, STREAMING_THRESHOLD_BYTES, Flow
 from loadbalancer.proxy.upstream.load_report import parse_load_report
@@ -48,7 +49,7 @@
     it breaks off, the response to the client is aborted.
     """
 
-    __slots__ = ("_client", "_content_began", "_download", "_sock", "reader")
+    __slots__ = ("_client", "_content_began", "_counted", "_download", "_sock", "reader")
 
     def __init__(self, host: BackendHost, address: Address) -> None:
         super().__init__(host, address)
@@ -58,6 +59,7 @@
         self._download: Flow | None = None  # the response being streamed
         # When the first content of a response of unknown length arrived; monotonic clock, ns.
         self._content_began = 0
+        self._counted = 0  # bytes of an incomplete response, counted in the memory account
 
     @abstractmethod
     def _recycle(self, reusable: bool) -> None:
@@ -116,8 +118,15 @@
             self._begin_streaming()
         else:
             self._discard_if_unwanted(self.attempt)
+            self._count_response(reader.held_bytes())
             self._restart_timeout()
 
+    def _count_response(self, size: int) -> None:
+        """Count what is buffered of an incomplete response; 0 for nothing."""
+        if size != self._counted:
+            self.host.budget.reserve(Holder.RESPONSES, size - self._counted)
+            self._counted = size
+
     def _discard_if_unwanted(self, attempt: Attempt) -> None:
         """Drop the content of an incomplete response whose request has ended.
 
@@ -206,6 +215,7 @@
         assert attempt is not None
         reader, host = self.reader, self.host
         chunks = reader.take_chunks()
+        self._count_response(0)
         self._stop_timer()
         reusable = self._reusable()
         outcome = self._outcome()
@@ -252,11 +262,25 @@
         return (
             reader.status == OK_STATUS
             and self.request_written
-            and (max(reader.length, reader.size) > STREAMING_THRESHOLD_BYTES or self._is_slow())
+            and (
+                max(reader.length, reader.size) > STREAMING_THRESHOLD_BYTES
+                or self._is_slow()
+                or self._lacks_memory()
+            )
             and attempt is not None
             and attempt.request.client is not None
         )
 
+    def _lacks_memory(self) -> bool:
+        """Whether memory is too short to buffer the rest of a response that is not small."""
+        budget, attempt = self.host.budget, self.attempt
+        return (
+            budget.is_exceeded()
+            and self.reader.size > budget.small_content_bytes
+            and attempt is not None
+            and attempt.request.open_attempts == 1
+        )
+
     def _is_slow(self) -> bool:
         """Whether a response of unknown length comes from a slow sender."""
         if self.reader.length >= 0 or not self.reader.size:
@@ -270,6 +294,7 @@
         attempt, reader, host = self.attempt, self.reader, self.host
         assert attempt is not None
         assert self._sock is not None
+        self._count_response(0)
         self._stop_timer()
         client = self._client = attempt.request.client
         assert client is not None
--- a/loadbalancer/upgrade/predecessor.py
+++ b/loadbalancer/upgrade/predecessor.py
@@ -156,6 +156,7 @@
             link.close()
             return
         logger.info("upgrade: a successor has connected")
+        run_logged(self._process.node.share_memory, 2)
         if not run_logged(self._send_state, link):
             link.close()  # so that the successor need not wait for the state until its timeout
 
@@ -236,6 +237,7 @@
         state, self._state = self._state, Sole()
         if not isinstance(state, Draining):
             logger.info("upgrade: the link to the successor has closed before it served")
+            run_logged(self._process.node.share_memory, 1)
             return
         if state.timer is not None:
             state.timer.cancel()
--- a/tests/golden/bindings_node.py
+++ b/tests/golden/bindings_node.py
@@ -292,7 +292,8 @@
 def _process(**more: Any) -> Any:
     """A process with just what the two sides of an upgrade ask of it."""
     config = SimpleNamespace(listen=Address("127.0.0.1", 8080))
-    node = SimpleNamespace(config=config, request_ids=RequestIdTable(), **more)
+    parts: dict[str, Any] = {"request_ids": RequestIdTable(), "share_memory": lambda _: None}
+    node = SimpleNamespace(config=config, **parts | more)
     return SimpleNamespace(node=node, loop=None)
 
 
--- a/tests/proxy/downstream/connection_fakes.py
+++ b/tests/proxy/downstream/connection_fakes.py
@@ -101,7 +101,7 @@
     def admit_request(self, client: ClientConnection, incoming: Any, _waited: int) -> Any:
         request = SimpleNamespace(
             client_request_id=incoming.client_request_id, flow=incoming.flow, ended=self.rejects,
-            timeout=incoming.timeout,
+            timeout=incoming.timeout, head_size=incoming.head_size,
         )  # fmt: skip
         self.admitted.append(request)
         if self.rejects:
--- a/tests/proxy/downstream/test_capacity.py
+++ b/tests/proxy/downstream/test_capacity.py
@@ -110,6 +110,9 @@
     def get_write_buffer_size(self) -> int:
         return self.unsent
 
+    def set_write_buffer_limits(self, high: int) -> None:
+        assert high == 0
+
     def abort(self) -> None:
         self.aborted = True
 
--- a/tests/proxy/downstream/test_connection.py
+++ b/tests/proxy/downstream/test_connection.py
@@ -201,7 +201,7 @@
     conn.data_received(request("/credit/1", b"half", rid="half")[:-2])
     assert host.budget.buffered
     assert conn.eof_received() is open_request
-    assert not host.budget.buffered
+    assert host.budget.buffered == sum(request.head_size for request in host.admitted)
     assert host.events == ([("half-closed", b"open")] if open_request else [])
 
 
--- a/tests/proxy/downstream/test_half_close.py
+++ b/tests/proxy/downstream/test_half_close.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from loadbalancer.proxy.flow_control import WINDOW_FRACTION, BufferBudget
+from loadbalancer.proxy.flow_control import MIN_WINDOW_BYTES
 from tests.harness import (
     LONG_MS,
     Peer,
@@ -26,7 +26,7 @@
 from tests.proxy.downstream.exchanges import half_close, send_to_backend
 from tests.proxy.full_backlog import FullBacklog, patient_settings
 
-MEMORY_MB = 128  # a node's memory limit in tests
+SCARCE_MB = 8  # less than a process takes, so that the least window applies
 SLOTS = 4  # of one backend: the initial concurrency limit
 SOON_S = 4.0  # limit for an immediate reaction, far below the timeouts of waiting requests
 SETTLED_S = 0.05  # after a response, its connection is used for another request at once
@@ -34,9 +34,12 @@
 
 
 @pytest.fixture
-def proxy_with_long_queue_wait(start: Callable[..., Running]) -> Running:
+def proxy_with_long_queue_wait(
+    start: Callable[..., Running], request: pytest.FixtureRequest
+) -> Running:
     """A node in which requests may wait a long time for a slot."""
-    return start(settings=patient_settings())
+    limits = {"memory_mb": getattr(request, "param", 128)}
+    return start(settings=patient_settings(), limits=limits)
 
 
 @pytest.fixture
@@ -101,6 +104,7 @@
     return int(queues[0].partition(":")[2], 16)
 
 
+@pytest.mark.parametrize("proxy_with_long_queue_wait", [SCARCE_MB], indirect=True)
 def test_a_queued_upload_is_rejected_at_once_on_a_half_close_while_reading_is_paused(
     backend: socket.socket, proxy_with_long_queue_wait: Running, in_flight: list[tuple[Peer, Peer]]
 ) -> None:
@@ -109,8 +113,7 @@
     The node has paused reading, so the event loop can't report the half-close, which follows
     unread bytes. The request must be rejected all the same, and no byte of it forwarded.
     """
-    window = BufferBudget(MEMORY_MB).soft_limit // (WINDOW_FRACTION + 1)
-    read, unread = b"x" * (window + 1000), b"x" * 20_000
+    read, unread = b"x" * (MIN_WINDOW_BYTES + 1000), b"x" * 20_000
     client = proxy_with_long_queue_wait.connect()
     client.sock.settimeout(SOON_S)
     length = str(len(read) + len(unread))
--- a/tests/proxy/downstream/test_memory.py
+++ b/tests/proxy/downstream/test_memory.py
@@ -15,9 +15,11 @@
 
 import pytest
 
+from loadbalancer.core.memory_account import SMALL_HEAD_BYTES, Holder
 from loadbalancer.proxy.downstream.connection import ClientConnection
 from loadbalancer.proxy.downstream.registry import ConnectionRegistry
-from loadbalancer.proxy.downstream.request_parser import MAX_HEAD_BYTES, SMALL_HEAD_BYTES
+from loadbalancer.proxy.downstream.request_parser import MAX_HEAD_BYTES
+from loadbalancer.proxy.downstream.request_queue import MAX_WAITING_BYTES
 from loadbalancer.proxy.flow_control import STREAMING_THRESHOLD_BYTES, BufferBudget
 from tests.harness import Running, request, until
 from tests.proxy.downstream.connection_fakes import Host, Transport
@@ -48,7 +50,7 @@
         if transport.written:
             break
     assert transport.written.startswith(b"HTTP/1.1 503 ")
-    assert host.budget.heads <= host.budget.soft_limit // 2 + MAX_HEAD_BYTES
+    assert host.budget.held[Holder.INCOMPLETE_HEADS] <= host.budget.soft_limit // 2 + MAX_HEAD_BYTES
     conn, transport = open_connection(registry)
     conn.data_received(HEAD[:SMALL_HEAD_BYTES])
     assert not transport.written
@@ -57,7 +59,7 @@
             open_conn.connection_lost(None)
         else:
             open_conn.data_received(b"\r\n")
-    assert host.budget.heads == 0
+    assert host.budget.held[Holder.INCOMPLETE_HEADS] == 0
 
 
 @pytest.mark.parametrize("declared", [True, False], ids=["length", "chunked"])
@@ -65,7 +67,7 @@
     conn: ClientConnection, host: Host, declared: bool
 ) -> None:
     """Its length tells that it is long; otherwise it is long once it exceeds the threshold."""
-    host.budget.small_body_bytes = 1000
+    host.budget.small_content_bytes = 1000
     content = bytes(1001)
     if declared:
         conn.data_received(request("/credit/1", bytes(LONG), rid="long")[: -LONG + len(content)])
@@ -109,6 +111,67 @@
     assert transport.reading
 
 
+def test_reading_waits_behind_an_open_request_once_enough_has_been_read(
+    conn: ClientConnection, transport: Transport, host: Host
+) -> None:
+    """Eight requests a connection were queued, however little memory was free."""
+    conn.data_received(request(rid="open"))
+    conn.data_received(request("/credit/1", bytes(MAX_WAITING_BYTES), rid="a"))
+    assert not transport.reading
+    conn.respond_empty(503, 0)
+    host.loop.run_callbacks()
+    assert host.admitted_ids() == [b"open", b"a"]
+    conn.respond_empty(503, 0)
+    host.loop.run_callbacks()
+    assert transport.reading
+    assert conn in conn._registry.idle
+
+
+def test_nothing_more_is_read_behind_an_open_request_while_memory_is_short(
+    conn: ClientConnection, transport: Transport, host: Host
+) -> None:
+    host.budget.reserve(Holder.FLOWS, host.budget.soft_limit + 1)
+    conn.data_received(request(rid="open"))
+    assert transport.reading
+    conn.data_received(request(rid="a"))
+    assert not transport.reading
+
+
+def test_no_request_begins_while_the_client_has_not_taken_the_response_before(
+    conn: ClientConnection, transport: Transport, host: Host
+) -> None:
+    """A client that sends requests and reads nothing had all responses buffered for it."""
+    conn.data_received(request(rid="open"))
+    transport.unsent = 1000
+    conn.pause_writing()
+    conn.respond(b"", [bytes(1000)], 1000)
+    assert host.budget.held[Holder.UNSENT] > 1000
+    conn.data_received(request(rid="a"))
+    host.loop.run_callbacks()
+    assert host.admitted_ids() == [b"open"]
+    assert not transport.reading
+    transport.unsent = 0
+    conn.resume_writing()
+    host.loop.run_callbacks()
+    assert host.admitted_ids() == [b"open", b"a"]
+    assert host.budget.held[Holder.UNSENT] == 0
+
+
+@pytest.mark.parametrize("size", [100, MAX_HEAD_BYTES - 1000])
+def test_a_complete_head_is_counted_until_its_request_is_over_or_rejected(
+    conn: ClientConnection, transport: Transport, host: Host, size: int
+) -> None:
+    """Complete heads that waited for their content were counted by nobody."""
+    host.budget.reserve(Holder.REQUEST_HEADS, host.budget.soft_limit)
+    before = host.budget.held[Holder.REQUEST_HEADS]
+    conn.data_received(request("/credit/1", b"", Content_Length="4", X_Pad="p" * size))
+    is_large = size > SMALL_HEAD_BYTES
+    assert transport.written.startswith(b"HTTP/1.1 503 ") is is_large
+    assert (host.budget.held[Holder.REQUEST_HEADS] - before > size) is not is_large
+    conn.connection_lost(None)
+    assert host.budget.held[Holder.REQUEST_HEADS] == before
+
+
 @pytest.mark.parametrize(
     "message",
     [
--- a/tests/proxy/downstream/test_timeouts.py
+++ b/tests/proxy/downstream/test_timeouts.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from loadbalancer.core.memory_account import Holder
 from loadbalancer.proxy.downstream.connection import (
     FIRST_BYTE_TIMEOUT_SWEEPS,
     REQUEST_TIMEOUT_SWEEPS,
@@ -66,7 +67,7 @@
     It may have written its last byte long ago, as far as it can tell. It waited for its answer for
     5 s, though its request was to be answered within 0.75 s.
     """
-    host.budget.reserve(host.budget.soft_limit + 1)  # windows shrink to one read
+    host.budget.reserve(Holder.CONTENT, host.budget.soft_limit + 1)  # windows shrink to one read
     message = request("/credit/1", b"x" * 2 * LONG, rid="upload", timeout=750)
     conn.data_received(message[:-LONG])
     assert not transport.reading
@@ -81,7 +82,7 @@
     conn: ClientConnection, transport: Transport, host: Host, registry: ConnectionRegistry
 ) -> None:
     """It may take seconds until enough has been accepted to read on."""
-    host.budget.reserve(host.budget.soft_limit + 1)
+    host.budget.reserve(Holder.CONTENT, host.budget.soft_limit + 1)
     host.unaccepted = 100
     message = request("/credit/1", b"x" * 2 * LONG, rid="upload", timeout=750)
     conn.data_received(message[:-LONG])
@@ -102,12 +103,12 @@
     """Clients that stop in the middle of a body were read in turns, each with a new time limit."""
     budget = host.budget
     budget.incomplete[mock.Mock()] = None  # an older body
-    budget.reserve(budget.soft_limit)
+    budget.reserve(Holder.CONTENT, budget.soft_limit)
     message = request("/credit/1", b"", Content_Length="", Transfer_Encoding="chunked")
     conn.data_received(message + b"400\r\n" + b"x" * 500)
     assert not transport.reading
     sweep(registry, REQUEST_TIMEOUT_SWEEPS)
-    budget.release(budget.soft_limit)
+    budget.release(Holder.CONTENT, budget.soft_limit)
     assert transport.reading
     assert not transport.written
     sweep(registry, 1)
--- a/tests/proxy/host_fakes.py
+++ b/tests/proxy/host_fakes.py
@@ -123,9 +123,9 @@
 def incoming_request() -> SimpleNamespace:
     """An unsafe request as its connection has read it."""
     return SimpleNamespace(
-        head=b"", client_request_id=b"r-1", method=b"POST", body=[b"x"], size=1, flow=None,
-        chunked=False, cls=SimpleNamespace(number=1), timeout=TIMEOUT_NS, tenant=0, key=0, hint=0,
-        retried=False, policy=None,
+        head=b"", head_size=0, client_request_id=b"r-1", method=b"POST", body=[b"x"], size=1,
+        flow=None, chunked=False, cls=SimpleNamespace(number=1), timeout=TIMEOUT_NS, tenant=0,
+        key=0, hint=0, retried=False, policy=None,
     )  # fmt: skip
 
 
--- a/tests/proxy/test_flow_control.py
+++ b/tests/proxy/test_flow_control.py
@@ -5,6 +5,7 @@
 import sys
 from collections.abc import Callable
 
+from loadbalancer.core.memory_account import Holder
 from loadbalancer.proxy.bounded_reads import MAX_PARSED_BYTES
 from loadbalancer.proxy.flow_control import (
     MIN_WINDOW_BYTES,
@@ -60,7 +61,7 @@
 def test_above_the_soft_limit_each_flow_advances_by_one_read_at_a_time() -> None:
     """A flow whose sink has accepted all its bytes may read on, however little memory is free."""
     budget = BufferBudget(0)
-    budget.reserve(budget.soft_limit + 1)
+    budget.reserve(Holder.CONTENT, budget.soft_limit + 1)
     recorder = Recorder()
     flow = Flow(budget, recorder)
     flow.attach(recorder)
@@ -125,9 +126,9 @@
     budget = BufferBudget(0)
     bodies = [Body() for _ in range(100)]
     budget.incomplete = dict.fromkeys(bodies)
-    budget.reserve(budget.soft_limit + 1)
+    budget.reserve(Holder.CONTENT, budget.soft_limit + 1)
     assert [budget.pause_if_needed(body) for body in bodies] == [False] + 99 * [True]
-    budget.release(1 + 2 * MAX_PARSED_BYTES)
+    budget.release(Holder.CONTENT, 1 + 2 * MAX_PARSED_BYTES)
     assert [body.resumed for body in bodies] == [0] + 3 * [1] + 96 * [0]
     budget.resume_paused()  # those resumed had nothing more to send
     assert [body.resumed for body in bodies] == [0] + 6 * [1] + 93 * [0]
@@ -143,15 +144,15 @@
     assert budget.pause_if_needed(second)
     budget.body_finished(first)
     resumed_before = second.resumed
-    budget.reserve(budget.soft_limit)
+    budget.reserve(Holder.CONTENT, budget.soft_limit)
     budget.release_flow(1)  # flows are within the limit now, though all together are not
     assert (resumed_before, second.resumed) == (0, 1)
 
 
 def test_a_small_body_is_one_that_each_connection_may_have() -> None:
     budget = BufferBudget(0, 1024)
-    assert budget.small_body_bytes * 1024 <= budget.soft_limit
-    assert BufferBudget(192, 16).small_body_bytes == 16 << 10
+    assert budget.small_content_bytes * 1024 <= budget.soft_limit
+    assert BufferBudget(192, 16).small_content_bytes == 16 << 10
 
 
 def test_small_pieces_take_no_more_memory_than_their_bytes() -> None:
--- a/tests/proxy/test_host.py
+++ b/tests/proxy/test_host.py
@@ -10,6 +10,7 @@
 import pytest
 
 from loadbalancer.core import Outcome, Update
+from loadbalancer.core.memory_account import Holder
 from loadbalancer.core.process_pair import SuccessorShare
 from loadbalancer.proxy.host import Node
 from loadbalancer.proxy.reload import apply_configuration
@@ -284,7 +285,7 @@
     host: Node, upstream: Upstream, client: Client
 ) -> None:
     upstream.written = True
-    host.budget.reserve(1)
+    host.budget.reserve(Holder.CONTENT, 1)
     request = admit(host, client, attempts=2)
     first, second = request.attempts
     host.record_outcome(first, Outcome.OK)
--- a/tests/proxy/upstream/test_connect_timeout.py
+++ b/tests/proxy/upstream/test_connect_timeout.py
@@ -14,6 +14,7 @@
 from loadbalancer.config.address import Address
 from loadbalancer.core import Outcome
 from loadbalancer.proxy.exchange import Attempt
+from loadbalancer.proxy.flow_control import BufferBudget
 from loadbalancer.proxy.upstream.connection import BackendConnection
 from tests.harness import listen
 from tests.proxy.full_backlog import FullBacklog
@@ -46,6 +47,7 @@
         settings = SimpleNamespace(connect_timeout=int(TIMEOUT_S * NS_PER_SECOND))
         self.config = SimpleNamespace(settings=settings)
         self.outcomes: list[Outcome] = []
+        self.budget = BufferBudget(128)
         self.descriptor_closed = asyncio.Event()
         self.on_descriptor_freed = self.descriptor_closed.set
 
--- a/tests/proxy/upstream/test_half_closed_backend.py
+++ b/tests/proxy/upstream/test_half_closed_backend.py
@@ -104,6 +104,7 @@
 
     def __init__(self) -> None:
         self.outcomes: list[Outcome] = []
+        self.budget = BufferBudget(128)
         self.loop = SimpleNamespace(call_later=lambda *_: SimpleNamespace(cancel=lambda: None))
 
     def may_begin(self, _attempt: Attempt) -> bool:
--- a/tests/proxy/upstream/test_pool.py
+++ b/tests/proxy/upstream/test_pool.py
@@ -10,6 +10,7 @@
 from loadbalancer.config.address import Address
 from loadbalancer.core import Outcome
 from loadbalancer.proxy.exchange import Attempt
+from loadbalancer.proxy.flow_control import BufferBudget
 from loadbalancer.proxy.upstream.pool import IDLE_MARGIN_NS, ConnectionPool
 
 SECOND_NS = 1_000_000_000
@@ -24,6 +25,7 @@
         self.discovery = SimpleNamespace(endpoint_list=SimpleNamespace(endpoints=self.endpoints))
         self.config = SimpleNamespace(idle_close=10 * SECOND_NS)
         self.concluded: list[Outcome] = []
+        self.budget = BufferBudget(128)
 
     def may_open_upstream(self) -> bool:
         return False
--- a/tests/proxy/upstream/test_slow_responses.py
+++ b/tests/proxy/upstream/test_slow_responses.py
@@ -14,6 +14,7 @@
 
 from loadbalancer.core import Outcome
 from loadbalancer.core.balancing.model import MS
+from loadbalancer.core.memory_account import Holder
 from loadbalancer.proxy.bounded_reads import MAX_PARSED_BYTES
 from loadbalancer.proxy.flow_control import STREAMING_THRESHOLD_BYTES
 from loadbalancer.proxy.upstream.connection import BackendConnection
@@ -134,6 +135,20 @@
     assert transport.reading
 
 
+def test_a_response_is_streamed_once_memory_is_too_short_to_buffer_it(waiting: Waiting) -> None:
+    """Responses of up to 64 KB were buffered whole, by hundreds, and counted by nobody."""
+    budget, connection = waiting.host.budget, waiting.link.connection
+    connection.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + bytes(20_000))
+    assert budget.held[Holder.RESPONSES] > 20_000
+    assert not waiting.client.streams
+    budget.reserve(Holder.CONTENT, budget.soft_limit + 1)
+    connection.data_received(bytes(1000))
+    assert budget.held[Holder.RESPONSES] == 0
+    (flow,) = waiting.client.streams
+    assert flow.paused
+    flow.discard()
+
+
 def fill(connection: BackendConnection, data: bytes) -> None:
     """Deliver bytes as the event loop does: as many as the connection asks for, at most."""
     buffer = connection.get_buffer(-1)
