The rows of the first list and the parts of a list's text are released once they are read

What callers saw: nothing yet; found on a related path. A list service is a peer too: complete lists of 3,200 servers take a node of 32 MB over its limit, without any client. Cause: the rows of known stayed with the configuration for the process's life, as objects, and the parts of a list's text stayed beside the whole text while it was decoded.

--- a/loadbalancer/proxy/host.py
+++ b/loadbalancer/proxy/host.py
@@ -111,6 +111,7 @@
         ):
             rows = self.discovery.inherit(inheritance)
         self._prepare_gossip()
+        self.config.known.clear()  # as objects its rows take more memory than the list itself
         if self.peers is not None:
             rows = self.peers.on_list(Update.CACHED, rows)
         with self.event() as now:
--- a/loadbalancer/sources/http_get.py
+++ b/loadbalancer/sources/http_get.py
@@ -192,7 +192,10 @@
         parser = self._parser
         if parser is not None:
             status = parser.get_status_code()
-            self._finish(Response(status, self._headers, b"".join(self._body)))
+            parts, self._body = self._body, []
+            body = b"".join(parts)
+            parts.clear()  # before the body is decoded, which takes a multiple of its size
+            self._finish(Response(status, self._headers, body))
 
     def _finish(self, response: Response | None) -> None:
         """Close the connection and report the result, unless that was done before."""
