Content that waits for memory is rejected in time, and idle server connections make room

Cause: the connections' part of the capacity was used up, partly by idle connections to servers; clients waited in the kernel's queue. Now each client that has to wait closes the oldest idle one. The margin is a sixteenth of the limit now, at least 1 MB: 2 MB there. - The soak compares the account with the resident memory (its figures were not read before), sends usual content of 6 KB too, and ends its stand-ins' connections.

--- a/benchmarks/memory_soak.py
+++ b/benchmarks/memory_soak.py
@@ -13,6 +13,7 @@
 import argparse
 import asyncio
 import contextlib
+import itertools
 import os
 import re
 import signal
@@ -36,6 +37,7 @@
 ANSWER_SLACK_S = 0.5  # after a request's time, within which its final answer has to come
 USUAL_TIMEOUT_MS = 1500
 USUAL_PAUSE_S = 0.1
+USUAL_CONTENT_BYTES = (0, 200, 0, 6_000)  # of a usual client's requests, in turn; 0 for a GET
 START_S = 20.0  # a node that takes longer counts as failed
 # SIGKILL comes this long after SIGTERM at the earliest: the longest deadline and 0.7 s.
 KILL_AFTER_S = max(spec["deadline"] for spec in SETTINGS["classes"]) / 1e9 + 0.7
@@ -206,7 +208,9 @@
         writer.write(b"GET /memory HTTP/1.1\r\nHost: x\r\n\r\n")
         text = (await reader.read()).decode()
         writer.close()
-        figures = {name: int(kb) / 1024 for name, kb in re.findall(r"([a-z ]+) (\d+)", text)}
+        figures = {
+            name.strip(): int(kb) / 1024 for name, kb in re.findall(r"([a-z ]+) (\d+)", text)
+        }
         held = figures["total"]
         most = max(held, explained_mb)
         return most, figures["resident"] - figures["base at the start"] - most
@@ -247,15 +251,13 @@
 
     async def run(self) -> None:
         """Send requests until cancelled, or until the connection ends and may not be replaced."""
-        sent = 0
-        while True:
-            sent += 1
-            path = f"/balance/{self._number}" if sent % 2 else f"/credit/{self._number}"
-            if not await self._exchange(path):
+        for size in itertools.cycle(USUAL_CONTENT_BYTES):
+            path = f"/credit/{self._number}" if size else f"/balance/{self._number}"
+            if not await self._exchange(path, b"x" * size):
                 return
             await asyncio.sleep(USUAL_PAUSE_S)
 
-    async def _exchange(self, path: str) -> bool:
+    async def _exchange(self, path: str, content: bytes) -> bool:
         for was_kept in (True, False):
             if self._stream is None:
                 if self.only_kept:
@@ -263,7 +265,6 @@
                 if not await self._connect():
                     return True
                 was_kept = False
-            content = b"x" * 200 if path.startswith("/credit") else b""
             length = {"Content_Length": len(content)} if content else {}
             request = head(path, USUAL_TIMEOUT_MS, **length)
             request_id = re.search(rb"X-Request-ID: (\S+)", request)
@@ -333,7 +334,7 @@
     def __init__(self, scenario: Scenario, folder: Path) -> None:
         self._scenario = scenario
         self._folder = folder
-        self._served = Served({})
+        self._served = Served()
         self.outcome = Outcome()
 
     async def play(self) -> Outcome:
@@ -359,6 +360,9 @@
             nodes.end_all()
             for server in servers:
                 server.close()
+            await asyncio.sleep(SAMPLE_S)  # lets handlers begin that would be left without an end
+            for writer in self._served.writers:
+                writer.transport.abort()
         self._check_effects()
         return self.outcome
 
@@ -383,7 +387,8 @@
         await self._finish(usual, usual_tasks)
         for task in (*odd_tasks, watch, compare):
             task.cancel()
-        await asyncio.gather(*odd_tasks, watch, compare, return_exceptions=True)
+        results = await asyncio.gather(*odd_tasks, watch, compare, return_exceptions=True)
+        self.outcome.faults += [repr(result) for result in results if isinstance(result, Exception)]
         if statuses := nodes.ended_by_themselves():
             self.outcome.faults.append(f"a process ended by itself: {statuses}")
 
--- a/fakes/bulk_servers.py
+++ b/fakes/bulk_servers.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 _LONG = re.compile(rb"/long-(\d+)")
@@ -28,7 +28,8 @@
 class Served:
     """What the servers of one run have done."""
 
-    ids: dict[str, int]  # executions by request id
+    ids: dict[str, int] = field(default_factory=dict)  # executions by request id
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)  # of open connections
 
 
 async def _skip_content(reader: asyncio.StreamReader, head: bytes) -> None:
@@ -72,10 +73,12 @@
     """Start one server on a free port of this machine."""
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        served.writers.add(writer)
         try:
             with contextlib.suppress(OSError, EOFError, ValueError, asyncio.IncompleteReadError):
                 await _serve(kind, served, reader, writer)
         finally:
+            served.writers.discard(writer)
             writer.transport.abort()
 
     return await asyncio.start_server(serve, "127.0.0.1", 0, limit=PIECE_BYTES)
--- a/loadbalancer/core/memory_account.py
+++ b/loadbalancer/core/memory_account.py
@@ -28,8 +28,10 @@
 CLIENT_CONNECTION_BYTES = 6 << 10
 UPSTREAM_CONNECTION_BYTES = 8 << 10
 EXPECTED_BASE_BYTES = 32 * MB  # of the process, until it has been measured
-# For what is held for a moment only: a read that is parsed, a message that is put together.
-MARGIN_BYTES = MB
+# For what is held for a moment only (a read that is parsed, a message that is put together) and for
+# gaps between what the allocator has given out.
+MIN_MARGIN_BYTES = MB
+MARGIN_DIVISOR = 16  # of the limit
 MIN_CAPACITY_BYTES = 2 * MB  # so that a node that is given too little serves at all
 MIN_SOFT_LIMIT_BYTES = MB // 2
 SOFT_LIMIT_DIVISOR = 2
@@ -124,7 +126,8 @@
         return self._limit_bytes // self._processes
 
     def _derive_limits(self) -> None:
-        free = self.limit_bytes - self.base_bytes - MARGIN_BYTES
+        margin = max(self.limit_bytes // MARGIN_DIVISOR, MIN_MARGIN_BYTES)
+        free = self.limit_bytes - self.base_bytes - margin
         self.capacity_bytes = max(free, MIN_CAPACITY_BYTES)
         left = self.capacity_bytes - self.held[Holder.CONNECTIONS]
         self.soft_limit = max(left // SOFT_LIMIT_DIVISOR, MIN_SOFT_LIMIT_BYTES)
--- a/loadbalancer/proxy/downstream/connection.py
+++ b/loadbalancer/proxy/downstream/connection.py
@@ -274,6 +274,11 @@
             if self._request is not None:
                 self._check_upload_progress(self._request, flow)
             return False
+        if self._has_waited_for_memory(incoming):
+            host = self._registry.host
+            host.budget.rejected += 1
+            self._reject(503)
+            return True
         if self.idle_sweeps() <= REQUEST_TIMEOUT_SWEEPS + incoming.size // BYTES_PER_EXTRA_SWEEP:
             return False
         if self._request is not None and flow is None:
@@ -281,6 +286,15 @@
         self._reject(408)
         return True
 
+    def _has_waited_for_memory(self, incoming: IncomingRequest) -> bool:
+        """Whether content still waits for memory although the request's time is over.
+
+        Its client may have written its last byte long ago: the rest is in the kernel's buffer.
+        """
+        if self not in self._registry.host.budget.paused:
+            return False
+        return self.idle_sweeps() >= math.ceil(incoming.timeout / SECOND / SWEEP_S)
+
     def _check_upload_progress(self, request: Request, flow: Flow) -> None:
         """Give up an upload once its backend has accepted nothing for the request's timeout.
 
--- a/loadbalancer/proxy/host.py
+++ b/loadbalancer/proxy/host.py
@@ -188,8 +188,15 @@
             self.balancer.set_limit_share(now, part)
 
     def may_accept_client(self) -> bool:
-        """Whether there are a descriptor and memory for one more client connection."""
-        return self.budget.may_accept_client() and super().may_accept_client()
+        """Whether there are a descriptor and memory for one more client connection.
+
+        For lack of memory the oldest idle backend connection is closed; once it is, the listener
+        asks again.
+        """
+        if self.budget.may_accept_client():
+            return super().may_accept_client()
+        self.upstream.close_oldest()
+        return False
 
     def may_open_upstream(self) -> bool:
         """Whether one more backend connection may be opened; closes an idle one if need be."""
--- a/tests/core/test_memory_account.py
+++ b/tests/core/test_memory_account.py
@@ -6,7 +6,7 @@
 
 from loadbalancer.core.memory_account import (
     CLIENT_CONNECTION_BYTES,
-    MARGIN_BYTES,
+    MARGIN_DIVISOR,
     MB,
     MIN_CAPACITY_BYTES,
     MIN_SOFT_LIMIT_BYTES,
@@ -32,7 +32,7 @@
     account: MemoryAccount,
 ) -> None:
     """A constant stood for the process: with little memory nothing followed from what it took."""
-    assert account.capacity_bytes == (LIMIT_MB * MB) - BASE_BYTES - MARGIN_BYTES
+    assert account.capacity_bytes == LIMIT_MB * MB * (1 - 1 / MARGIN_DIVISOR) - BASE_BYTES
     assert account.soft_limit == account.capacity_bytes // 2
     account.measure(BASE_BYTES + 10 * MB)
     assert account.base_bytes == BASE_BYTES + 10 * MB  # held by nobody that is counted
@@ -62,7 +62,8 @@
 def test_two_processes_of_a_node_share_its_limit(account: MemoryAccount) -> None:
     account.share_limit(2)
     assert account.limit_bytes == LIMIT_MB * MB // 2
-    assert account.capacity_bytes == account.limit_bytes - BASE_BYTES - MARGIN_BYTES
+    half = LIMIT_MB * MB / 2
+    assert account.capacity_bytes == half * (1 - 1 / MARGIN_DIVISOR) - BASE_BYTES
     account.share_limit(1)
     assert account.limit_bytes == LIMIT_MB * MB
 
--- a/tests/proxy/downstream/test_timeouts.py
+++ b/tests/proxy/downstream/test_timeouts.py
@@ -26,6 +26,13 @@
 
 LONG = STREAMING_THRESHOLD_BYTES + 1
 
+HALF_IN_CHUNKS = (
+    request("/credit/1", b"", timeout=1000, Content_Length="", Transfer_Encoding="chunked")
+    + b"400\r\n"
+    + b"x" * 500
+)
+MAX_WAIT_SWEEPS = 4  # the time of that request
+
 
 @pytest.mark.parametrize(
     ("sent", "sweeps", "response"),
@@ -104,12 +111,26 @@
     budget = host.budget
     budget.incomplete[mock.Mock()] = None  # an older body
     budget.reserve(Holder.CONTENT, budget.soft_limit)
-    message = request("/credit/1", b"", Content_Length="", Transfer_Encoding="chunked")
-    conn.data_received(message + b"400\r\n" + b"x" * 500)
+    conn.data_received(HALF_IN_CHUNKS)
     assert not transport.reading
-    sweep(registry, REQUEST_TIMEOUT_SWEEPS)
+    sweep(registry, MAX_WAIT_SWEEPS - 1)
     budget.release(Holder.CONTENT, budget.soft_limit)
     assert transport.reading
+    sweep(registry, REQUEST_TIMEOUT_SWEEPS - MAX_WAIT_SWEEPS + 1)
     assert not transport.written
     sweep(registry, 1)
     assert transport.written.startswith(b"HTTP/1.1 408 ")
+
+
+def test_a_body_that_waits_for_memory_is_rejected_once_its_requests_time_is_over(
+    conn: ClientConnection, transport: Transport, host: Host, registry: ConnectionRegistry
+) -> None:
+    """Its client may have written all of it: the answer came after the client's time, or never."""
+    host.budget.incomplete[mock.Mock()] = None  # an older body
+    host.budget.reserve(Holder.CONTENT, host.budget.soft_limit)
+    conn.data_received(HALF_IN_CHUNKS)
+    sweep(registry, MAX_WAIT_SWEEPS - 1)
+    assert not transport.written
+    sweep(registry, 1)
+    assert transport.written.startswith(b"HTTP/1.1 503 ")
+    assert host.budget.rejected == 1
--- a/tests/proxy/test_host.py
+++ b/tests/proxy/test_host.py
@@ -418,3 +418,18 @@
     with pytest.raises(KeyboardInterrupt):
         host.notify_balancer(interrupt)
     assert not host.in_event
+
+
+def test_an_idle_backend_connection_gives_its_memory_to_a_client_that_waits(
+    host: Node, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Clients waited to be accepted until their time was over, beside idle connections."""
+    closed: list[bool] = []
+    host.budget.add_connections(host.budget.capacity_bytes)
+    monkeypatch.setattr(host.upstream, "close_oldest", lambda: closed.append(True), raising=False)
+    monkeypatch.setattr(host.upstream, "count", 1, raising=False)
+    assert not host.may_accept_client()
+    assert closed == [True]
+    host.budget.add_connections(-host.budget.capacity_bytes)
+    assert host.may_accept_client()
+    assert closed == [True]
