--- a/loadbalancer/core/memory_account.py
+++ b/loadbalancer/core/memory_account.py
@@ -72,7 +72,8 @@
 
     __slots__ = (
         "_descriptors", "_limit_bytes", "_processes", "base_bytes", "buffered", "capacity_bytes",
-        "held", "rejected", "small_content_bytes", "soft_limit", "start_base_bytes",
+        "held", "most_buffered", "rejected", "small_content_bytes", "soft_limit",
+        "start_base_bytes",
     )  # fmt: skip
 
     def __init__(self, limit_mb: int, descriptors: int = 1) -> None:
@@ -81,6 +82,7 @@
         self._processes = 1
         self.held = [0] * len(Holder)
         self.buffered = 0  # of all holders but connections
+        self.most_buffered = 0  # at a time, so far
         self.rejected = 0  # requests, for lack of memory
         self.start_base_bytes = self.base_bytes = EXPECTED_BASE_BYTES
         self._derive_limits()
@@ -94,6 +96,7 @@
         """Count `size` more bytes of a holder, or fewer if it is negative."""
         self.held[holder] += size
         self.buffered += size
+        self.most_buffered = max(self.buffered, self.most_buffered)
 
     def add_connections(self, size: int) -> None:
         """Count a connection of this size, or with a negative one its end."""
@@ -174,7 +177,8 @@
         """The account in one line, in KB."""
         parts = (f"{h.name.lower().replace('_', ' ')} {self.held[h] >> 10}" for h in Holder)
         return (
-            f"held in KB: {', '.join(parts)}, total {self.total >> 10}; base "
+            f"held in KB: {', '.join(parts)}, total {self.total >> 10}, most "
+            f"buffered {self.most_buffered >> 10}; base "
             f"{self.base_bytes >> 10}, soft limit {self.soft_limit >> 10}, capacity "
             f"{self.capacity_bytes >> 10} KB"
         )
