Only the rest of a valid request counts as activity after its rejection

Seen: after any rejection of a head without content, or with an invalid one, up to 32 MB more counted as activity, so that a bad client that trickles bytes could hold its connection and descriptor far beyond the second that it is owed. Change: the rest counts for uploads, as before, and for valid requests that get 503 while they are read.

--- a/loadbalancer/proxy/downstream/connection.py
+++ b/loadbalancer/proxy/downstream/connection.py
@@ -25,12 +25,11 @@
     AWAITING_RESPONSE,
     CLOSED,
     CLOSING,
-    HEAD,
     LINGERING,
     STREAMING,
     UPLOAD,
 )
-from loadbalancer.proxy.flow_control import MAX_MESSAGE_BYTES, Flow
+from loadbalancer.proxy.flow_control import Flow
 from loadbalancer.proxy.sockets import unacknowledged_bytes
 
 if TYPE_CHECKING:
@@ -115,9 +114,8 @@
         was_silent = self in registry.silent
         self._leave_waiting_lists()
         incoming = self._incoming
-        if incoming is not None and self._read_state is not HEAD:
-            expected = min(incoming.length or MAX_MESSAGE_BYTES, MAX_MESSAGE_BYTES)
-            self._discarding = expected - incoming.size
+        if incoming is not None and incoming.flow is not None:
+            self._expect_rest(incoming)
         self._drop_pending()
         self._parser = None
         if self._half_closed:
--- a/loadbalancer/proxy/downstream/request_parser.py
+++ b/loadbalancer/proxy/downstream/request_parser.py
@@ -173,6 +173,11 @@
         self._registry.host.budget.reserve(Holder.INCOMPLETE_HEADS, size - self._counted_head)
         self._counted_head = size
 
+    def _expect_rest(self, incoming: IncomingRequest) -> None:
+        """Let the rest of a request's content count as activity while the connection closes."""
+        length = MAX_MESSAGE_BYTES if incoming.chunked else incoming.length
+        self._discarding = length - incoming.size
+
     def _discard(self, data: bytes) -> None:
         """Drop input that arrives while the connection is closing.
 
--- a/loadbalancer/proxy/downstream/request_queue.py
+++ b/loadbalancer/proxy/downstream/request_queue.py
@@ -105,8 +105,6 @@
         self._queued.append(incoming)
 
     def _start_queued(self) -> None:
-        if self._write_paused:
-            return
         while self._state is AWAITING_REQUEST and self._queued and not self._write_paused:
             self._start_request(self._queued.popleft())
         incoming = self._incoming
--- a/loadbalancer/proxy/downstream/response_writer.py
+++ b/loadbalancer/proxy/downstream/response_writer.py
@@ -29,6 +29,7 @@
 from loadbalancer.proxy.flow_control import Flow
 
 NS_PER_SECOND = 1e9
+LACKS_MEMORY = 503  # the status of a request that is rejected while it is read
 
 
 class ResponseWriter(RequestQueue):
@@ -231,6 +232,10 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
+        incoming = self._incoming
+        if status == LACKS_MEMORY and incoming is not None and incoming.head_size:
+            # The request is valid: its client may write all of it before it reads the response.
+            self._expect_rest(incoming)
         head = TEXT_HEAD % (status, REASONS[status], len(text)) if text else EMPTY_HEADS[status]
         transport.write(head + CLOSE_END + text)
         self._close_gracefully()
--- a/tests/proxy/downstream/test_memory.py
+++ b/tests/proxy/downstream/test_memory.py
@@ -16,13 +16,13 @@
 import pytest
 
 from loadbalancer.core.memory_account import SMALL_HEAD_BYTES, Holder
-from loadbalancer.proxy.downstream.connection import ClientConnection
+from loadbalancer.proxy.downstream.connection import LINGER_TIMEOUT_SWEEPS, ClientConnection
 from loadbalancer.proxy.downstream.registry import ConnectionRegistry
 from loadbalancer.proxy.downstream.request_parser import MAX_HEAD_BYTES
 from loadbalancer.proxy.downstream.request_queue import MAX_WAITING_BYTES
 from loadbalancer.proxy.flow_control import STREAMING_THRESHOLD_BYTES, BufferBudget
 from tests.harness import Running, request, until
-from tests.proxy.downstream.connection_fakes import Host, Transport
+from tests.proxy.downstream.connection_fakes import Host, Transport, sweep
 
 MEMORY_MB = 32  # the least that operators give a node
 CLIENTS = 150
@@ -157,6 +157,40 @@
     assert host.budget.held[Holder.UNSENT] == 0
 
 
+@pytest.mark.parametrize("is_valid", [True, False])
+def test_only_the_rest_of_a_valid_request_counts_as_activity_after_its_rejection(
+    conn: ClientConnection,
+    transport: Transport,
+    host: Host,
+    registry: ConnectionRegistry,
+    is_valid: bool,
+) -> None:
+    """Its client reads the answer once it has written all; a bad one could hold a descriptor."""
+    host.budget.reserve(Holder.FLOWS, host.budget.capacity_bytes + 1)
+    path = "/credit/1" if is_valid else "/nothing/1"
+    conn.data_received(request(path, b"", Content_Length="50000"))
+    assert transport.written.startswith(b"HTTP/1.1 503 ") is is_valid
+    for _ in range(2 * LINGER_TIMEOUT_SWEEPS):
+        conn.data_received(b"x")
+        sweep(registry, 1)
+    assert transport.aborted is not is_valid
+    sweep(registry, LINGER_TIMEOUT_SWEEPS + 1)
+    assert transport.aborted
+
+
+def test_the_head_of_a_readiness_check_is_released(conn: ClientConnection, host: Host) -> None:
+    conn.data_received(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert host.budget.total == 0
+
+
+def test_the_head_of_an_upload_is_released_once(conn: ClientConnection, host: Host) -> None:
+    """Its connection and its request both knew it."""
+    conn.data_received(request("/credit/1", bytes(LONG))[:-1])
+    (admitted,) = host.admitted
+    conn.connection_lost(None)
+    assert host.budget.held[Holder.REQUEST_HEADS] == admitted.head_size > 0
+
+
 @pytest.mark.parametrize("size", [100, MAX_HEAD_BYTES - 1000])
 def test_a_complete_head_is_counted_until_its_request_is_over_or_rejected(
     conn: ClientConnection, transport: Transport, host: Host, size: int
