--- a/tests/proxy/test_flow_control.py
+++ b/tests/proxy/test_flow_control.py
@@ -163,3 +163,14 @@
     append_piece(pieces, b"c")
     assert b"".join(pieces) == b"ab" * 100_000 + b"x" * SMALL_PIECE_BYTES + b"c"
     assert sum(map(sys.getsizeof, pieces)) + sys.getsizeof(pieces) < 2 * 200_000
+
+
+def test_a_blocked_sink_gets_nothing_until_it_is_unblocked() -> None:
+    """The connection was blocked before the flow began, and took all that came, uncounted."""
+    budget, recorder = BufferBudget(0), Recorder()
+    flow = Flow(budget, recorder)
+    flow.push(b"x")
+    flow.attach(recorder, is_blocked=True)
+    assert (recorder.written, budget.flows) == (b"", 1)
+    flow.unblock()
+    assert (recorder.written, budget.flows) == (b"x", 0)
--- a/tests/proxy/test_host.py
+++ b/tests/proxy/test_host.py
@@ -12,6 +12,7 @@
 from loadbalancer.core import Outcome, Update
 from loadbalancer.core.memory_account import Holder
 from loadbalancer.core.process_pair import SuccessorShare
+from loadbalancer.proxy.exchange import Request
 from loadbalancer.proxy.host import Node
 from loadbalancer.proxy.reload import apply_configuration
 from tests.proxy.host_fakes import (
@@ -433,3 +434,57 @@
     host.budget.add_connections(-host.budget.capacity_bytes)
     assert host.may_accept_client()
     assert closed == [True]
+
+
+def test_a_new_backend_connection_replaces_an_idle_one_while_many_take_the_memory(
+    host: Node, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    closed: list[bool] = []
+    monkeypatch.setattr(host.upstream, "close_oldest", lambda: closed.append(True), raising=False)
+    assert host.may_open_upstream()
+    host.budget.add_connections(host.budget.capacity_bytes)
+    assert host.may_open_upstream()
+    assert closed == [True]
+
+
+def test_two_processes_use_half_of_the_memory_each(host: Node) -> None:
+    whole = host.budget.limit_bytes
+    host.use_limit_share(cast(Any, None))
+    assert host.budget.limit_bytes == whole // 2
+    host.end_sharing()
+    assert host.budget.limit_bytes == whole
+
+
+def test_what_is_over_needs_no_timer_and_holds_no_content(
+    host: Node, upstream: Upstream, client: Client
+) -> None:
+    """Until its deadline a request that was over stayed in the timers, with its head."""
+    upstream.written = True
+    request = admit(host, client, attempts=1)
+    (attempt,) = request.attempts
+    request.head = b"head"
+    assert not host._is_over(request)
+    assert not host._is_over(attempt)
+    host.record_outcome(attempt, Outcome.OK)
+    assert host._is_over(request)
+    assert host._is_over(attempt)
+    assert request.head == b""
+    assert not host._is_over(1)  # a token of the Balancer
+
+
+def test_a_long_body_is_in_its_flow_alone(client: Client) -> None:
+    """The list that it is read into was the request's body, and kept the next read for good."""
+    incoming = incoming_request()
+    incoming.flow = cast(Any, SimpleNamespace(complete=False, discard=lambda: None))
+    request = Request(1, cast(Any, client), cast(Any, incoming), 0, 0, 1)
+    incoming.body.append(b"read later")
+    assert not request.body
+
+
+def test_the_rows_of_the_first_list_do_not_stay_with_the_configuration(host: Node) -> None:
+    """As objects they took more memory than the list itself, for the process's life."""
+    node = Node(host.config, host.loop)
+    assert node.config.known
+    node.start()
+    assert not node.config.known
+    assert node.discovery.endpoint_list.endpoints
--- a/tests/proxy/upstream/test_slow_responses.py
+++ b/tests/proxy/upstream/test_slow_responses.py
@@ -188,3 +188,23 @@
             peer.close()
             while not client.buffer.endswith(b"4\r\npart\r\n0\r\n\r\n"):
                 assert client.more(), client.buffer
+
+
+def test_a_request_that_the_kernel_does_not_accept_is_counted_whole(waiting: Waiting) -> None:
+    """The transport keeps all of a message until its last byte is sent."""
+    budget, connection, transport = (
+        waiting.host.budget,
+        waiting.link.connection,
+        waiting.link.transport,
+    )
+
+    def write(data: bytes) -> None:
+        del data
+        connection.pause_writing()
+
+    transport.write = write  # type: ignore[method-assign]
+    connection._pieces, connection._next_piece = (bytes(5000),), 0
+    connection._write_pieces()
+    assert budget.held[Holder.UNSENT] == 5000
+    connection.resume_writing()
+    assert budget.held[Holder.UNSENT] == 0
--- a/tests/upgrade/test_states.py
+++ b/tests/upgrade/test_states.py
@@ -285,3 +285,15 @@
     process.loop.connect_accepted_socket = mock.AsyncMock(return_value=(mock.Mock(), None))
     asyncio.run(predecessor._start_link(link, mock.Mock()))
     assert link.closed
+
+
+def test_the_memory_limit_is_shared_from_the_successors_connection_to_its_end(
+    predecessor: Predecessor, process: Any, link: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Each process alone kept the limit, and both together went over it."""
+    monkeypatch.setattr(handed_state, "export", mock.Mock(side_effect=KeyError))
+    process.loop.connect_accepted_socket = mock.AsyncMock(return_value=(mock.Mock(), None))
+    asyncio.run(predecessor._start_link(link, mock.Mock()))
+    process.node.share_memory.assert_called_once_with(2)
+    predecessor._on_closed()
+    assert process.node.share_memory.call_args == mock.call(1)
