A request is counted with its object, not with the bytes of its head alone

Cause: requests behind an open one are objects of 1.26 KB each with a dozen parts, and counted for the 100 bytes of their heads. Up to 878 of them were queued. Excluded by a trace: cyclic garbage (none), free heap (0.4 to 0.9 MB and falling), timers, requests and ids of requests that were over. Change: a request reserves REQUEST_BYTES with its head, and releases both together. The estimate of a client's connection, which included a request, is 5 KB. The new test fails without it.

--- a/loadbalancer/core/memory_account.py
+++ b/loadbalancer/core/memory_account.py
@@ -24,9 +24,10 @@
 from enum import Enum, IntEnum
 
 MB = 1 << 20
-# Estimated memory of a connection without any bytes of its peer, with its request or attempt.
-CLIENT_CONNECTION_BYTES = 6 << 10
-UPSTREAM_CONNECTION_BYTES = 8 << 10
+# Estimated memory of objects, without the bytes of their peers.
+CLIENT_CONNECTION_BYTES = 5 << 10
+UPSTREAM_CONNECTION_BYTES = 8 << 10  # with its attempt
+REQUEST_BYTES = 1280
 EXPECTED_BASE_BYTES = 32 * MB  # of the process, until it has been measured
 # For what is held for a moment only (a read that is parsed, a message that is put together) and for
 # gaps between what the allocator has given out.
@@ -54,6 +55,7 @@
     FLOWS = 4  # long messages, with what their sinks could not write
     RESPONSES = 5  # incomplete ones that are buffered
     UNSENT = 6  # messages that a transport could not write
+    REQUESTS = 7  # objects of requests, from their complete heads until they are forgotten
 
 
 class Pressure(Enum):
@@ -98,6 +100,11 @@
         self.buffered += size
         self.most_buffered = max(self.buffered, self.most_buffered)
 
+    def reserve_request(self, head_bytes: int) -> None:
+        """Count a request whose head is complete."""
+        self.reserve(Holder.REQUEST_HEADS, head_bytes)
+        self.reserve(Holder.REQUESTS, REQUEST_BYTES)
+
     def add_connections(self, size: int) -> None:
         """Count a connection of this size, or with a negative one its end."""
         self.held[Holder.CONNECTIONS] += size
--- a/loadbalancer/proxy/downstream/request_parser.py
+++ b/loadbalancer/proxy/downstream/request_parser.py
@@ -252,7 +252,7 @@
         """
         budget = self._registry.host.budget
         size = incoming.head_size = len(incoming.url) + len(incoming.lines)
-        budget.reserve(Holder.REQUEST_HEADS, size)
+        budget.reserve_request(size)
         has_content = incoming.chunked or incoming.length > budget.small_content_bytes
         if not budget.may_begin(size, has_content) and self._response_is_next():
             budget.rejected += 1
--- a/loadbalancer/proxy/downstream/request_queue.py
+++ b/loadbalancer/proxy/downstream/request_queue.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from loadbalancer.core.balancing.model import MS
-from loadbalancer.core.memory_account import Holder
+from loadbalancer.core.memory_account import REQUEST_BYTES, Holder
 from loadbalancer.errors import BadRequestError
 from loadbalancer.proxy.downstream.registry import ConnectionRegistry
 from loadbalancer.proxy.downstream.request import IncomingRequest
@@ -197,7 +197,7 @@
         if self._write_paused and self._queued:
             return True  # before more are read than may be queued
         incoming = self._incoming
-        waiting = sum(queued.size + queued.head_size for queued in self._queued)
+        waiting = sum(q.size + q.head_size + REQUEST_BYTES for q in self._queued)
         if incoming is not None and self._read_state is CONTENT:
             if self._is_long(incoming):
                 return True
@@ -250,7 +250,7 @@
     def _release_content(self, incoming: IncomingRequest) -> None:
         budget = self._registry.host.budget
         head_size, incoming.head_size = incoming.head_size, 0
-        budget.release(Holder.REQUEST_HEADS, head_size)
+        budget.release_request(head_size)
         if incoming.flow is not None:
             incoming.flow.discard()
         else:
--- a/loadbalancer/proxy/flow_control.py
+++ b/loadbalancer/proxy/flow_control.py
@@ -11,7 +11,7 @@
 from collections.abc import MutableSequence
 from typing import Protocol
 
-from loadbalancer.core.memory_account import Holder, MemoryAccount
+from loadbalancer.core.memory_account import REQUEST_BYTES, Holder, MemoryAccount
 from loadbalancer.proxy.bounded_reads import MAX_PARSED_BYTES
 
 # Messages up to this size are buffered completely before they are forwarded.
@@ -120,6 +120,12 @@
         if self.paused:
             self.resume_paused()
 
+    def release_request(self, head_bytes: int) -> None:
+        """Subtract a request that is forgotten; 0 for one that was not counted."""
+        if head_bytes:
+            self.reserve(Holder.REQUESTS, -REQUEST_BYTES)
+            self.release(Holder.REQUEST_HEADS, head_bytes)
+
     def resume_paused(self) -> None:
         """Resume paused bodies if usage is within the soft limit.
 
--- a/loadbalancer/proxy/open_requests.py
+++ b/loadbalancer/proxy/open_requests.py
@@ -85,7 +85,7 @@
         # Attempts refer back to their request. Only the garbage collector frees such a cycle, and
         # it runs rarely in this process (see `process.GC_THRESHOLDS`), so memory use would grow.
         request.attempts = []
-        self.budget.release(Holder.REQUEST_HEADS, request.head_size)
+        self.budget.release_request(request.head_size)
         if request.flow is None:
             self.budget.release(Holder.CONTENT, request.size)
 
--- a/tests/proxy/downstream/test_memory.py
+++ b/tests/proxy/downstream/test_memory.py
@@ -15,7 +15,7 @@
 
 import pytest
 
-from loadbalancer.core.memory_account import SMALL_HEAD_BYTES, Holder
+from loadbalancer.core.memory_account import REQUEST_BYTES, SMALL_HEAD_BYTES, Holder
 from loadbalancer.proxy.downstream.connection import LINGER_TIMEOUT_SWEEPS, ClientConnection
 from loadbalancer.proxy.downstream.registry import ConnectionRegistry
 from loadbalancer.proxy.downstream.request_parser import MAX_HEAD_BYTES
@@ -127,6 +127,15 @@
     assert conn in conn._registry.idle
 
 
+def test_requests_are_counted_with_their_objects(conn: ClientConnection, host: Host) -> None:
+    """Small requests behind an open one took ten times the memory of their heads."""
+    for number in range(4):
+        conn.data_received(request(rid=f"r-{number}"))
+    assert host.budget.held[Holder.REQUESTS] == 4 * REQUEST_BYTES
+    conn.connection_lost(None)
+    assert host.budget.held[Holder.REQUESTS] == REQUEST_BYTES  # the open one's, until it is over
+
+
 def test_nothing_more_is_read_behind_an_open_request_while_memory_is_short(
     conn: ClientConnection, transport: Transport, host: Host
 ) -> None:
