What is buffered, streamed and read ahead is decided in core

Need: the account's thresholds stand in core, but the sizes of reads, what counts as a long message, what is read behind an open request and whose reading waits were decided in proxy, the first two in both directions for itself. Change: core/buffer_budget has them, without I/O; proxy asks it. Nothing else changes.

--- a/loadbalancer/proxy/balancer_events.py
+++ b/loadbalancer/proxy/balancer_events.py
@@ -16,8 +16,8 @@
 from typing import TYPE_CHECKING, Any
 
 from loadbalancer.core import Outcome
+from loadbalancer.core.buffer_budget import BufferBudget
 from loadbalancer.faults import run_logged
-from loadbalancer.proxy.flow_control import BufferBudget
 from loadbalancer.proxy.open_requests import BAD_GATEWAY, OpenRequests
 from loadbalancer.proxy.timers import TimerHeap
 
--- a/loadbalancer/proxy/bounded_reads.py
+++ b/loadbalancer/proxy/bounded_reads.py
@@ -12,13 +12,11 @@
 from abc import abstractmethod
 from collections.abc import Callable, Iterator
 
-MAX_READ_BYTES = 64 << 10  # of content that needs no parsing
-# Of what is parsed. The limits of what a parser may hold are checked after each read, so this is
-# how far it can exceed them.
-MAX_PARSED_BYTES = 16 << 10
-SHORT_READ_BYTES = 4 << 10  # while the buffer budget is exceeded
-# Of content in many small chunks, each of which takes time to parse; the smallest size of a read.
-COSTLY_READ_BYTES = 2 << 10
+from loadbalancer.core.buffer_budget import (
+    COSTLY_READ_BYTES,
+    MAX_PARSED_BYTES,
+    MAX_READ_BYTES,
+)
 
 # All connections are read by one thread, one after the other, and each read is copied at once.
 _buffer = memoryview(bytearray(MAX_READ_BYTES))
@@ -78,15 +76,3 @@
         return
     for start in range(0, len(data), MAX_PARSED_BYTES):
         yield data[start : start + MAX_PARSED_BYTES]
-
-
-def read_size(is_plain_content: bool, is_budget_exceeded: bool) -> int:
-    """How many bytes of a connection to read at a time.
-
-    Args:
-        is_plain_content: whether content is read that is not in chunks.
-        is_budget_exceeded: whether more is buffered than the soft limit allows.
-    """
-    if is_budget_exceeded:
-        return SHORT_READ_BYTES
-    return MAX_READ_BYTES if is_plain_content else MAX_PARSED_BYTES
--- a/loadbalancer/proxy/downstream/request_parser.py
+++ b/loadbalancer/proxy/downstream/request_parser.py
@@ -10,10 +10,15 @@
 
 import httptools
 
+from loadbalancer.core.buffer_budget import (
+    COSTLY_READ_BYTES,
+    MIN_WINDOW_BYTES,
+    STREAMING_THRESHOLD_BYTES,
+)
 from loadbalancer.core.http_framing import FramingExcess
 from loadbalancer.core.memory_account import SMALL_HEAD_BYTES, Holder
 from loadbalancer.errors import BadRequestError
-from loadbalancer.proxy.bounded_reads import COSTLY_READ_BYTES, parts_to_parse, read_size
+from loadbalancer.proxy.bounded_reads import parts_to_parse
 from loadbalancer.proxy.downstream.head_checker import INTERPRETED_FIELDS
 from loadbalancer.proxy.downstream.registry import Connection, ConnectionRegistry
 from loadbalancer.proxy.downstream.request import IncomingRequest
@@ -27,8 +32,6 @@
 )
 from loadbalancer.proxy.flow_control import (
     MAX_MESSAGE_BYTES,
-    MIN_WINDOW_BYTES,
-    STREAMING_THRESHOLD_BYTES,
     append_piece,
 )
 
@@ -112,7 +115,7 @@
         """How many bytes to read at a time at the moment."""
         if self._is_costly:
             return COSTLY_READ_BYTES
-        return read_size(self._reads_plain_content(), self._registry.host.budget.is_exceeded())
+        return self._registry.host.budget.read_size(self._reads_plain_content())
 
     def transport_to_read(self) -> asyncio.Transport | None:
         """The transport; None if it is closing, or if reading waits for `resume_flow`."""
--- a/loadbalancer/proxy/downstream/request_queue.py
+++ b/loadbalancer/proxy/downstream/request_queue.py
@@ -24,13 +24,12 @@
     UPLOAD,
     ConnectionState,
 )
-from loadbalancer.proxy.flow_control import STREAMING_THRESHOLD_BYTES, Flow
+from loadbalancer.proxy.flow_control import Flow
 
 if TYPE_CHECKING:
     from loadbalancer.proxy.exchange import Request
 
 MAX_QUEUED = 8  # requests queued on one connection behind the open one
-MAX_WAITING_BYTES = 16 << 10  # read behind an open request, above which reading is paused
 TCP_INFO_BYTES = 56  # of struct tcp_info, up to and including tcpi_last_data_recv
 LAST_DATA_RECEIVED = struct.Struct("=52xI")  # tcpi_last_data_recv, in milliseconds
 
@@ -118,15 +117,7 @@
             self._start_upload(incoming)
 
     def _is_long(self, incoming: IncomingRequest) -> bool:
-        """Whether so much of a request's content has come that it is forwarded as it comes.
-
-        If its length says that it is long, it is so once it is no longer small. Otherwise hundreds
-        of clients that send long content slowly would have up to the threshold buffered each.
-        """
-        if incoming.size > STREAMING_THRESHOLD_BYTES:
-            return True
-        small = self._registry.host.budget.small_content_bytes
-        return incoming.length > STREAMING_THRESHOLD_BYTES and incoming.size > small
+        return self._registry.host.budget.is_long_request(incoming.length, incoming.size)
 
     def _start_next(self) -> None:
         """Start the next queued request after a response, or resume reading if there is none.
@@ -189,11 +180,7 @@
             self.pause_flow()
 
     def _has_read_ahead(self) -> bool:
-        """Whether enough has been read of the requests behind the open one.
-
-        Without this, each client could have as many requests buffered as may be queued, however
-        little memory is free.
-        """
+        """Whether enough has been read of the requests behind the open one."""
         if self._write_paused and self._queued:
             return True  # before more are read than may be queued
         incoming = self._incoming
@@ -202,8 +189,7 @@
             if self._is_long(incoming):
                 return True
             waiting += incoming.size
-        is_exceeded = self._registry.host.budget.is_exceeded()
-        return waiting > (0 if is_exceeded else MAX_WAITING_BYTES)
+        return not self._registry.host.budget.may_read_ahead(waiting)
 
     def pause_flow(self) -> None:
         """Pause reading until `resume_flow`."""
--- a/loadbalancer/proxy/flow_control.py
+++ b/loadbalancer/proxy/flow_control.py
@@ -6,21 +6,14 @@
 
 from __future__ import annotations
 
-import itertools
 from collections import deque
 from collections.abc import MutableSequence
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
-from loadbalancer.core.memory_account import REQUEST_BYTES, Holder, MemoryAccount
-from loadbalancer.proxy.bounded_reads import MAX_PARSED_BYTES
+if TYPE_CHECKING:
+    from loadbalancer.core.buffer_budget import BufferBudget
 
-# Messages up to this size are buffered completely before they are forwarded.
-STREAMING_THRESHOLD_BYTES = 64 << 10
 MAX_MESSAGE_BYTES = 32 << 20  # largest content accepted, of a request or a response
-MIN_WINDOW_BYTES = 64 << 10  # smallest window while usage is within the soft limit
-WINDOW_FRACTION = 16  # a window is the free bytes below the soft limit, divided by this
-
-
 SMALL_PIECE_BYTES = 1 << 10  # smaller pieces of content are joined
 JOINED_PIECE_BYTES = 16 << 10  # size from which a joined piece is not extended
 
@@ -43,113 +36,6 @@
         pieces[-1] += data
 
 
-class BodyReader(Protocol):
-    """Reads a request body; can be paused until the budget has free capacity."""
-
-    def resume_body(self) -> None:
-        """Continue reading the body."""
-
-
-class BufferBudget(MemoryAccount):
-    """The account of memory, with the request bodies that wait for it.
-
-    While more than `soft_limit` bytes are buffered, a flow's window is zero, so that its source
-    is paused after each read, and the reading of bodies that are buffered whole is paused too.
-    Small bodies are never paused, and the oldest incomplete one only while flows alone exceed the
-    limit: if every body waited for memory used by the others, none would complete and all would
-    time out. Flows free their memory by themselves. Without that condition one body after the
-    other would become the oldest, be read and wait as a flow for a backend.
-    """
-
-    __slots__ = ("incomplete", "paused")
-
-    def __init__(self, memory_mb: int, descriptors: int = 1) -> None:
-        super().__init__(memory_mb, descriptors)
-        self.paused: dict[BodyReader, None] = {}
-        # Incomplete bodies that are buffered whole, without small ones; oldest first.
-        self.incomplete: dict[BodyReader, None] = {}
-
-    @property
-    def flows(self) -> int:
-        """The bytes of flows."""
-        return self.held[Holder.FLOWS]
-
-    def window(self) -> int:
-        """Bytes that a flow may buffer before its source is paused.
-
-        The window grows with the free memory: the sooner a backend has delivered its response,
-        the sooner its connection can serve other requests. With many flows the window shrinks
-        to MIN_WINDOW_BYTES, and above the soft limit it is 0.
-        """
-        if self.buffered > self.soft_limit:
-            return 0
-        return max(MIN_WINDOW_BYTES, (self.soft_limit - self.buffered) // WINDOW_FRACTION)
-
-    def pause_if_needed(self, reader: BodyReader) -> bool:
-        """Pause a body if memory is short and it is not the oldest incomplete one.
-
-        If this returns True, the caller stops reading until its `resume_body` is called.
-        """
-        if self.buffered <= self.soft_limit or reader not in self.incomplete:
-            return False
-        if reader is next(iter(self.incomplete)) and self.flows <= self.soft_limit:
-            return False
-        self.paused[reader] = None
-        return True
-
-    def body_finished(self, reader: BodyReader) -> None:
-        """Handle a body that is complete or discarded.
-
-        The oldest remaining body may now always be read, and is resumed if it was paused.
-        """
-        self.paused.pop(reader, None)
-        if self.incomplete.pop(reader, self) is None:
-            self._resume_oldest()
-
-    def _resume_oldest(self) -> None:
-        """Resume the oldest incomplete body, unless flows alone exceed the limit."""
-        oldest = next(iter(self.incomplete), None)
-        if oldest is not None and oldest in self.paused and self.flows <= self.soft_limit:
-            del self.paused[oldest]
-            oldest.resume_body()
-
-    def release(self, holder: Holder, size: int) -> None:
-        """Subtract `size` bytes; resume paused bodies once usage is within the soft limit."""
-        self.held[holder] -= size
-        self.buffered -= size
-        if self.paused:
-            self.resume_paused()
-
-    def release_request(self, head_bytes: int) -> None:
-        """Subtract a request that is forgotten; 0 for one that was not counted."""
-        if head_bytes:
-            self.reserve(Holder.REQUESTS, -REQUEST_BYTES)
-            self.release(Holder.REQUEST_HEADS, head_bytes)
-
-    def resume_paused(self) -> None:
-        """Resume paused bodies if usage is within the soft limit.
-
-        Only as many are resumed as can each be read once. If all were, hundreds of them would
-        exceed the limit by a read each. This is called regularly too: the clients of those
-        resumed may send nothing more, and no byte would be released for the others.
-        """
-        if self.buffered <= self.soft_limit:
-            count = (self.soft_limit - self.buffered) // MAX_PARSED_BYTES + 1
-            for reader in list(itertools.islice(self.paused, count)):
-                del self.paused[reader]
-                reader.resume_body()
-
-    def reserve_flow(self, size: int) -> None:
-        """Count `size` more bytes as buffered by a flow."""
-        self.reserve(Holder.FLOWS, size)
-
-    def release_flow(self, size: int) -> None:
-        """Subtract `size` bytes of a flow; resume paused bodies as `release` does."""
-        self.release(Holder.FLOWS, size)
-        if self.paused:
-            self._resume_oldest()
-
-
 class Source(Protocol):
     """The connection from which the bytes of a flow are read."""
 
--- a/loadbalancer/proxy/open_requests.py
+++ b/loadbalancer/proxy/open_requests.py
@@ -14,8 +14,8 @@
 from loadbalancer.faults import run_logged
 
 if TYPE_CHECKING:
+    from loadbalancer.core.buffer_budget import BufferBudget
     from loadbalancer.proxy.exchange import Request
-    from loadbalancer.proxy.flow_control import BufferBudget
 
 BAD_GATEWAY = 502
 SERVICE_UNAVAILABLE = 503
--- a/loadbalancer/proxy/ports.py
+++ b/loadbalancer/proxy/ports.py
@@ -14,9 +14,9 @@
     from loadbalancer.config.address import Address
     from loadbalancer.config.node import Config
     from loadbalancer.core import Balancer, Outcome
+    from loadbalancer.core.buffer_budget import BufferBudget
     from loadbalancer.core.request_ids import RequestIdTable
     from loadbalancer.proxy.exchange import Attempt, Client, ReceivedRequest, Request
-    from loadbalancer.proxy.flow_control import BufferBudget
     from loadbalancer.proxy.routing import Routing
 
 
--- a/loadbalancer/proxy/upstream/response_reader.py
+++ b/loadbalancer/proxy/upstream/response_reader.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from loadbalancer.core.buffer_budget import STREAMING_THRESHOLD_BYTES
 from loadbalancer.core.http_framing import (
     FINAL_STATUSES,
     INTERIM_STATUSES,
@@ -15,7 +16,6 @@
 from loadbalancer.proxy.bounded_reads import parts_to_parse
 from loadbalancer.proxy.flow_control import (
     MAX_MESSAGE_BYTES,
-    STREAMING_THRESHOLD_BYTES,
     append_piece,
 )
 
--- a/loadbalancer/proxy/upstream/response_receiver.py
+++ b/loadbalancer/proxy/upstream/response_receiver.py
@@ -11,9 +11,9 @@
 
 from loadbalancer.core import Outcome, response_buffering
 from loadbalancer.core.balancing.model import SECOND
+from loadbalancer.core.buffer_budget import MIN_WINDOW_BYTES
 from loadbalancer.core.memory_account import Holder
-from loadbalancer.proxy.bounded_reads import read_size
-from loadbalancer.proxy.flow_control import MIN_WINDOW_BYTES, STREAMING_THRESHOLD_BYTES, Flow
+from loadbalancer.proxy.flow_control import Flow
 from loadbalancer.proxy.upstream.load_report import parse_load_report
 from loadbalancer.proxy.upstream.request_writer import RequestWriter
 from loadbalancer.proxy.upstream.response_reader import (
@@ -79,7 +79,7 @@
 
     def read_size(self) -> int:
         """How many bytes to read at a time at the moment."""
-        return read_size(self.reader.reads_plain_content(), self.host.budget.is_exceeded())
+        return self.host.budget.read_size(self.reader.reads_plain_content())
 
     def transport_to_read(self) -> asyncio.Transport | None:
         """The transport; None if it is closing, or if a slow client holds up the reading."""
@@ -262,24 +262,14 @@
         return (
             reader.status == OK_STATUS
             and self.request_written
-            and (
-                max(reader.length, reader.size) > STREAMING_THRESHOLD_BYTES
-                or self._is_slow()
-                or self._lacks_memory()
-            )
             and attempt is not None
             and attempt.request.client is not None
+            and (self._is_long(attempt) or self._is_slow())
         )
 
-    def _lacks_memory(self) -> bool:
-        """Whether memory is too short to buffer the rest of a response that is not small."""
-        budget, attempt = self.host.budget, self.attempt
-        return (
-            budget.is_exceeded()
-            and self.reader.size > budget.small_content_bytes
-            and attempt is not None
-            and attempt.request.open_attempts == 1
-        )
+    def _is_long(self, attempt: Attempt) -> bool:
+        reader, has_others = self.reader, attempt.request.open_attempts > 1
+        return self.host.budget.is_long_response(reader.length, reader.size, has_others)
 
     def _is_slow(self) -> bool:
         """Whether a response of unknown length comes from a slow sender."""
--- a/tests/proxy/downstream/connection_fakes.py
+++ b/tests/proxy/downstream/connection_fakes.py
@@ -9,10 +9,10 @@
 from loadbalancer.core import Effect
 from loadbalancer.core.balancing.model import RequestClass
 from loadbalancer.core.balancing.records import ClassState
+from loadbalancer.core.buffer_budget import BufferBudget
 from loadbalancer.core.request_ids import RequestIdTable
 from loadbalancer.proxy.downstream.connection import ClientConnection
 from loadbalancer.proxy.downstream.registry import ConnectionRegistry
-from loadbalancer.proxy.flow_control import BufferBudget
 
 SECOND_NS = 1_000_000_000
 CLASSES = {
--- a/tests/proxy/downstream/test_capacity.py
+++ b/tests/proxy/downstream/test_capacity.py
@@ -10,9 +10,9 @@
 
 import pytest
 
+from loadbalancer.core.buffer_budget import BufferBudget
 from loadbalancer.proxy.downstream.connection import ClientConnection
 from loadbalancer.proxy.downstream.listener import SATURATED_LINGER_S, Listener
-from loadbalancer.proxy.flow_control import BufferBudget
 from loadbalancer.proxy.lifecycle import Lifecycle
 from tests.harness import LIMIT, Running, answer, request
 from tests.proxy.downstream.exchanges import READINESS_CHECK, assert_served, send_to_backend
--- a/tests/proxy/downstream/test_connection.py
+++ b/tests/proxy/downstream/test_connection.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from loadbalancer.core.buffer_budget import STREAMING_THRESHOLD_BYTES
 from loadbalancer.core.memory_account import REQUEST_BYTES
 from loadbalancer.proxy.downstream.connection import (
     LINGER_TIMEOUT_SWEEPS,
@@ -26,7 +27,7 @@
     OPENING,
     STREAMING,
 )
-from loadbalancer.proxy.flow_control import STREAMING_THRESHOLD_BYTES, Flow
+from loadbalancer.proxy.flow_control import Flow
 from tests.harness import request
 from tests.proxy.downstream.connection_fakes import Host, Transport, sweep
 
--- a/tests/proxy/downstream/test_framing_limits.py
+++ b/tests/proxy/downstream/test_framing_limits.py
@@ -11,9 +11,9 @@
 
 import pytest
 
+from loadbalancer.core.buffer_budget import STREAMING_THRESHOLD_BYTES
 from loadbalancer.core.http_framing import MAX_FRAMING_EXCESS_BYTES
 from loadbalancer.proxy.downstream.connection import ClientConnection
-from loadbalancer.proxy.flow_control import STREAMING_THRESHOLD_BYTES
 from tests.harness import Running, request
 from tests.proxy.downstream.connection_fakes import Host, Transport
 from tests.proxy.downstream.exchanges import assert_backend_gets_next_request
--- a/tests/proxy/downstream/test_half_close.py
+++ b/tests/proxy/downstream/test_half_close.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from loadbalancer.proxy.flow_control import MIN_WINDOW_BYTES
+from loadbalancer.core.buffer_budget import MIN_WINDOW_BYTES
 from tests.harness import (
     LONG_MS,
     Peer,
--- a/tests/proxy/downstream/test_memory.py
+++ b/tests/proxy/downstream/test_memory.py
@@ -15,12 +15,15 @@
 
 import pytest
 
+from loadbalancer.core.buffer_budget import (
+    MAX_WAITING_BYTES,
+    STREAMING_THRESHOLD_BYTES,
+    BufferBudget,
+)
 from loadbalancer.core.memory_account import REQUEST_BYTES, SMALL_HEAD_BYTES, Holder
 from loadbalancer.proxy.downstream.connection import LINGER_TIMEOUT_SWEEPS, ClientConnection
 from loadbalancer.proxy.downstream.registry import ConnectionRegistry
 from loadbalancer.proxy.downstream.request_parser import MAX_HEAD_BYTES
-from loadbalancer.proxy.downstream.request_queue import MAX_WAITING_BYTES
-from loadbalancer.proxy.flow_control import STREAMING_THRESHOLD_BYTES, BufferBudget
 from tests.harness import Running, request, until
 from tests.proxy.downstream.connection_fakes import Host, Transport, sweep
 
--- a/tests/proxy/downstream/test_timeouts.py
+++ b/tests/proxy/downstream/test_timeouts.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from loadbalancer.core.buffer_budget import STREAMING_THRESHOLD_BYTES
 from loadbalancer.core.memory_account import Holder
 from loadbalancer.proxy.downstream.connection import (
     FIRST_BYTE_TIMEOUT_SWEEPS,
@@ -20,7 +21,6 @@
     AWAITING_RESPONSE,
     LINGERING,
 )
-from loadbalancer.proxy.flow_control import STREAMING_THRESHOLD_BYTES
 from tests.harness import request
 from tests.proxy.downstream.connection_fakes import Host, Transport, sweep
 
--- a/tests/proxy/downstream/test_used_ids.py
+++ b/tests/proxy/downstream/test_used_ids.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from loadbalancer.proxy.flow_control import STREAMING_THRESHOLD_BYTES
+from loadbalancer.core.buffer_budget import STREAMING_THRESHOLD_BYTES
 from tests.harness import (
     LONG_MS,
     Peer,
--- a/tests/proxy/test_flow_control.py
+++ b/tests/proxy/test_flow_control.py
@@ -5,15 +5,9 @@
 import sys
 from collections.abc import Callable
 
+from loadbalancer.core.buffer_budget import MAX_PARSED_BYTES, MIN_WINDOW_BYTES, BufferBudget
 from loadbalancer.core.memory_account import Holder
-from loadbalancer.proxy.bounded_reads import MAX_PARSED_BYTES
-from loadbalancer.proxy.flow_control import (
-    MIN_WINDOW_BYTES,
-    SMALL_PIECE_BYTES,
-    BufferBudget,
-    Flow,
-    append_piece,
-)
+from loadbalancer.proxy.flow_control import SMALL_PIECE_BYTES, Flow, append_piece
 
 
 class Recorder:
--- a/tests/proxy/test_periodic_work.py
+++ b/tests/proxy/test_periodic_work.py
@@ -11,8 +11,8 @@
 
 import pytest
 
+from loadbalancer.core.buffer_budget import BufferBudget
 from loadbalancer.proxy.downstream.registry import Connection, ConnectionRegistry
-from loadbalancer.proxy.flow_control import BufferBudget
 from loadbalancer.proxy.host import Node
 from loadbalancer.proxy.lifecycle import Lifecycle
 from loadbalancer.proxy.process import Process
--- a/tests/proxy/upstream/backend_link.py
+++ b/tests/proxy/upstream/backend_link.py
@@ -10,9 +10,10 @@
 
 from loadbalancer.config.address import Address
 from loadbalancer.core import Outcome
+from loadbalancer.core.buffer_budget import BufferBudget
 from loadbalancer.core.connection_reuse import SETTLING_TIME_NS
 from loadbalancer.proxy.exchange import Attempt
-from loadbalancer.proxy.flow_control import BufferBudget, Flow
+from loadbalancer.proxy.flow_control import Flow
 from loadbalancer.proxy.upstream.connection import BackendConnection
 from loadbalancer.proxy.upstream.pool import ConnectionPool
 from tests.harness import answer
--- a/tests/proxy/upstream/proxied.py
+++ b/tests/proxy/upstream/proxied.py
@@ -4,7 +4,7 @@
 
 import socket
 
-from loadbalancer.proxy.flow_control import STREAMING_THRESHOLD_BYTES
+from loadbalancer.core.buffer_budget import STREAMING_THRESHOLD_BYTES
 from tests.harness import Peer, Running, accept, answer, request
 
 SIZE = 3_000_000  # bytes
--- a/tests/proxy/upstream/test_connect_timeout.py
+++ b/tests/proxy/upstream/test_connect_timeout.py
@@ -13,8 +13,8 @@
 
 from loadbalancer.config.address import Address
 from loadbalancer.core import Outcome
+from loadbalancer.core.buffer_budget import BufferBudget
 from loadbalancer.proxy.exchange import Attempt
-from loadbalancer.proxy.flow_control import BufferBudget
 from loadbalancer.proxy.upstream.connection import BackendConnection
 from tests.harness import listen
 from tests.proxy.full_backlog import FullBacklog
--- a/tests/proxy/upstream/test_half_closed_backend.py
+++ b/tests/proxy/upstream/test_half_closed_backend.py
@@ -21,8 +21,9 @@
 
 from loadbalancer.config.address import Address
 from loadbalancer.core import Outcome
+from loadbalancer.core.buffer_budget import BufferBudget
 from loadbalancer.proxy.exchange import Attempt
-from loadbalancer.proxy.flow_control import BufferBudget, Flow
+from loadbalancer.proxy.flow_control import Flow
 from loadbalancer.proxy.upstream.connection import BackendConnection
 from tests.harness import LIMIT, LONG_MS, Peer, accept, node, request, roster, target
 
--- a/tests/proxy/upstream/test_late_responses.py
+++ b/tests/proxy/upstream/test_late_responses.py
@@ -16,8 +16,9 @@
 import pytest
 
 from loadbalancer.core import Outcome
+from loadbalancer.core.buffer_budget import STREAMING_THRESHOLD_BYTES, BufferBudget
 from loadbalancer.core.connection_reuse import SETTLING_TIME_NS
-from loadbalancer.proxy.flow_control import STREAMING_THRESHOLD_BYTES, BufferBudget, Flow
+from loadbalancer.proxy.flow_control import Flow
 from loadbalancer.proxy.upstream.connection import BackendConnection
 from loadbalancer.proxy.upstream.pool import ConnectionPool
 from tests.harness import answer
--- a/tests/proxy/upstream/test_long_messages.py
+++ b/tests/proxy/upstream/test_long_messages.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from loadbalancer.proxy.flow_control import STREAMING_THRESHOLD_BYTES
+from loadbalancer.core.buffer_budget import STREAMING_THRESHOLD_BYTES
 from tests.harness import Peer, answer, request
 from tests.proxy.upstream.proxied import LONG_CONTENT, SIZE, Proxied
 
--- a/tests/proxy/upstream/test_pool.py
+++ b/tests/proxy/upstream/test_pool.py
@@ -9,8 +9,8 @@
 
 from loadbalancer.config.address import Address
 from loadbalancer.core import Outcome
+from loadbalancer.core.buffer_budget import BufferBudget
 from loadbalancer.proxy.exchange import Attempt
-from loadbalancer.proxy.flow_control import BufferBudget
 from loadbalancer.proxy.upstream.pool import IDLE_MARGIN_NS, ConnectionPool
 
 SECOND_NS = 1_000_000_000
--- a/tests/proxy/upstream/test_response_reader.py
+++ b/tests/proxy/upstream/test_response_reader.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from loadbalancer.core.buffer_budget import STREAMING_THRESHOLD_BYTES
 from loadbalancer.core.http_framing import MAX_FRAMING_EXCESS_BYTES
-from loadbalancer.proxy.flow_control import MAX_MESSAGE_BYTES, STREAMING_THRESHOLD_BYTES
+from loadbalancer.proxy.flow_control import MAX_MESSAGE_BYTES
 from loadbalancer.proxy.upstream.response_reader import (
     COMPLETE,
     CONTENT,
--- a/tests/proxy/upstream/test_slow_responses.py
+++ b/tests/proxy/upstream/test_slow_responses.py
@@ -14,9 +14,8 @@
 
 from loadbalancer.core import Outcome
 from loadbalancer.core.balancing.model import MS
+from loadbalancer.core.buffer_budget import MAX_PARSED_BYTES, STREAMING_THRESHOLD_BYTES
 from loadbalancer.core.memory_account import Holder
-from loadbalancer.proxy.bounded_reads import MAX_PARSED_BYTES
-from loadbalancer.proxy.flow_control import STREAMING_THRESHOLD_BYTES
 from loadbalancer.proxy.upstream.connection import BackendConnection
 from loadbalancer.proxy.upstream.pool import ConnectionPool
 from tests.harness import (
