A drain is kept at its address whichever source tells of the server first

Cause: reports were matched by the address at which a server was listed. A server that drained when the process first heard of it was never listed, so Consul's later report made a second server of the same process, which no drain concerned. A `known` that still had it as ready held, which is the evidence that the first source decided.

Change: the table of servers is kept by address. What a complete list of the platform leaves out is ordered out, also for a server that Consul alone reports.

By the same cause: a server missing from the platform's list was used after a restart; maintenance in Consul was not obeyed at an address with a new server; a start time that the platform alone reports was dropped; a server at an address that another one left in the same list was not cold.

The whole suite has not been run on this commit.

--- a/loadbalancer/core/endpoints/merged_list.py
+++ b/loadbalancer/core/endpoints/merged_list.py
@@ -6,9 +6,10 @@
 
 - **Precedence.** Of the sources that report a server, the one of highest rank with a fresh report
   decides. A stale report decides only if no source has a fresh one.
-- **One process, one server.** Reports of several sources with the same address are about one
-  server. Two ids of one source at one address are one process, and only the first is listed. A
-  new id at the address of a removed server starts cold, and so does a known id at a new address.
+- **One process, one server.** All reports of one address are about one server, whichever source
+  reports it first and whether or not it was ever listed. Two ids of one source at one address are
+  one process, and only the first is listed. A new id at the address of a removed server starts
+  cold, and so does a known id at a new address, or a server with another start time.
 - **Rate limit.** On reports alone, at most `MergeLimits.max_drained_fraction` of the pool may be
   drained within `window_ns` (a leaky bucket). Further departures wait. Those that have waited
   longest come first, so every real departure is carried out in the end.
@@ -21,7 +22,9 @@
   once, outside the rate limit. A server that answers them is drained after those without evidence.
 - **Authoritative sources.** The platform's list is written by the operators of the servers. Its
   drains are orders with a grace period of their own, and are carried out at once
-  (`Source.is_authoritative`). Its empty lists are treated like those of any other source.
+  (`Source.is_authoritative`). What its complete list leaves out has been removed, also where
+  another source goes on reporting it. Its empty lists are treated like those of any other source,
+  and an empty first list orders nothing.
 - **Empty lists.** A complete list without servers is ignored until the source has repeated it for
   `empty_confirm_ns`.
 - **Flapping.** A server whose health changes repeatedly stays in its present state until it has
@@ -40,7 +43,7 @@
 from loadbalancer.core.endpoints.departure_limits import DepartureLimiter, MergeLimits
 from loadbalancer.core.endpoints.merged_server import ListedServer, MergedServer
 from loadbalancer.core.endpoints.report_intake import ReportIntake
-from loadbalancer.core.endpoints.server_report import Health, ServerReport, Source
+from loadbalancer.core.endpoints.server_report import Address, Health, ServerReport, Source
 from loadbalancer.core.endpoints.server_table import ServerTable
 
 
@@ -54,7 +57,7 @@
     """
 
     __slots__ = ("_departures", "_evidence_of", "_intake", "_limits", "_sources", "_table",
-                 "_unsettled_uids")  # fmt: skip
+                 "_unsettled")  # fmt: skip
 
     def __init__(
         self,
@@ -68,7 +71,7 @@
         self._table = ServerTable()
         self._intake = ReportIntake(sources, self._table, self._limits.empty_confirm_ns)
         self._departures = DepartureLimiter(self._limits)
-        self._unsettled_uids: set[str] = set()  # ids of servers that `_is_unsettled`
+        self._unsettled: set[Address] = set()  # addresses of servers that `_is_unsettled`
 
     @property
     def changes(self) -> int:
@@ -94,40 +97,69 @@
 
     def servers(self) -> list[ListedServer]:
         """All servers ordered by id, including those never listed."""
-        by_uid = sorted(self._table.servers.values(), key=lambda server: server.uid)
-        return [server.listed(self._sources) for server in by_uid]
+        found = []
+        for server in self._table.servers.values():
+            found.append(server.listed(self._sources, self._intake.listing_sources))
+            found += self._duplicates(server)
+        return sorted(found, key=lambda server: server.uid)
 
     def reassess(self, now: int) -> bool:
         """Bring the merged list up to date; returns whether it has changed."""
         table = self._table
         before = table.changes
         self._departures.leak(now, table.pool_size())
-        uids = table.to_reassess | self._unsettled_uids
+        addresses = table.to_reassess | self._unsettled
         table.to_reassess = set()
-        servers = [server for uid, server in table.servers.items() if uid in uids]
+        servers = [server for address, server in table.servers.items() if address in addresses]
         for server in servers:
             self._assess(now, server)
         self._drain_waiting(now, [s for s in servers if s.waiting_since is not None])
-        removed = table.drop_removed(uids | table.to_reassess)
-        if removed:
-            self._intake.forget(removed)
-        self._unsettled_uids = {
-            uid for uid in uids if uid in table.servers and self._is_unsettled(table.servers[uid])
+        table.drop_removed(addresses)
+        self._unsettled = {
+            address
+            for address in addresses
+            if address in table.servers and self._is_unsettled(table.servers[address])
         }
         return table.changes != before
 
     def next_reassessment_at(self, now: int) -> int:
         """When to call `reassess` without a new report; 0 if no server or list is waiting."""
-        servers = (self._table.servers[uid] for uid in self._unsettled_uids)
+        servers = [self._table.servers.get(address) for address in self._unsettled]
         waits = any(
             s.waiting_since is not None or s.flaps.is_flapping or self._awaits_removal(s)
             for s in servers
+            if s is not None
         )
         return now + SECOND if waits or self._intake.awaits_confirmation() else 0
 
+    def _duplicates(self, server: MergedServer) -> list[ListedServer]:
+        """The other ids that a source gives a server's address, as servers that are not listed."""
+        found = []
+        for source, stored in server.other_reports():
+            is_healthy = stored.report.health.is_healthy
+            reason = f"{'the same address as' if is_healthy else 'replaced by'} {server.uid}"
+            other = MergedServer(stored.report.uid, {source: stored}, reason=reason)
+            found.append(other.listed(self._sources))
+        return found
+
+    def _deciding_report(self, server: MergedServer) -> ServerReport:
+        return server.deciding_report(self._sources, self._intake.listing_sources)
+
+    def _is_ordered_out(self, server: MergedServer) -> bool:
+        """Whether an authoritative source orders a server's drain or removal."""
+        return server.drain_order(self._sources, self._intake.listing_sources) is not None
+
+    def _reason_out(self, server: MergedServer, report: ServerReport) -> str:
+        """What is reported of a server that gets no requests, as shown to operators."""
+        for source in self._sources.values():
+            is_left_out = source.name in self._intake.listing_sources - server.reports.keys()
+            if source.is_authoritative and is_left_out:
+                return f"not in the list of source {source.name}"
+        return report.health.name.lower()
+
     def _assess(self, now: int, server: MergedServer) -> None:
         """Bring a server's state up to date, except for a drain that the limits must allow."""
-        report = server.deciding_report(self._sources)
+        report = self._deciding_report(server)
         is_healthy = report.health.is_healthy
         limits = self._limits
         server.flaps.update(now, is_healthy, limits.flap_threshold, limits.flap_half_life_ns)
@@ -142,15 +174,14 @@
                 server.waiting_since = now
         elif server.state == State.GONE:
             # The server is not listed, so no limit on departures applies.
-            server.reason = f"never in: {report.health.name.lower()}"
+            server.reason = f"never in: {self._reason_out(server, report)}"
         elif self._awaits_removal(server) and now - server.since >= limits.drain_ns:
             self._table.set_state(now, server, State.GONE, 0.0, "deregistered")
-            self._table.release_address(server)
 
     def _awaits_removal(self, server: MergedServer) -> bool:
         """Whether a server drains after its deregistration, and is listed as removed next."""
         is_draining = server.state == State.DRAINING
-        return is_draining and server.deciding_report(self._sources).health == Health.GONE
+        return is_draining and self._deciding_report(server).health == Health.GONE
 
     def _is_unsettled(self, server: MergedServer) -> bool:
         """Whether time alone, or the removal of another server, may change a server's state."""
@@ -159,39 +190,26 @@
 
     def _list_as_ready(self, now: int, server: MergedServer, report: ServerReport) -> None:
         """List a server as ready, and as cold if it may be another process than before."""
-        table = self._table
-        listed = table.listed_at(report.address)
-        if listed is None or listed is server:
-            server.boot = self._boot_to_list(now, server, report)
-        elif listed.deciding_report(self._sources).health.is_healthy:
-            server.reason = f"the same address as {listed.uid}"
-            return
-        else:
-            # Only one process can listen at an address, so the earlier one has ended.
-            listed.waiting_since = None
-            table.set_state(now, listed, State.GONE, 0.0, f"replaced by {server.uid}")
-            table.to_reassess.add(listed.uid)
-            server.boot = report.boot or now
-        server.is_unconfirmed = server.is_confirmed_dead = False
-        table.list_at(report.address, server)
-        table.set_state(now, server, State.READY, report.weight, report.health.name.lower())
-
-    def _boot_to_list(self, now: int, server: MergedServer, report: ServerReport) -> int:
-        """The start time to list: `now` for another process whose start time is not reported."""
-        has_moved = server.address != report.address
-        if server.state != State.GONE and has_moved:
-            self._table.release_address(server)
+        boot = self._boot_to_list(now, server)
+        if server.state == State.READY and (boot != server.boot or server.is_other_process):
             self._table.changes += 1
-        elif server.state == State.READY or not server.is_confirmed_dead:
-            return self._updated_boot(report.boot, server.boot)
-        return report.boot if report.boot not in (0, server.boot) else now
+        server.boot = boot
+        server.is_unconfirmed = server.is_confirmed_dead = server.is_other_process = False
+        self._table.set_state(now, server, State.READY, report.weight, report.health.name.lower())
 
-    def _updated_boot(self, reported: int, known: int) -> int:
-        """The start time of a server that has not moved; a newly reported one is a change."""
-        if reported in (0, known):
-            return known
-        self._table.changes += 1
-        return reported
+    @staticmethod
+    def _boot_to_list(now: int, server: MergedServer) -> int:
+        """The start time to list: `now` for another process whose start time is not reported.
+
+        Any source may report it, and the one that decides the state may not know it.
+        """
+        reported = server.newest_boot()
+        is_new = reported not in (0, server.reported_boot)
+        server.reported_boot = reported or server.reported_boot
+        if is_new:
+            return reported
+        is_back = server.state != State.READY and server.is_confirmed_dead
+        return now if server.is_other_process or is_back else server.boot
 
     def _drain_waiting(self, now: int, servers: list[MergedServer]) -> None:
         """Drain the waiting servers if the limits allow it, those that answer attempts last."""
@@ -203,14 +221,15 @@
 
     def _drain_if_allowed(self, now: int, server: MergedServer) -> None:
         """Drain a ready server that is reported unhealthy, if the limits allow it now."""
-        health = server.deciding_report(self._sources).health
+        report = self._deciding_report(server)
+        health = report.health
         reported = health.name.lower()
         by_health_checks = health == Health.CRITICAL
         if self._evidence_of(server.uid) is AttemptEvidence.DEAD:
             server.is_confirmed_dead = True
             self._drain(now, server, f"{reported}, confirmed by failed attempts")
-        elif server.drain_order(self._sources) is not None:
-            self._drain(now, server, f"{reported}, as ordered")
+        elif self._is_ordered_out(server):
+            self._drain(now, server, f"{self._reason_out(server, report)}, as ordered")
         elif by_health_checks and server.flaps.is_flapping:
             server.reason = "flapping: held in"
         elif by_health_checks and not self._allows_unconfirmed():
--- a/loadbalancer/core/endpoints/merged_server.py
+++ b/loadbalancer/core/endpoints/merged_server.py
@@ -1,15 +1,17 @@
-"""One server of the merged list: the sources' reports of it, and the report that decides."""
+"""One server of the merged list: all that the sources report of the process at one address."""
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass, field
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
 from loadbalancer.core.balancing.model import UNKNOWN, State
 from loadbalancer.core.endpoints.flap_detector import FlapDetector
 from loadbalancer.core.endpoints.server_report import Address, Health, ServerReport, Source
 
+ReportKey = tuple[str, str]  # a source's name, and its id of a server
+
 
 class SourceHealth(NamedTuple):
     """The health of a server that one source reports, and since when (ns)."""
@@ -48,7 +50,7 @@
 
 @dataclass(slots=True)
 class StoredReport:
-    """The latest report of one source; times in nanoseconds.
+    """The latest report of one source about one id; times in nanoseconds.
 
     Attributes:
         health_since: when the source first reported the present health.
@@ -62,11 +64,18 @@
 
 @dataclass(slots=True)
 class MergedServer:
-    """One server, with the sources' reports of it and its state in the merged list.
+    """The process at one address, with the sources' reports of it and its state.
 
     Attributes:
-        reports: the latest report of each source, by the source's name.
-        address: the address at which it was last listed.
+        uid: its id in the merged list: that of the source which reported it first.
+        reports: the report of each source that counts, by the source's name.
+        address: where it listens.
+        all_reports: the latest report of each id that a source gives this address. Where a source
+            gives it several, one of them counts.
+        last_uids: the id of the last process that each source has named here.
+        named_by: the source whose id it has.
+        reported_boot: the start time that was last reported; 0 if none was.
+        is_other_process: whether a source has named another process here since it was last ready.
         waiting_since: since when (ns) it has been waiting, still ready, to be drained; None if it
             is not waiting.
         is_unconfirmed: whether it was drained on health checks alone.
@@ -81,25 +90,93 @@
     since: int = 0
     reason: str = "never in"
     address: Address = ("", 0)
+    all_reports: dict[ReportKey, StoredReport] = field(default_factory=dict)
+    last_uids: dict[str, str] = field(default_factory=dict)
+    named_by: str = ""
+    reported_boot: int = 0
+    is_other_process: bool = False
     waiting_since: int | None = None
     is_unconfirmed: bool = False
     is_confirmed_dead: bool = False
     flaps: FlapDetector = field(default_factory=FlapDetector)
 
-    def drain_order(self, sources: Mapping[str, Source]) -> ServerReport | None:
-        """The report of an authoritative source that orders its drain or removal, if any."""
-        for name, stored in self.reports.items():
-            ordered = stored.report.health >= Health.MAINTENANCE
-            if ordered and sources[name].is_authoritative:
+    def choose_report(self, source: str) -> bool:
+        """Choose the report of a source that counts; whether it names another process than before.
+
+        Of several ids at one address the one that may get requests is the present process, as only
+        one process can listen there; else one that is still reported. Another id than before is
+        another process.
+        """
+        self.reports.pop(source, None)
+        last_uid = self.last_uids.get(source)
+        candidates = [stored for (name, _), stored in self.all_reports.items() if name == source]
+        if not candidates:
+            return False
+
+        def precedence(stored: StoredReport) -> tuple[bool, bool, bool]:
+            health = stored.report.health
+            return not health.is_healthy, health == Health.GONE, stored.report.uid != last_uid
+
+        chosen = min(candidates, key=precedence)
+        self.reports[source] = chosen
+        self.last_uids[source] = chosen.report.uid
+        if last_uid in (None, chosen.report.uid):
+            return False
+        self.begin_other_process()
+        return True
+
+    def begin_other_process(self) -> None:
+        """Forget what was observed of the process before; the next one starts cold."""
+        self.is_other_process = True
+        self.flaps = FlapDetector()
+
+    def own_uid(self) -> str:
+        """The id by the source that names it; by another one, if that does not report it now."""
+        if self.named_by not in self.reports:
+            self.named_by = next(iter(self.reports))
+        return self.reports[self.named_by].report.uid
+
+    def newest_boot(self) -> int:
+        """The latest start time that a source reports, ns; 0 if none does."""
+        return max((stored.report.boot for stored in self.reports.values()), default=0)
+
+    def other_reports(self) -> list[tuple[str, StoredReport]]:
+        """Reports by source that do not count, as the source reports another id at the address."""
+        chosen = {id(stored) for stored in self.reports.values()}
+        return [
+            (source, stored)
+            for (source, _), stored in self.all_reports.items()
+            if id(stored) not in chosen
+        ]
+
+    def drain_order(
+        self, sources: Mapping[str, Source], listing_sources: Collection[str] = ()
+    ) -> ServerReport | None:
+        """The order of an authoritative source to drain or remove it, if any.
+
+        Args:
+            sources: all sources, by name.
+            listing_sources: those whose complete list is known. What is not in the complete list of
+                an authoritative source has been removed, also where another source reports it.
+        """
+        for name, source in sources.items():
+            if not source.is_authoritative:
+                continue
+            stored = self.reports.get(name)
+            if stored is None and name in listing_sources:
+                return replace(next(iter(self.reports.values())).report, health=Health.GONE)
+            if stored is not None and stored.report.health >= Health.MAINTENANCE:
                 return stored.report
         return None
 
-    def deciding_report(self, sources: Mapping[str, Source]) -> ServerReport:
+    def deciding_report(
+        self, sources: Mapping[str, Source], listing_sources: Collection[str] = ()
+    ) -> ServerReport:
         """The report that decides its state: a drain order, or the fresh report of highest rank.
 
         A stale report decides only where no report is fresh.
         """
-        order = self.drain_order(sources)
+        order = self.drain_order(sources, listing_sources)
         if order is not None:
             return order
         latest = max(stored.received_at for stored in self.reports.values())
@@ -115,12 +192,14 @@
     def is_removed(self) -> bool:
         """Whether it is not listed, and no source reports it any more."""
         return self.state == State.GONE and all(
-            stored.report.health == Health.GONE for stored in self.reports.values()
+            stored.report.health == Health.GONE for stored in self.all_reports.values()
         )
 
-    def listed(self, sources: Mapping[str, Source]) -> ListedServer:
+    def listed(
+        self, sources: Mapping[str, Source], listing_sources: Collection[str] = ()
+    ) -> ListedServer:
         """Return the server as the merged list shows it."""
-        report = self.deciding_report(sources)
+        report = self.deciding_report(sources, listing_sources)
         healths = tuple(
             SourceHealth(name, stored.report.health, stored.health_since)
             for name, stored in sorted(self.reports.items())
--- a/tests/sources/consul/test_node.py
+++ b/tests/sources/consul/test_node.py
@@ -199,6 +199,38 @@
             assert third["received"] >= 20
 
 
+@pytest.mark.parametrize("told_as", ["state", "absence"])
+@pytest.mark.parametrize("known_state", ["unknown", "active", "as told"])
+def test_a_drain_of_the_platforms_list_outlasts_a_restart(
+    tmp_path: Path, agent: Process, told_as: str, known_state: str
+) -> None:
+    """A node that started with the drain sent to the draining server for good (`review/10`)."""
+    with (
+        running_backends(3, 1.0) as servers,
+        running_process(("-m", "fakes.discovery")) as discovery,
+    ):
+        rows = [target(f"s-{number}", port_of(s)) for number, s in enumerate(servers, 1)]
+        draining = [rows[0] | {"state": "leaving"}] if told_as == "state" else []
+        lists = {"unknown": [], "active": rows, "as told": [*draining, *rows[1:]]}
+        discovery.call("POST", "/standin/targets", lists["active"])
+        discovery.call("POST", "/standin/targets", lists["as told"])
+        agent.call("PUT", "/standin/services", rows_of(servers))
+        versions = {"unknown": 1, "active": 2, "as told": 3}  # of the service's lists
+        known = roster(*lists[known_state], rev=versions[known_state])
+        with node_on(
+            tmp_path, agent.address, "platform = true\n", known, discovery=port_of(discovery)
+        ) as running:
+            # Once it has read all of Consul's rows, a later change shows that it applied them.
+            until(lambda: sum(agent.call("GET", "/standin/lines")["seconds"].values()) >= 3)
+            set_status(agent, "t-3", status="critical")
+            running.says("(critical)")
+            before = servers[0].call("GET", "/standin/state").get("received", 0)
+            for number in range(20):
+                assert status_of(running, f"f{number}") == 200
+            received = servers[0].call("GET", "/standin/state").get("received", 0)
+            assert received == before
+
+
 @pytest.mark.parametrize(
     ("more", "cells", "repeated_at"),
     [
