A request in flight is held once: what is written to a backend is dropped at once

Cause, one of three: a connection that withholds the last byte of a request for up to 10 ms kept the bytes before it too, which the kernel had taken. Seen by the owners of byte strings over 1.5 KB: as many uncounted copies of 15 KB in BackendConnection._pieces as requests in flight, 9 to 22 of 22; none after.

Change: the pieces that are written leave the list. The new test fails without it.

--- a/loadbalancer/proxy/upstream/request_writer.py
+++ b/loadbalancer/proxy/upstream/request_writer.py
@@ -39,9 +39,8 @@
     """
 
     __slots__ = (
-        "_delays_last_byte", "_next_piece", "_pieces", "_state", "_timer", "_unsent", "_upload",
-        "_write_paused", "address", "attempt", "host", "idle_since", "request_written",
-        "transport",
+        "_delays_last_byte", "_pieces", "_state", "_timer", "_unsent", "_upload", "_write_paused",
+        "address", "attempt", "host", "idle_since", "request_written", "transport",
     )  # fmt: skip
 
     def __init__(self, host: BackendHost, address: Address) -> None:
@@ -56,8 +55,7 @@
         # The timer of the current state: for the connect timeout, the delay of the last byte or
         # the timeout of the response's next bytes.
         self._timer: asyncio.TimerHandle | None = None
-        self._pieces: Sequence[bytes] = ()
-        self._next_piece = 0
+        self._pieces: Sequence[bytes] = ()  # of a request, that the transport does not have yet
         self._delays_last_byte = False
         self._write_paused = False
         self._unsent = 0  # bytes of a request buffered whole that the kernel does not accept
@@ -104,7 +102,6 @@
         attempt.connection = self
         attempt.connected = True
         request = attempt.request
-        self._next_piece = 0
         now = time.monotonic_ns()
         if request.flow is not None:
             self._upload_when_settled(request.flow, settling_delay(now, self.idle_since))
@@ -149,12 +146,10 @@
         """Write the pieces in order; stops while the kernel accepts no more bytes."""
         transport = self.transport
         assert transport is not None
-        pieces = self._pieces
-        last = len(pieces) - 1
-        while self._next_piece <= last and not self._write_paused:
-            if self._delays_last_byte and self._next_piece == last:
+        while self._pieces and not self._write_paused:
+            if self._delays_last_byte and len(self._pieces) == 1:
                 return
-            piece = pieces[self._next_piece]
+            piece, *rest = self._pieces
             transport.write(piece)
             if self._write_paused:
                 self._count_unsent(len(piece))  # the transport keeps all of it until it is sent
@@ -162,13 +157,14 @@
                 # The write failed and the kernel accepted nothing of this piece, so the last byte
                 # never left this process. connection_lost settles the attempt.
                 return
-            self._next_piece += 1
-        if self._next_piece > last:
+            # What is written is dropped at once. Kept until the last byte may follow, it was a
+            # second copy of each request in flight that nothing counted.
+            self._pieces = rest
+        if not self._pieces:
             # A part of the last piece may still be in the transport's buffer, but from here on
             # it is unknown how much of it has left this process.
             self.request_written = True
             self._state = AWAITING_RESPONSE
-            self._pieces = ()
 
     def pause_writing(self) -> None:
         """Stop writing: the kernel accepts no more bytes for now."""
--- a/tests/proxy/upstream/test_slow_responses.py
+++ b/tests/proxy/upstream/test_slow_responses.py
@@ -202,8 +202,21 @@
         connection.pause_writing()
 
     transport.write = write  # type: ignore[method-assign]
-    connection._pieces, connection._next_piece = (bytes(5000),), 0
+    connection._pieces = (bytes(5000),)
     connection._write_pieces()
     assert budget.held[Holder.UNSENT] == 5000
     connection.resume_writing()
     assert budget.held[Holder.UNSENT] == 0
+
+
+def test_a_withheld_last_byte_keeps_no_copy_of_the_request(waiting: Waiting) -> None:
+    """Each request in flight took its bytes twice, and no holder counted the second copy."""
+    connection = waiting.link.connection
+    connection._delays_last_byte, connection.request_written = True, False
+    connection._pieces = (bytes(5000), b"x")
+    connection._write_pieces()
+    assert [*connection._pieces] == [b"x"]
+    assert not connection.request_written
+    connection._delays_last_byte = False
+    connection._write_pieces()
+    assert connection.request_written
