All that the process imports is loaded before it is measured

Cause, two of three, of the red memory tests on x86-64: the modules of IDNA came with the first connection to a backend, and ctypes when memory was short, 144 and 276 KB of resident memory around the imports. Both counted as held by no holder, and the second took memory in the moment in which some was to be returned.

Change: both are loaded before the first measure.

--- a/loadbalancer/proxy/resident_memory.py
+++ b/loadbalancer/proxy/resident_memory.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import ctypes
+import importlib
 import logging
 import os
 from typing import TYPE_CHECKING
@@ -18,6 +20,9 @@
 STATM = "/proc/self/statm"
 RESIDENT_FIELD = 1  # of statm, in pages (proc(5))
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+TRIM = getattr(ctypes.CDLL(None), "malloc_trim", None)  # of glibc alone
+# Modules that the event loop imports with its first connection to an address.
+IMPORTED_BY_EVENT_LOOP = ("encodings.idna",)
 CONSEQUENCES = {
     Pressure.NONE: "all is read again",
     Pressure.HIGH: "reads are short, long messages and content wait",
@@ -36,12 +41,8 @@
 
 def return_free_memory() -> None:
     """Let the allocator return its free memory to the system, where it has such a call."""
-    # Imported here, so that a node that has enough memory does not load the module.
-    import ctypes
-
-    trim = getattr(ctypes.CDLL(None), "malloc_trim", None)  # of glibc alone
-    if trim is not None:
-        trim(0)
+    if TRIM is not None:
+        TRIM(0)
 
 
 class MemoryWatch:
@@ -55,7 +56,12 @@
         self.peak_bytes = 0
 
     def begin(self) -> None:
-        """Measure the process before it has any peer."""
+        """Measure the process before it has any peer.
+
+        What it imports later would count as held by peers, and be loaded when memory is short.
+        """
+        for module in IMPORTED_BY_EVENT_LOOP:
+            importlib.import_module(module)
         resident = resident_bytes()
         if resident:
             self._account.begin(resident)
