Small requests and their attempts are limited by memory too

Cause: an idle process takes 26.0 to 26.6 MB there, 24.5 on arm64, and the table of thresholds had none for requests without content under 2 KB. The account itself was right: 5.2 MB counted, 5.0 MB taken, at a capacity of 3.1 MB.

Change: over the capacity and half of the margin every request gets 503 and no connection to a backend opens.

--- a/loadbalancer/core/memory_account.py
+++ b/loadbalancer/core/memory_account.py
@@ -11,6 +11,7 @@
 | buffered bytes over `soft_limit` | short reads, no windows, content waits, responses stream |
 | heads over `soft_limit` / HEADS_DIVISOR | a head over SMALL_HEAD_BYTES is rejected with 503 |
 | total over `capacity_bytes` | a request with content, or with such a head, is rejected with 503 |
+| total over `overload_bytes` | any request is rejected with 503, no connection to a backend opens |
 | connections over IDLE_FRACTION of the capacity | a new one to a backend replaces an idle one |
 | connections over CONNECTIONS_FRACTION of the capacity | no client is accepted; idle ones close |
 | resident memory over SHRINK_FRACTION of the limit | the allocator returns free memory |
@@ -33,6 +34,7 @@
 # gaps between what the allocator has given out.
 MIN_MARGIN_BYTES = MB
 MARGIN_DIVISOR = 16  # of the limit
+OVERLOAD_MARGIN_DIVISOR = 2  # of the margin, the part that small requests may take
 MIN_CAPACITY_BYTES = 2 * MB  # so that a node that is given too little serves at all
 MIN_SOFT_LIMIT_BYTES = MB // 2
 SOFT_LIMIT_DIVISOR = 2
@@ -74,8 +76,8 @@
 
     __slots__ = (
         "_descriptors", "_limit_bytes", "_processes", "base_bytes", "buffered", "capacity_bytes",
-        "held", "most_buffered", "rejected", "small_content_bytes", "soft_limit",
-        "start_base_bytes",
+        "held", "most_buffered", "overload_bytes", "rejected", "small_content_bytes",
+        "soft_limit", "start_base_bytes",
     )  # fmt: skip
 
     def __init__(self, limit_mb: int, descriptors: int = 1) -> None:
@@ -139,6 +141,7 @@
         margin = max(self.limit_bytes // MARGIN_DIVISOR, MIN_MARGIN_BYTES)
         free = self.limit_bytes - self.base_bytes - margin
         self.capacity_bytes = max(free, MIN_CAPACITY_BYTES)
+        self.overload_bytes = self.capacity_bytes + margin // OVERLOAD_MARGIN_DIVISOR
         left = self.capacity_bytes - self.held[Holder.CONNECTIONS]
         self.soft_limit = max(left // SOFT_LIMIT_DIVISOR, MIN_SOFT_LIMIT_BYTES)
         # Content of up to this size never waits, even if each connection has one.
@@ -165,6 +168,14 @@
         """Whether a further connection to a backend has to replace an idle one."""
         return self.held[Holder.CONNECTIONS] > IDLE_FRACTION * self.capacity_bytes
 
+    def may_open_upstream(self) -> bool:
+        """Whether there is memory for one more connection to a backend, with its attempt.
+
+        Small requests alone can fill the memory: hundreds of clients send one each at once, and an
+        attempt takes more than the request.
+        """
+        return self.total + UPSTREAM_CONNECTION_BYTES <= self.overload_bytes
+
     def has_too_many_heads(self) -> bool:
         """Whether heads take more memory than they may.
 
@@ -176,6 +187,8 @@
     def may_begin(self, head_bytes: int, has_content: bool) -> bool:
         """Whether a request may begin whose head has been read and is counted already."""
         is_small = head_bytes <= SMALL_HEAD_BYTES
+        if not self.may_open_upstream():
+            return False
         if not is_small and self.has_too_many_heads():
             return False
         return (is_small and not has_content) or self.total <= self.capacity_bytes
--- a/loadbalancer/proxy/host.py
+++ b/loadbalancer/proxy/host.py
@@ -202,7 +202,7 @@
         """Whether one more backend connection may be opened; closes an idle one if need be."""
         if self.budget.must_replace_idle():
             self.upstream.close_oldest()
-        return super().may_open_upstream()
+        return self.budget.may_open_upstream() and super().may_open_upstream()
 
     # Actions of the Balancer that `AttemptHost` doesn't implement:
 
--- a/tests/core/test_memory_account.py
+++ b/tests/core/test_memory_account.py
@@ -12,6 +12,7 @@
     MIN_SOFT_LIMIT_BYTES,
     SHRINK_FRACTION,
     SMALL_HEAD_BYTES,
+    UPSTREAM_CONNECTION_BYTES,
     Holder,
     MemoryAccount,
     Pressure,
@@ -91,6 +92,16 @@
     assert not account.may_begin(SMALL_HEAD_BYTES + 1, has_content=False)
 
 
+def test_small_requests_alone_do_not_fill_the_memory(account: MemoryAccount) -> None:
+    """Hundreds of small requests at once, each with its attempt, took a node over its limit."""
+    free = LIMIT_MB * MB - BASE_BYTES - account.total
+    while account.may_begin(SMALL_HEAD_BYTES, has_content=False):
+        account.reserve_request(SMALL_HEAD_BYTES)
+        account.add_connections(UPSTREAM_CONNECTION_BYTES)
+    assert account.capacity_bytes < account.total < free
+    assert not account.may_open_upstream()
+
+
 def test_complete_heads_are_limited_together_with_incomplete_ones(account: MemoryAccount) -> None:
     account.reserve(Holder.INCOMPLETE_HEADS, account.soft_limit // 4)
     assert account.may_begin(SMALL_HEAD_BYTES + 1, has_content=False)
--- a/tests/proxy/test_host.py
+++ b/tests/proxy/test_host.py
@@ -445,6 +445,8 @@
     host.budget.add_connections(host.budget.capacity_bytes)
     assert host.may_open_upstream()
     assert closed == [True]
+    host.budget.add_connections(host.budget.overload_bytes - host.budget.total)
+    assert not host.may_open_upstream()
 
 
 def test_two_processes_use_half_of_the_memory_each(host: Node) -> None:
