--- a/benchmarks/memory_soak.py
+++ b/benchmarks/memory_soak.py
@@ -357,11 +357,7 @@
             self.outcome.faults.append(f"a process did not start: {error}")
         finally:
             nodes.end_all()
-            for server in servers:
-                server.close()
-            await asyncio.sleep(SAMPLE_S)  # lets handlers begin that would be left without an end
-            for writer in self._served.writers:
-                writer.transport.abort()
+            await self._served.stop(servers)
         self._check_effects()
         return self.outcome
 
