The successor of an upgrade begins with what each source told its predecessor

Cause: a successor takes over the predecessor's list only with one source. With several it began with `known`. Both are one node, and the drain had been told to it.

Change: the reports of each source, the version of the platform's list and the servers that are ready, with the start time they are listed with, are handed over. The ready ones are listed first and then assessed, so that the limits on departures hold on.

--- a/loadbalancer/core/endpoints/merged_list.py
+++ b/loadbalancer/core/endpoints/merged_list.py
@@ -41,6 +41,7 @@
 from loadbalancer.core.balancing.model import SECOND, State
 from loadbalancer.core.endpoints.attempt_evidence import AttemptEvidence, no_evidence
 from loadbalancer.core.endpoints.departure_limits import DepartureLimiter, MergeLimits
+from loadbalancer.core.endpoints.list_snapshot import ListSnapshot
 from loadbalancer.core.endpoints.merged_server import ListedServer, MergedServer
 from loadbalancer.core.endpoints.report_intake import ReportIntake
 from loadbalancer.core.endpoints.server_report import Address, Health, ServerReport, Source
@@ -78,6 +79,38 @@
         """How many times a listed server has changed."""
         return self._table.changes
 
+    def snapshot(self) -> ListSnapshot:
+        """What a successor of this process begins with."""
+        reports: dict[str, list[ServerReport]] = {}
+        for server in self._table.servers.values():
+            for (source, _), stored in server.all_reports.items():
+                reports.setdefault(source, []).append(stored.report)
+        ready = {s.address: s.boot for s in self._table.servers.values() if s.state == State.READY}
+        intake = self._intake
+        return ListSnapshot(
+            reports, frozenset(intake.complete_sources), frozenset(intake.listing_sources), ready
+        )
+
+    def restore(self, now: int, snapshot: ListSnapshot) -> None:
+        """Bring this list, which is empty, to a snapshot's state, as far as it has the sources.
+
+        The servers that were ready are listed first, and then all are assessed by their reports.
+        One that is reported as unhealthy may have been held in the list by the limits on
+        departures, which have to hold for it here too. What is ordered out is so before other
+        sources' reports count.
+        """
+        names = sorted(self._sources, key=lambda name: not self._sources[name].is_authoritative)
+        for name in names:
+            self.update(now, name, snapshot.listing_reports(name), complete=False)
+        for address, boot in snapshot.ready.items():
+            if address in self._table.servers:
+                self._table.servers[address].boot = boot
+        for name in names:
+            reports = snapshot.reports.get(name, ())
+            if name in snapshot.listing_sources:
+                self._intake.note_listing(name)
+            self.update(now, name, reports, complete=name in snapshot.complete_sources)
+
     def update(
         self, now: int, source: str, reports: Iterable[ServerReport], complete: bool
     ) -> bool:
--- a/loadbalancer/core/endpoints/report_intake.py
+++ b/loadbalancer/core/endpoints/report_intake.py
@@ -17,12 +17,13 @@
         empty_confirm_ns: how long a source must repeat an empty list before it is applied.
 
     Attributes:
+        complete_sources: those that have sent a complete list.
         listing_sources: those whose complete list is known and has had servers. What such a list
             leaves out is removed, which for an empty first list would mean every server.
     """
 
-    __slots__ = ("_complete_sources", "_empty_confirm_ns", "_empty_since", "_sources", "_table",
-                 "listing_sources")  # fmt: skip
+    __slots__ = ("_empty_confirm_ns", "_empty_since", "_sources", "_table",
+                 "complete_sources", "listing_sources")  # fmt: skip
 
     def __init__(
         self, sources: Sequence[Source], table: ServerTable, empty_confirm_ns: int
@@ -31,7 +32,7 @@
         self._table = table
         self._empty_confirm_ns = empty_confirm_ns
         self._empty_since: dict[str, int] = {}  # ns, by source that repeats an empty list
-        self._complete_sources: set[str] = set()  # that have sent a complete list
+        self.complete_sources: set[str] = set()
         self.listing_sources: set[str] = set()
 
     def merge(self, now: int, source: str, reports: Iterable[ServerReport], complete: bool) -> None:
@@ -42,7 +43,7 @@
         """
         by_uid = {report.uid: report for report in reports}
         if complete:
-            self._complete_sources.add(source)
+            self.complete_sources.add(source)
         if by_uid:
             self._empty_since.pop(source, None)
         elif complete and self._is_unconfirmed_empty(now, source):
@@ -53,18 +54,24 @@
                     self._table.mark_removed(now, source, uid)
         for report in by_uid.values():
             self._merge_report(now, source, report)
-        if by_uid and source in self._complete_sources:
-            self._note_listing(source)
+        if by_uid and source in self.complete_sources:
+            self.note_listing(source)
 
     def is_complete(self) -> bool:
         """Whether all sources of some rank have sent complete lists."""
-        incomplete = {s.rank for s in self._sources if s.name not in self._complete_sources}
+        incomplete = {s.rank for s in self._sources if s.name not in self.complete_sources}
         return any(s.rank not in incomplete for s in self._sources)
 
     def awaits_confirmation(self) -> bool:
         """Whether some source repeats an empty list that has not been applied yet."""
         return bool(self._empty_since)
 
+    def note_listing(self, source: str) -> None:
+        """From now on what this source's list leaves out counts for every server."""
+        if source not in self.listing_sources:
+            self.listing_sources.add(source)
+            self._table.to_reassess.update(self._table.servers)
+
     def _is_unconfirmed_empty(self, now: int, source: str) -> bool:
         """Whether a source's empty list has not been repeated for long enough yet."""
         if not self._table.uids_reported_by(source):
@@ -76,9 +83,3 @@
             self._table.mark_removed(now, source, report.uid)
         else:
             self._table.store(now, source, report)
-
-    def _note_listing(self, source: str) -> None:
-        """From now on what this source's list leaves out counts for every server."""
-        if source not in self.listing_sources:
-            self.listing_sources.add(source)
-            self._table.to_reassess.update(self._table.servers)
--- a/loadbalancer/proxy/host.py
+++ b/loadbalancer/proxy/host.py
@@ -104,11 +104,7 @@
             FleetError: the file that describes the fleet can't be used.
         """
         rows = self.discovery.load_configured(self.config.known)
-        if (
-            inheritance is not None
-            and inheritance.members
-            and isinstance(self.discovery, Discovery)
-        ):
+        if inheritance is not None and self._can_inherit(inheritance):
             rows = self.discovery.inherit(inheritance)
         self._prepare_gossip()
         self.config.known.clear()  # as objects its rows take more memory than the list itself
@@ -128,6 +124,12 @@
             # that start together. A source that pushes its list is watched at once.
             self.discovery.watch()
 
+    def _can_inherit(self, inheritance: Inheritance) -> bool:
+        """Whether a predecessor has handed over the list in the form that the source needs."""
+        if isinstance(self.discovery, Discovery):
+            return bool(inheritance.members)
+        return inheritance.sources is not None
+
     def _prepare_gossip(self) -> None:
         config = self.config
         if config.peer_listen is None or len(config.peers) < MIN_FLEET:
--- a/loadbalancer/proxy/ports.py
+++ b/loadbalancer/proxy/ports.py
@@ -18,6 +18,7 @@
     from loadbalancer.core.request_ids import RequestIdTable
     from loadbalancer.proxy.exchange import Attempt, Client, ReceivedRequest, Request
     from loadbalancer.proxy.routing import Routing
+    from loadbalancer.sources.handed_list import InheritedSources
 
 
 class EndpointListView(Protocol):
@@ -37,6 +38,9 @@
     def endpoint_list(self) -> EndpointListView:
         """The current list."""
 
+    def handed_sources(self) -> InheritedSources | None:
+        """What a successor is handed of the sources of a merged list; None for a single source."""
+
 
 class ListReaders(Protocol):
     """The fleet's list readers, as one node sees them: a few poll and share the list with all."""
--- a/loadbalancer/sources/consul/list_updater.py
+++ b/loadbalancer/sources/consul/list_updater.py
@@ -5,10 +5,12 @@
 import asyncio
 import time
 from collections.abc import Callable
+from functools import partial
 
 from loadbalancer.core.balancing.model import SECOND
 from loadbalancer.core.endpoints.attempt_evidence import AttemptEvidence, no_evidence
 from loadbalancer.core.endpoints.departure_limits import MergeLimits
+from loadbalancer.core.endpoints.list_snapshot import ListSnapshot
 from loadbalancer.core.endpoints.merged_list import MergedList
 from loadbalancer.core.endpoints.server_report import ServerReport, Source
 from loadbalancer.sources.consul.file import ConsulFile, source_name
@@ -45,7 +47,7 @@
         list_logger: where log lines go, for a caller that marks its own.
     """
 
-    __slots__ = ("_on_change", "_reader", "_timer", "merged_list")
+    __slots__ = ("_new_list", "_on_change", "_reader", "_timer", "merged_list")
 
     def __init__(
         self,
@@ -56,8 +58,10 @@
         evidence_of: Callable[[str], AttemptEvidence] = no_evidence,
         list_logger: SourceLogger | None = None,
     ) -> None:
-        limits = MergeLimits(drain_ns=drain_ns)
-        self.merged_list = MergedList(sources_of(file), limits, evidence_of)
+        self._new_list = partial(
+            MergedList, sources_of(file), MergeLimits(drain_ns=drain_ns), evidence_of
+        )
+        self.merged_list = self._new_list()
         self._reader = open_reader(file, self.update, seed, list_logger)
         self._on_change = on_change
         self._timer: asyncio.TimerHandle | None = None
@@ -72,6 +76,13 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    def restore(self, snapshot: ListSnapshot) -> None:
+        """Replace the list by that of a predecessor; called before `start`."""
+        self.merged_list = self._new_list()
+        now = time.monotonic_ns()
+        self.merged_list.restore(now, snapshot)
+        self._after_update(now, has_update=False)
+
     def update(self, source: str, reports: list[ServerReport], complete: bool) -> bool:
         """Merge a source's answer; whether `on_change` was called for it."""
         now = time.monotonic_ns()
--- a/loadbalancer/sources/consul/source.py
+++ b/loadbalancer/sources/consul/source.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable, Mapping
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from loadbalancer.config.address import Address
 from loadbalancer.config.node import Config
@@ -20,6 +20,10 @@
 from loadbalancer.sources.consul.list_updater import PLATFORM, ListUpdater
 from loadbalancer.sources.discovery import Discovery, OnUpdate, SourceLogger
 from loadbalancer.sources.endpoint_list import EndpointList, backend_id
+from loadbalancer.sources.handed_list import InheritedEndpoint, InheritedSources
+
+if TYPE_CHECKING:
+    from loadbalancer.upgrade.handed_state import Inheritance
 
 MAX_LOGGED_SERVERS = 5  # that are named in one line of the log
 HEALTH = {State.READY: Health.PASSING, State.DRAINING: Health.MAINTENANCE, State.GONE: Health.GONE}
@@ -96,6 +100,43 @@
         self.endpoint_list.apply(0, update, listings, addresses)
         return listings
 
+    def inherit(self, inherited: Inheritance) -> list[Listing]:
+        """Replace the list by what the sources told the preceding process; returns its listings.
+
+        Without it a successor would go by a configuration that may be older than a drain, until
+        each source has answered.
+        """
+        assert inherited.sources is not None
+        snapshot = inherited.sources.snapshot
+        if self._platform is not None:
+            self._platform.inherit(self._platforms_list(inherited.sources, inherited))
+        self._updater.restore(snapshot)
+        listings, addresses = self._listings()
+        self.endpoint_list.apply(0, Update.FULL, listings, addresses)
+        return listings
+
+    def _platforms_list(self, sources: InheritedSources, inherited: Inheritance) -> Inheritance:
+        """The platform's own list, so that its next change can be applied."""
+        members = tuple(
+            InheritedEndpoint(
+                Listing(int(report.uid), State.READY, boot=report.boot),
+                Address(report.host, report.port),
+                sources.boots_ms.get(report.uid, 0),
+            )
+            for report in sources.snapshot.reports.get(PLATFORM, ())
+            if report.health != Health.GONE
+        )
+        return inherited._replace(rev=sources.platform_rev, members=members)
+
+    def handed_sources(self) -> InheritedSources:
+        """What each source has told this process, for its successor."""
+        snapshot = self._updater.merged_list.snapshot()
+        if self._platform is None:
+            return InheritedSources(snapshot, 0, {})
+        own = self._platform.endpoint_list
+        uids = [report.uid for report in snapshot.reports.get(PLATFORM, ())]
+        return InheritedSources(snapshot, own.rev, {uid: own.boot_ms(int(uid)) for uid in uids})
+
     def watch(self) -> None:
         """Read from now on; a further call changes nothing."""
         if self._platform is not None:
--- a/loadbalancer/sources/discovery.py
+++ b/loadbalancer/sources/discovery.py
@@ -115,6 +115,9 @@
         """Apply the list inherited from the preceding process; returns its listings."""
         return self.endpoint_list.inherit(inherited)
 
+    def handed_sources(self) -> None:
+        """Nothing: a successor is handed the one list."""
+
     def watch(self) -> None:
         """Poll for changes since the current version, then watch until a call fails.
 
--- a/tests/core/endpoints/test_drain_orders.py
+++ b/tests/core/endpoints/test_drain_orders.py
@@ -100,12 +100,22 @@
         if known is not None:
             self.deliver(PLATFORM, known, complete=True)
 
+    def upgrade(self) -> None:
+        """A successor begins with what the process was told, on which nothing may depend."""
+        old, self.merged = self.merged, MergedList(SOURCES, UNLIMITED)
+        self.merged.restore(self.now, old.snapshot())
+        before = {(s.host, s.port): s.boot for s in old.servers() if s.state == State.READY}
+        self.deliver(CONSUL, [], complete=False)
+        assert before == {address: s.boot for address, s in self.listed.items()}
+
     def step(self) -> None:
         source = self.random.choice([CONSUL, PLATFORM])
         self.now += self.random.randrange(1, SECOND)
         if self.random.random() < 0.05:
             self.old_rows = dict(self.rows[PLATFORM])
             self.restart()
+        elif self.random.random() < 0.05:
+            self.upgrade()
         elif self.random.random() < 0.6:
             changed = self.change(source)
             # Else this change is told with the next list; alone it may name two active ids.
--- a/tests/golden/bindings_node.py
+++ b/tests/golden/bindings_node.py
@@ -427,7 +427,10 @@
         endpoints={m["server"]: Address(m["host"], m["port"]) for m in plain["members"]},
         boot_ms=boots.__getitem__,
     )
-    node: Any = SimpleNamespace(balancer=balancer, discovery=SimpleNamespace(endpoint_list=roster))
+    node: Any = SimpleNamespace(
+        balancer=balancer,
+        discovery=SimpleNamespace(endpoint_list=roster, handed_sources=lambda: None),
+    )
     with _clocks():
         return json.dumps(handed.export(node, plain["standby"])).encode()
 
--- a/tests/sources/consul/test_node.py
+++ b/tests/sources/consul/test_node.py
@@ -21,14 +21,16 @@
     Running,
     accept_any,
     answer,
+    config,
     listen,
     node,
     request,
     roster,
+    started,
     target,
     until,
 )
-from tests.sources.consul.support import service_row, set_status, write_file
+from tests.sources.consul.support import service_row, set_faults, set_status, write_file
 
 OK_ALONE = frozenset({200})
 OK_OR_SHED = frozenset({200, 503})
@@ -231,6 +233,37 @@
             assert received == before
 
 
+def test_the_successor_of_an_upgrade_keeps_the_drains_that_its_predecessor_was_told(
+    tmp_path: Path, agent: Process
+) -> None:
+    """It went by a `known` from before the drain, while neither source answered it."""
+    with (
+        running_backends(2, 1.0) as servers,
+        running_process(("-m", "fakes.discovery")) as discovery,
+    ):
+        rows = [target(f"s-{number}", port_of(s)) for number, s in enumerate(servers, 1)]
+        draining = rows[0] | {"state": "leaving"}
+        discovery.call("POST", "/standin/targets", [draining, rows[1]])
+        agent.call("PUT", "/standin/services", rows_of(servers))
+        file = str(write_file(tmp_path, agent.address, more="platform = true\n"))
+        environ = config(
+            tmp_path, roster(*rows), port_of(discovery), admin="127.0.0.1:0", consul=file
+        )
+        with started(environ) as old:
+            old.says("maintenance, as ordered")
+            discovery.call("POST", "/standin/faults", {"down": True})
+            set_faults(agent, silent=True)
+            with started(environ) as new:
+                assert status_of(new, "g0") == 200
+                old.process.terminate()
+                old.process.wait(LIMIT)
+                before = servers[0].call("GET", "/standin/state").get("received", 0)
+                for number in range(20):
+                    assert status_of(new, f"h{number}") == 200
+                received = servers[0].call("GET", "/standin/state").get("received", 0)
+                assert received == before
+
+
 @pytest.mark.parametrize(
     ("more", "cells", "repeated_at"),
     [
--- a/tests/sources/test_unknown_groups.py
+++ b/tests/sources/test_unknown_groups.py
@@ -70,7 +70,8 @@
     balancer.on_members(0, Update.FULL, [row])
     endpoint_list = SimpleNamespace(endpoints={7: ("127.0.0.1", 80)}, rev=1, boot_ms=lambda _: 0)
     node = SimpleNamespace(
-        balancer=balancer, discovery=SimpleNamespace(endpoint_list=endpoint_list)
+        balancer=balancer,
+        discovery=SimpleNamespace(endpoint_list=endpoint_list, handed_sources=lambda: None),
     )
     exported = handed_state.export(cast(Any, node), standby=False)
     (member,) = handed_state.parse(exported, time.monotonic_ns()).members
