A reload moves the platform's list of a pool that reads Consul too

Callers saw nothing; after a new configuration had moved discovery, the control service went on asking the old address for a pool with Consul and `platform = true`, so drains told at the new one were never heard.

Cause: the pool moved its list only if discovery was its one source. Change: every pool that reads the platform's list moves it, and polls as the other pools do. The new test ends at its deadline before, and passes.

--- a/loadbalancer/control/xds/pool.py
+++ b/loadbalancer/control/xds/pool.py
@@ -82,12 +82,12 @@
         self._backends: dict[tuple[str, int], int] = {}
 
     def _make_members(self, source: PoolInput) -> Members:
-        config, pool = source.config, source.pool
+        config, pool = with_polling_enabled(source.config), source.pool
         if pool.consul is not None:
             return ConsulMembers(pool.consul, config, self._on_update, self._log, self._evidence_of)
         if pool.members is not None:
             return FileMembers(pool.members, config, self._on_update, self._log)
-        return Discovery(with_polling_enabled(config), self._on_update, self._log)
+        return Discovery(config, self._on_update, self._log)
 
     def _evidence_of(self, backend: int) -> AttemptEvidence:
         """Return the evidence on a server from the proxies' load reports."""
@@ -116,7 +116,8 @@
             service.name: self._drains.get(service.name, DrainTracker())
             for service in source.routes.services
         }
-        if isinstance(self.members, Discovery):
+        if not isinstance(self.members, FileMembers):
+            # Consul's members may read the platform's list too, which moves with its address.
             self.members.reconfigure(
                 source.config.discovery, with_polling_enabled(source.config).settings
             )
--- a/tests/sources/consul/test_control_service.py
+++ b/tests/sources/consul/test_control_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import signal
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -124,3 +125,27 @@
     with control_service(tmp_path, "127.0.0.1:1", **known) as process, proxy(process) as stream:
         assert stream.ports("topup") == {9001}
         wait_for_log(process, "the list stands")
+
+
+def test_the_platforms_list_beside_consul_moves_at_a_reload(tmp_path: Path, agent: Process) -> None:
+    """A new configuration moved discovery; drains told at its new address were not heard."""
+    set_services(agent, 1, 2)
+    rows = [target(f"p-{number}", 9000 + number) for number in (1, 2)]
+    with (
+        running_process(("-m", "fakes.discovery")) as first,
+        running_process(("-m", "fakes.discovery")) as second,
+    ):
+        first.call("POST", "/standin/targets", rows)
+        second.call("POST", "/standin/targets", [rows[0] | {"state": "leaving"}, rows[1]])
+        write_file(tmp_path, agent.address, more="platform = true\n")
+        more, known = 'consul = "consul.toml"\n', roster(*rows)
+        path = write_control(tmp_path, SETTINGS, known, discovery=first.address, more=more)
+        with (
+            running_process(("-m", "loadbalancer", "control", str(path))) as process,
+            proxy(process) as stream,
+        ):
+            wait_for_active(stream, 1, 2)
+            write_control(tmp_path, SETTINGS, known, discovery=second.address, more=more)
+            process.child.send_signal(signal.SIGHUP)
+            wait_for_log(process, "reload: applied")
+            wait_for_active(stream, 2)
