--- a/loadbalancer/cli/members.py
+++ b/loadbalancer/cli/members.py
@@ -54,6 +54,8 @@
         file = read_consul(arguments.file)
         if arguments.why:
             return _print_checks(file, arguments.why, out)
+        if file.merges_platform_list:
+            _reject_platform_list(arguments)
         if arguments.serve:
             return _serve_nodes(file, arguments.serve)
         merged_list, complete = asyncio.run(_read_once(file, arguments.seconds))
@@ -75,6 +77,21 @@
     return 0
 
 
+def _reject_platform_list(arguments: argparse.Namespace) -> None:
+    """Say that the platform's list is not read here, and refuse to serve nodes without it.
+
+    Raises:
+        ConsulError: nodes would be served servers that the platform's list drains.
+    """
+    what = f"{arguments.file}: platform = true: this command reads Consul alone"
+    if arguments.serve:
+        raise ConsulError(
+            f"{what}, and would serve nodes servers that drain in the platform's list; remove "
+            "the line, or have each node read this file (PROXY_CONSUL)"
+        )
+    print(f"members: {what}; drains of the platform's list are not shown", file=sys.stderr)
+
+
 async def _read_once(file: ConsulFile, timeout_s: float) -> tuple[MergedList, bool]:
     """Read every datacentre once; returns the list and whether it was complete in time."""
     done = asyncio.Event()
--- a/tests/sources/consul/test_members_command.py
+++ b/tests/sources/consul/test_members_command.py
@@ -52,6 +52,20 @@
     assert "the same address as node-t-1/t-1" in lines["node-t-7/t-7"]
 
 
+def test_a_platform_list_that_is_not_read_is_named_and_not_left_out_for_nodes(
+    tmp_path: Path, agent: Process, members: Members
+) -> None:
+    """The relay served nodes servers that drained in the platform's list, without a word."""
+    agent.call("PUT", "/standin/services", [service_row(1)])
+    write_file(tmp_path, agent.address, more="platform = true\n")
+    shown = members()
+    assert shown.returncode == 0
+    assert "drains of the platform's list are not shown" in shown.stderr
+    served = members("--serve", "127.0.0.1:0")
+    assert served.returncode == 2
+    assert "consul.toml: platform = true" in served.stderr
+
+
 def test_similar_names_are_printed_where_the_service_is_unknown(
     agent: Process, members: Members
 ) -> None:
