A server that replaces another at its address gets new connections beside Consul too

A request could go out on an idle connection to the process before, be reset and count as possibly executed.

Cause: with the platform's list beside Consul a backend is known by its address, so the new server has the id of the old one, and its idle connections were taken over unless both start times were reported. The merged list names the moment of the replacement as the start time, and from "not known" to that was no change.

Change: the backends whose listed start time changed get new connections. The test fails before. Where the platform tells a start time for the first time, idle connections are closed once as well.

--- a/loadbalancer/core/endpoints/merged_server.py
+++ b/loadbalancer/core/endpoints/merged_server.py
@@ -138,7 +138,8 @@
 
     def newest_boot(self) -> int:
         """The latest start time that a source reports, ns; 0 if none does."""
-        return max((stored.report.boot for stored in self.reports.values()), default=0)
+        boots = [stored.report.boot for stored in self.reports.values()]
+        return max((boot for boot in boots if boot), default=0)
 
     def other_reports(self) -> list[tuple[str, StoredReport]]:
         """Reports by source that do not count, as the source reports another id at the address."""
--- a/loadbalancer/sources/consul/source.py
+++ b/loadbalancer/sources/consul/source.py
@@ -52,8 +52,8 @@
     stale_after_ns = 120 * SECOND  # a complete round and the pause before it take over 30 s
 
     __slots__ = (
-        "_backends", "_config", "_evidence_of", "_logger", "_on_update", "_platform", "_started",
-        "_states", "_updater", "_zones", "endpoint_list", "forward",
+        "_backends", "_boots", "_config", "_evidence_of", "_logger", "_on_update", "_platform",
+        "_started", "_states", "_updater", "_zones", "endpoint_list", "forward",
     )  # fmt: skip
 
     def __init__(
@@ -74,6 +74,7 @@
         self._logger = list_logger or logger
         self._evidence_of = evidence_of
         self._backends: dict[str, int] = {}  # by a server's id
+        self._boots: dict[int, int] = {}  # the start times of the listed backends as last published
         self._states: Mapping[str, State] = {}  # of the listed servers as last logged
         self._updater = ListUpdater(
             file, self._publish, config.seed, config.settings.drain_grace, self._evidence_of_uid,
@@ -95,6 +96,7 @@
             self._updater.merged_list.update(time.monotonic_ns(), PLATFORM, reports, True)
             listings, addresses = self._listings()
             self.endpoint_list.apply(0, Update.FULL, listings, addresses)
+            self._restarted(listings)
             return listings
         update, listings, addresses = self.endpoint_list.decode(raw)
         self.endpoint_list.apply(0, update, listings, addresses)
@@ -113,6 +115,7 @@
         self._updater.restore(snapshot)
         listings, addresses = self._listings()
         self.endpoint_list.apply(0, Update.FULL, listings, addresses)
+        self._restarted(listings)
         return listings
 
     def _platforms_list(self, sources: InheritedSources, inherited: Inheritance) -> Inheritance:
@@ -202,8 +205,18 @@
 
     def _publish(self) -> None:
         listings, addresses = self._listings()
-        stale = self.endpoint_list.apply(0, Update.FULL, listings, addresses)
-        self._on_update(Update.FULL, listings, stale)
+        stale = set(self.endpoint_list.apply(0, Update.FULL, listings, addresses))
+        stale |= self._restarted(listings)
+        self._on_update(Update.FULL, listings, sorted(stale))
+
+    def _restarted(self, listings: list[Listing]) -> set[int]:
+        """Backends where another process listens now, whose start time may be the first one known.
+
+        A backend is known by its address, so the server that replaces another one has its id, and
+        the idle connections are those of the process before.
+        """
+        before, self._boots = self._boots, {row.backend: row.boot for row in listings}
+        return {row.backend for row in listings if before.get(row.backend, row.boot) != row.boot}
 
     def _listings(self) -> tuple[list[Listing], dict[int, Address]]:
         """The listed servers, and their addresses by backend."""
--- a/tests/sources/test_restarted_servers.py
+++ b/tests/sources/test_restarted_servers.py
@@ -8,8 +8,10 @@
 import pytest
 
 from loadbalancer.config.node import load
+from loadbalancer.sources.consul.source import ConsulMembers
 from loadbalancer.sources.endpoint_list import EndpointList, backend_id
 from tests.harness import Peer, accept, answer, config, listen, node, request, roster, target
+from tests.sources.consul.support import write_file
 
 RESTARTED_MS = 1_700_000_000_000  # Unix time
 
@@ -67,3 +69,18 @@
         )
         stale = endpoint_list.apply(1, update, listings, addresses)
     assert stale == ([backend_id("s-1")] if is_stale else [])
+
+
+def test_a_server_that_replaces_another_at_its_address_gets_new_connections(
+    tmp_path: Path,
+) -> None:
+    """Beside Consul a backend is known by its address, and no start time told of the new server."""
+    stale: list[list[int]] = []
+    file = write_file(tmp_path, "127.0.0.1:1", more="platform = true\n")
+    members = ConsulMembers(
+        file, load(config(tmp_path, roster(), 1)), lambda _update, _rows, gone: stale.append(gone)
+    )
+    members.load_configured(roster(target("s-1", 80)))
+    assert members._platform is not None
+    members._platform.on_forwarded(json.dumps(roster(target("s-9", 80), rev=2)).encode())
+    assert stale == [[backend_id("127.0.0.1:80")]]
