--- a/tests/core/endpoints/test_drain_orders.py
+++ b/tests/core/endpoints/test_drain_orders.py
@@ -31,26 +31,26 @@
     return report(number, uid=uid, **fields)
 
 
-class Told:
-    """The design page's table, for what one process was told (docs/design/consul.md)."""
+class Expected:
+    """The table of docs/design/consul.md, for what the sources have reported to a process."""
 
     def __init__(self) -> None:
         self.rows: dict[str, dict[str, ServerReport]] = {CONSUL: {}, PLATFORM: {}}
         # Where a source has removed a server that the other one lists, by the other one's id.
         self.removed: dict[tuple[str, Address], str] = {}
-        self.is_complete = False  # a complete list of the platform was told, maybe an empty one
+        self.is_complete = False  # a complete list of the platform came, maybe an empty one
         self.has_platform_list = False
 
-    def tell(self, source: str, reports: list[ServerReport], *, complete: bool) -> None:
+    def apply(self, source: str, reports: list[ServerReport], *, complete: bool) -> None:
         rows = self.rows[source]
-        gone = {told.uid for told in reports if told.health == Health.GONE}
-        gone |= rows.keys() - {told.uid for told in reports} if complete else set()
-        left = {rows.pop(uid).address for uid in gone & rows.keys()}
-        for address in left:
+        removed_uids = {entry.uid for entry in reports if entry.health == Health.GONE}
+        removed_uids |= rows.keys() - {entry.uid for entry in reports} if complete else set()
+        vacated = {rows.pop(uid).address for uid in removed_uids & rows.keys()}
+        for address in vacated:
             other = self.at(OTHER[source], address)
             if other is not None and self.at(source, address) is None:
                 self.removed[source, address] = other.uid
-        rows.update({told.uid: told for told in reports if told.health != Health.GONE})
+        rows.update({entry.uid: entry for entry in reports if entry.health != Health.GONE})
         self.is_complete |= source == PLATFORM and complete
         self.has_platform_list |= source == PLATFORM and self.is_complete and bool(reports)
         for (name, address), other_uid in [*self.removed.items()]:
@@ -60,13 +60,13 @@
 
     def at(self, source: str, address: Address) -> ServerReport | None:
         """What a source says of an address; of two ids the one that may get requests counts."""
-        rows = [told for told in self.rows[source].values() if told.address == address]
-        return min(rows, key=lambda told: told.health) if rows else None
+        rows = [entry for entry in self.rows[source].values() if entry.address == address]
+        return min(rows, key=lambda entry: entry.health) if rows else None
 
     def has_another(self, source: str, row: ServerReport) -> bool:
         """Whether a source has named another active id at a row's address."""
-        rows = [told for told in self.rows[source].values() if told.address == row.address]
-        return any(told.health.is_healthy and told.uid != row.uid for told in rows)
+        rows = [entry for entry in self.rows[source].values() if entry.address == row.address]
+        return any(entry.health.is_healthy and entry.uid != row.uid for entry in rows)
 
     def is_ready(self, address: Address) -> bool:
         platform, consul = self.at(PLATFORM, address), self.at(CONSUL, address)
@@ -80,7 +80,7 @@
 
 
 class World:
-    """What the two sources have, and one process after the other that is told of it."""
+    """What the two sources have, and one process after the other that they report to."""
 
     def __init__(self, seed: int) -> None:
         self.random = Random(seed)
@@ -92,16 +92,16 @@
 
     def restart(self) -> None:
         """A new process begins, with one of the lists that `known` may hold."""
-        self.merged, self.told = MergedList(SOURCES, UNLIMITED), Told()
+        self.merged, self.expected = MergedList(SOURCES, UNLIMITED), Expected()
         self.listed: dict[Address, ListedServer] = {}
         current = [*self.rows[PLATFORM].values()]
-        without = [told for told in current if told.health.is_healthy]
+        without = [entry for entry in current if entry.health.is_healthy]
         known = self.random.choice([[], current, without, [*self.old_rows.values()], None])
         if known is not None:
             self.deliver(PLATFORM, known, complete=True)
 
     def upgrade(self) -> None:
-        """A successor begins with what the process was told, on which nothing may depend."""
+        """A successor begins with what was reported to the process, and its list is the same."""
         old, self.merged = self.merged, MergedList(SOURCES, UNLIMITED)
         self.merged.restore(self.now, old.snapshot())
         before = {(s.host, s.port): s.boot for s in old.servers() if s.state == State.READY}
@@ -118,8 +118,8 @@
             self.upgrade()
         elif self.random.random() < 0.6:
             changed = self.change(source)
-            # Else this change is told with the next list; alone it may name two active ids.
-            if self.random.random() < 0.5 and not self.told.has_another(source, changed[-1]):
+            # Else this change comes with the next list; alone it may name two active ids.
+            if self.random.random() < 0.5 and not self.expected.has_another(source, changed[-1]):
                 self.deliver(source, changed, complete=False)
         else:
             self.deliver(source, [*self.rows[source].values()], complete=True)
@@ -127,14 +127,14 @@
     def change(self, source: str) -> list[ServerReport]:
         """Change one server of a source; returns what a partial answer tells of it."""
         rows, random = self.rows[source], self.random
-        taken = {told.address for told in rows.values()}
-        free = [n for n in range(1, ADDRESSES + 1) if report(n).address not in taken]
+        used = {entry.address for entry in rows.values()}
+        free = [n for n in range(1, ADDRESSES + 1) if report(n).address not in used]
         uids = [uid for uid in rows if uid != "anchor"]
         if not uids or (free and random.random() < 0.3):
             number = random.choice(free)
             return self.put(source, row(f"{source}-{next(self.numbers)}", number))
         old = rows[random.choice(uids)]
-        is_replaced = sum(told.address == old.address for told in rows.values()) > 1
+        is_replaced = sum(entry.address == old.address for entry in rows.values()) > 1
         match 0 if is_replaced else random.randrange(5):
             case 0:
                 del rows[old.uid]
@@ -160,19 +160,19 @@
 
     def deliver(self, source: str, reports: list[ServerReport], *, complete: bool) -> None:
         """Tell the process, and compare its list with the table."""
-        before, told_before = self.listed, self.boots()
-        self.told.tell(source, reports, complete=complete)
+        before, processes_before = self.listed, self.boots()
+        self.expected.apply(source, reports, complete=complete)
         self.merged.update(self.now, source, reports, complete)
         self.merged.reassess(self.now)
         self.merged.reassess(self.now)
         servers = [s for s in self.merged.servers() if s.state == State.READY]
         self.listed = {(s.host, s.port): s for s in servers}
         addresses = [report(number).address for number in range(ADDRESSES + 1)]
-        assert self.listed.keys() == {at for at in addresses if self.told.is_ready(at)}
+        assert self.listed.keys() == {at for at in addresses if self.expected.is_ready(at)}
         assert len({s.uid for s in servers}) == len(servers)
         for at, (uid, boot) in self.boots().items():
-            old_uid, old_boot = told_before.get(at, (uid, boot))
-            has_moved = (uid, boot) in told_before.values()
+            old_uid, old_boot = processes_before.get(at, (uid, boot))
+            has_moved = (uid, boot) in processes_before.values()
             if boot not in (0, old_boot) and not has_moved:
                 assert self.listed[at].boot == boot
             elif at in before and old_uid != uid:
@@ -180,18 +180,18 @@
 
     def boots(self) -> dict[Address, tuple[str, int]]:
         """The process at each address by the platform's list, where it names one: id and start."""
-        told = [row for row in self.told.rows[PLATFORM].values() if row.health.is_healthy]
-        counted = Counter(row.address for row in told)
+        active = [row for row in self.expected.rows[PLATFORM].values() if row.health.is_healthy]
+        counted = Counter(row.address for row in active)
         return {
             row.address: (row.uid, row.boot)
-            for row in told
+            for row in active
             if row.address in self.listed and counted[row.address] == 1
         }
 
 
 @pytest.mark.parametrize("first", range(0, 200, 50))
 def test_no_order_of_reports_lists_a_server_that_the_platform_drains(first: int) -> None:
-    """A drain of which a process was told before it knew the server was lost.
+    """A drain that was reported before the server had ever been listed was lost.
 
     Consul's report, the later one, made a second server of the same process, which no drain
     concerned. Sequences of reports from both sources, restarts included, are held to the table.
@@ -202,21 +202,21 @@
             world.step()
 
 
-def platform_row(told_as: str) -> list[ServerReport]:
+def platform_row(drain_form: str) -> list[ServerReport]:
     """Server 1 of two, which drains: by its state, by its absence, or replaced in its place."""
-    state = Health.MAINTENANCE if told_as == "state" else Health.PASSING
-    return [row("p-1", 1, health=state), row("p-2", 2)][told_as == "absence" :]
+    state = Health.MAINTENANCE if drain_form == "state" else Health.PASSING
+    return [row("p-1", 1, health=state), row("p-2", 2)][drain_form == "absence" :]
 
 
-@pytest.mark.parametrize("told_as", ["state", "absence"])
+@pytest.mark.parametrize("drain_form", ["state", "absence"])
 @pytest.mark.parametrize("first", [PLATFORM, CONSUL])
 @pytest.mark.parametrize("health", [Health.PASSING, Health.MAINTENANCE])
-def test_a_drain_told_before_the_other_source_is_kept(
-    told_as: str, first: str, health: Health
+def test_a_drain_processes_before_the_other_source_is_kept(
+    drain_form: str, first: str, health: Health
 ) -> None:
     """After a restart requests went to a server that drained, for good (`review/10`)."""
     merged = MergedList(SOURCES)
-    reports = {PLATFORM: platform_row(told_as), CONSUL: pool(2, 1, health=health)}
+    reports = {PLATFORM: platform_row(drain_form), CONSUL: pool(2, 1, health=health)}
     for source in (first, *(reports.keys() - {first})):
         merged.update(0, source, reports[source], complete=True)
     assert len(ready(merged)) == 1
@@ -225,7 +225,7 @@
 
 
 def test_maintenance_in_consul_is_obeyed_where_the_platform_names_a_new_server() -> None:
-    """Consul's reports stayed with the server that had gone from the address."""
+    """Consul's reports stayed with the server that had been replaced."""
     merged = MergedList(SOURCES)
     merged.update(0, PLATFORM, platform_row("replaced"), complete=True)
     merged.update(0, CONSUL, pool(2), complete=True)
--- a/tests/sources/consul/test_node.py
+++ b/tests/sources/consul/test_node.py
@@ -201,10 +201,10 @@
             assert third["received"] >= 20
 
 
-@pytest.mark.parametrize("told_as", ["state", "absence"])
-@pytest.mark.parametrize("known_state", ["unknown", "active", "as told"])
+@pytest.mark.parametrize("drain_form", ["state", "absence"])
+@pytest.mark.parametrize("known_state", ["unknown", "active", "current"])
 def test_a_drain_of_the_platforms_list_outlasts_a_restart(
-    tmp_path: Path, agent: Process, told_as: str, known_state: str
+    tmp_path: Path, agent: Process, drain_form: str, known_state: str
 ) -> None:
     """A node that started with the drain sent to the draining server for good (`review/10`)."""
     with (
@@ -212,12 +212,12 @@
         running_process(("-m", "fakes.discovery")) as discovery,
     ):
         rows = [target(f"s-{number}", port_of(s)) for number, s in enumerate(servers, 1)]
-        draining = [rows[0] | {"state": "leaving"}] if told_as == "state" else []
-        lists = {"unknown": [], "active": rows, "as told": [*draining, *rows[1:]]}
+        draining = [rows[0] | {"state": "leaving"}] if drain_form == "state" else []
+        lists = {"unknown": [], "active": rows, "current": [*draining, *rows[1:]]}
         discovery.call("POST", "/standin/targets", lists["active"])
-        discovery.call("POST", "/standin/targets", lists["as told"])
+        discovery.call("POST", "/standin/targets", lists["current"])
         agent.call("PUT", "/standin/services", rows_of(servers))
-        versions = {"unknown": 1, "active": 2, "as told": 3}  # of the service's lists
+        versions = {"unknown": 1, "active": 2, "current": 3}  # of the service's lists
         known = roster(*lists[known_state], rev=versions[known_state])
         with node_on(
             tmp_path, agent.address, "platform = true\n", known, discovery=port_of(discovery)
