Uploads that stall leave room for the clients that come after them

Cause, from the account in the log and the order of the answers: 300 stalled uploads hold connections for three seconds. A request with content was rejected only over the capacity, and no client is accepted over three quarters of it; in between, rejected clients came again and waited to be accepted until their time was over. On x86-64 less is left beside the process, so the gap is reached.

Change: a request with content is rejected once connections take 0.6 of the capacity. What is rejected with an answer comes before what is left to wait. The new test fails without it.

--- a/loadbalancer/core/memory_account.py
+++ b/loadbalancer/core/memory_account.py
@@ -12,6 +12,7 @@
 | heads over `soft_limit` / HEADS_DIVISOR | a head over SMALL_HEAD_BYTES is rejected with 503 |
 | total over `capacity_bytes` | a request with content, or with such a head, is rejected with 503 |
 | total over `overload_bytes` | any request is rejected with 503, no connection to a backend opens |
+| connections over CONTENT_FRACTION of the capacity | as over `capacity_bytes` |
 | connections over IDLE_FRACTION of the capacity | a new one to a backend replaces an idle one |
 | connections over CONNECTIONS_FRACTION of the capacity | no client is accepted; idle ones close |
 | resident memory over SHRINK_FRACTION of the limit | the allocator returns free memory |
@@ -42,6 +43,9 @@
 SMALL_HEAD_BYTES = 2 << 10  # heads up to this size are not limited in number
 MAX_SMALL_CONTENT_BYTES = 16 << 10  # largest content that never waits
 CONNECTIONS_FRACTION = 0.75
+# Less than CONNECTIONS_FRACTION: a client that is rejected may come again, and one that is not
+# accepted waits until its time is over.
+CONTENT_FRACTION = 0.6
 IDLE_FRACTION = 0.5
 SHRINK_FRACTION = 0.85
 MIN_SHRINK_BYTES = MB  # growth of the base that is worth the time of returning free memory
@@ -191,7 +195,18 @@
             return False
         if not is_small and self.has_too_many_heads():
             return False
-        return (is_small and not has_content) or self.total <= self.capacity_bytes
+        return (is_small and not has_content) or self._may_begin_long()
+
+    def _may_begin_long(self) -> bool:
+        """Whether a request may begin that keeps its connection to a backend for long.
+
+        Uploads that stall would take what clients' connections need, and no more be accepted.
+        """
+        connections = self.held[Holder.CONNECTIONS] + UPSTREAM_CONNECTION_BYTES
+        return (
+            self.total <= self.capacity_bytes
+            and connections <= CONTENT_FRACTION * self.capacity_bytes
+        )
 
     def report(self) -> str:
         """The account in one line, in KB."""
--- a/tests/core/test_memory_account.py
+++ b/tests/core/test_memory_account.py
@@ -102,6 +102,15 @@
     assert not account.may_open_upstream()
 
 
+def test_uploads_that_stall_leave_room_for_new_clients(account: MemoryAccount) -> None:
+    """Rejected clients came again, were not accepted beside stalled uploads, and got no answer."""
+    while account.may_begin(SMALL_HEAD_BYTES, has_content=True):
+        account.reserve_request(SMALL_HEAD_BYTES)
+        account.add_connections(CLIENT_CONNECTION_BYTES + UPSTREAM_CONNECTION_BYTES)
+    assert account.may_accept_client()
+    assert account.may_begin(SMALL_HEAD_BYTES, has_content=False)
+
+
 def test_complete_heads_are_limited_together_with_incomplete_ones(account: MemoryAccount) -> None:
     account.reserve(Holder.INCOMPLETE_HEADS, account.soft_limit // 4)
     assert account.may_begin(SMALL_HEAD_BYTES + 1, has_content=False)
