Small requests take a quarter of the margin of memory, and only uploads the smaller part of it

And every request with content over 0.5 KB was rejected over 0.6 of the capacity in connections, 45 of 185 usual requests beside clients that read long responses slowly; none before.

Change: a quarter of the margin; and only content that is forwarded as it comes, which is what holds connections, is rejected early.

The new test of uploads fails with the threshold at the whole capacity.

--- a/loadbalancer/core/memory_account.py
+++ b/loadbalancer/core/memory_account.py
@@ -12,7 +12,7 @@
 | heads over `soft_limit` / HEADS_DIVISOR | a head over SMALL_HEAD_BYTES is rejected with 503 |
 | total over `capacity_bytes` | a request with content, or with such a head, is rejected with 503 |
 | total over `overload_bytes` | any request is rejected with 503, no connection to a backend opens |
-| connections over CONTENT_FRACTION of the capacity | as over `capacity_bytes` |
+| connections over UPLOADS_FRACTION of the capacity | a long upload is rejected with 503 |
 | connections over IDLE_FRACTION of the capacity | a new one to a backend replaces an idle one |
 | connections over CONNECTIONS_FRACTION of the capacity | no client is accepted; idle ones close |
 | resident memory over SHRINK_FRACTION of the limit | the allocator returns free memory |
@@ -35,7 +35,7 @@
 # gaps between what the allocator has given out.
 MIN_MARGIN_BYTES = MB
 MARGIN_DIVISOR = 16  # of the limit
-OVERLOAD_MARGIN_DIVISOR = 2  # of the margin, the part that small requests may take
+OVERLOAD_MARGIN_DIVISOR = 4  # of the margin, the part that small requests may take
 MIN_CAPACITY_BYTES = 2 * MB  # so that a node that is given too little serves at all
 MIN_SOFT_LIMIT_BYTES = MB // 2
 SOFT_LIMIT_DIVISOR = 2
@@ -45,7 +45,7 @@
 CONNECTIONS_FRACTION = 0.75
 # Less than CONNECTIONS_FRACTION: a client that is rejected may come again, and one that is not
 # accepted waits until its time is over.
-CONTENT_FRACTION = 0.6
+UPLOADS_FRACTION = 0.6
 IDLE_FRACTION = 0.5
 SHRINK_FRACTION = 0.85
 MIN_SHRINK_BYTES = MB  # growth of the base that is worth the time of returning free memory
@@ -188,25 +188,24 @@
         heads = self.held[Holder.INCOMPLETE_HEADS] + self.held[Holder.REQUEST_HEADS]
         return heads > self.soft_limit // HEADS_DIVISOR
 
-    def may_begin(self, head_bytes: int, has_content: bool) -> bool:
-        """Whether a request may begin whose head has been read and is counted already."""
+    def may_begin(self, head_bytes: int, has_content: bool, is_upload: bool = False) -> bool:
+        """Whether a request may begin whose head has been read and is counted already.
+
+        Args:
+            head_bytes: of the head.
+            has_content: whether it has content that is not small.
+            is_upload: whether its content is forwarded as it comes. Uploads that stall would take
+                what clients' connections need, and no more clients would be accepted.
+        """
         is_small = head_bytes <= SMALL_HEAD_BYTES
         if not self.may_open_upstream():
             return False
         if not is_small and self.has_too_many_heads():
             return False
-        return (is_small and not has_content) or self._may_begin_long()
-
-    def _may_begin_long(self) -> bool:
-        """Whether a request may begin that keeps its connection to a backend for long.
-
-        Uploads that stall would take what clients' connections need, and no more be accepted.
-        """
         connections = self.held[Holder.CONNECTIONS] + UPSTREAM_CONNECTION_BYTES
-        return (
-            self.total <= self.capacity_bytes
-            and connections <= CONTENT_FRACTION * self.capacity_bytes
-        )
+        if is_upload and connections > UPLOADS_FRACTION * self.capacity_bytes:
+            return False
+        return (is_small and not has_content) or self.total <= self.capacity_bytes
 
     def report(self) -> str:
         """The account in one line, in KB."""
--- a/loadbalancer/proxy/downstream/request_parser.py
+++ b/loadbalancer/proxy/downstream/request_parser.py
@@ -257,7 +257,8 @@
         size = incoming.head_size = len(incoming.url) + len(incoming.lines)
         budget.reserve_request(size)
         has_content = incoming.chunked or incoming.length > budget.small_content_bytes
-        if not budget.may_begin(size, has_content) and self._response_is_next():
+        is_upload = incoming.chunked or incoming.length > STREAMING_THRESHOLD_BYTES
+        if not budget.may_begin(size, has_content, is_upload) and self._response_is_next():
             budget.rejected += 1
             raise BadRequestError(503)
 
--- a/tests/core/test_memory_account.py
+++ b/tests/core/test_memory_account.py
@@ -104,10 +104,11 @@
 
 def test_uploads_that_stall_leave_room_for_new_clients(account: MemoryAccount) -> None:
     """Rejected clients came again, were not accepted beside stalled uploads, and got no answer."""
-    while account.may_begin(SMALL_HEAD_BYTES, has_content=True):
+    while account.may_begin(SMALL_HEAD_BYTES, has_content=True, is_upload=True):
         account.reserve_request(SMALL_HEAD_BYTES)
         account.add_connections(CLIENT_CONNECTION_BYTES + UPSTREAM_CONNECTION_BYTES)
     assert account.may_accept_client()
+    assert account.may_begin(SMALL_HEAD_BYTES, has_content=True)
     assert account.may_begin(SMALL_HEAD_BYTES, has_content=False)
 
 
