--- a/tests/core/endpoints/test_drain_orders.py
+++ b/tests/core/endpoints/test_drain_orders.py
@@ -211,7 +211,7 @@
 @pytest.mark.parametrize("drain_form", ["state", "absence"])
 @pytest.mark.parametrize("first", [PLATFORM, CONSUL])
 @pytest.mark.parametrize("health", [Health.PASSING, Health.MAINTENANCE])
-def test_a_drain_processes_before_the_other_source_is_kept(
+def test_a_drain_reported_before_the_other_source_reports_holds(
     drain_form: str, first: str, health: Health
 ) -> None:
     """After a restart requests went to a server that drained, for good (`review/10`)."""
